Hand a leaving gate's claims over to the service's other gates

Cause: a gate that left counted for calls.ledger_retention as one that lost its memory. Ruled out: counting fewer candidates in a young fleet (two gates whose tables differ could both admit a key); taking the hand-over as the memory of a process that starts again under the same ID (a table that lags misses the process between, found by the property test's world). Found on the way by the property test, with hand-overs in its worlds: a key ran twice 38 s after the first run because an expired claim hid a handed one (now kept with their ages, and contested when they differ); 54.9 s after, because a claim was forgotten one retention after its record though its call was admitted up to the patience later (claims are now kept for that long more); 52 s after, because a contested claim expired with the older one. The last two are kept as TestFailedSeeds.

--- a/internal/coordination/keyed/attempt.go
+++ b/internal/coordination/keyed/attempt.go
@@ -4,7 +4,10 @@
 
 func (m *Machine) answered(e Answered) []Action {
 	m.takeNotes(e.Answer.Notes)
-	if e.Serial == 0 {
+	switch e.Kind {
+	case HandOver:
+		return m.handOverAnswered(e)
+	case Introduce:
 		return m.introducedBy(e)
 	}
 	a := m.attempts[e.Serial]
@@ -12,7 +15,7 @@
 		return nil
 	}
 	confirms := a.confirming != (Holder{})
-	if confirms != e.Confirms {
+	if confirms != (e.Kind == Confirm) {
 		return nil
 	}
 	delete(a.outstanding, e.From)
@@ -36,7 +39,10 @@
 }
 
 func (m *Machine) missed(e Lost) []Action {
-	if e.Serial == 0 {
+	switch e.Kind {
+	case HandOver:
+		return m.handOverEnded(e.From)
+	case Introduce:
 		delete(m.introductions, e.From)
 		return nil
 	}
@@ -72,7 +78,7 @@
 	a.confirming = Holder{}
 	a.dismissed[a.gone] = true
 	held, ok := m.claims[a.key]
-	if ok && held.holder != a.gone && held.holder != a.holder {
+	if ok && (held.contested || held.holder != a.gone && held.holder != a.holder) {
 		return m.refuse(a, call.ReasonKeyClaimed)
 	}
 	m.hold(a.key, a.holder)
@@ -115,9 +121,7 @@
 }
 
 func (m *Machine) withdraw(key string, holder Holder) []Action {
-	if m.claims[key].holder == holder {
-		delete(m.claims, key)
-	}
+	m.drop(key, holder)
 	var actions []Action
 	for _, g := range m.candidates(key) {
 		if g.Running && g.ID != m.options.Self.ID {
@@ -137,12 +141,13 @@
 	held, ok := m.claims[r.Key]
 	switch r.Kind {
 	case Withdraw:
-		if ok && held.holder == r.Holder {
-			delete(m.claims, r.Key)
-		}
+		m.drop(r.Key, r.Holder)
 		return Answer{State: DismissedClaim}
 	case Introduce:
 		return Answer{State: Recorded, Notes: m.history()}
+	case HandOver:
+		m.takeHandOver(r)
+		return Answer{State: Recorded}
 	case Confirm:
 		if m.attempts[r.Holder.Serial] != nil || ok && held.holder == r.Holder {
 			return Answer{State: Held, Holder: r.Holder}
@@ -150,6 +155,12 @@
 		return Answer{State: DismissedClaim}
 	}
 	notes := m.notes(m.candidates(r.Key))
+	if m.handingOver.begun {
+		return Answer{State: Restarted, Notes: notes}
+	}
+	if ok && held.contested {
+		return Answer{State: Held, Holder: held.holder, Notes: notes}
+	}
 	if ok && held.holder != r.Dismissed && !newer(r.Holder, held.holder) {
 		return Answer{State: Held, Holder: held.holder, Notes: notes}
 	}
--- a/internal/coordination/keyed/event.go
+++ b/internal/coordination/keyed/event.go
@@ -38,15 +38,17 @@
 type Answered struct {
 	Serial uint64
 	From   string
-	// Confirms says that the Ask was a Confirm.
-	Confirms bool
-	Answer   Answer
+	// Kind is that of the Ask's Request.
+	Kind   Kind
+	Answer Answer
 }
 
 // Lost says that an Ask got no answer.
 type Lost struct {
 	Serial uint64
 	From   string
+	// Kind is that of the Ask's Request.
+	Kind Kind
 }
 
 // Asked is another gate's question; a Reply follows at once.
@@ -61,9 +63,14 @@
 	Serial uint64
 }
 
+// Leave says that this gate starts no further call and is about to end. It hands
+// its claims over; HandedOver follows.
+type Leave struct{}
+
 // Tick lets time pass.
 type Tick struct{}
 
+func (Leave) isEvent()    {}
 func (SetGates) isEvent() {}
 func (Admit) isEvent()    {}
 func (Answered) isEvent() {}
@@ -86,6 +93,9 @@
 	// Introduce asks a gate, on behalf of one that has just started, for all that
 	// it knows of gates that came, went or restarted.
 	Introduce Kind = 4
+	// HandOver brings claims that a leaving gate knows of, its own and those that
+	// it recorded.
+	HandOver Kind = 5
 )
 
 // Holder names one claim. Serials of one incarnation only grow.
@@ -105,6 +115,19 @@
 	// ToIncarnation is the process that the question is meant for.
 	ToIncarnation uint64
 	Notes         []Note
+	// Handed are the claims of a HandOver; Last says that the leaving gate, which
+	// Holder names, knows of no others.
+	Handed []HandedClaim
+	Last   bool
+}
+
+// HandedClaim is a claim that a leaving gate knows of.
+type HandedClaim struct {
+	Key string
+	// Holder is empty for a contested claim.
+	Holder Holder
+	// Age is how long ago the claim was recorded.
+	Age time.Duration
 }
 
 // State is what a gate tells about a key.
@@ -118,7 +141,8 @@
 	Held State = 2
 	// DismissedClaim says that the claimant does not hold the claim and never will.
 	DismissedClaim State = 3
-	// Restarted says that the question was meant for another process.
+	// Restarted says that the question was meant for another process, or for one
+	// that records nothing any more because it leaves.
 	Restarted State = 4
 )
 
@@ -171,7 +195,12 @@
 	Answer Answer
 }
 
-func (Ask) isAction()      {}
-func (Admitted) isAction() {}
-func (Refused) isAction()  {}
-func (Reply) isAction()    {}
+// HandedOver says that every running gate has this gate's claims or could not
+// be reached.
+type HandedOver struct{}
+
+func (HandedOver) isAction() {}
+func (Ask) isAction()        {}
+func (Admitted) isAction()   {}
+func (Refused) isAction()    {}
+func (Reply) isAction()      {}
--- a/internal/coordination/keyed/history.go
+++ b/internal/coordination/keyed/history.go
@@ -45,10 +45,7 @@
 	if g.Incarnation < held.Incarnation {
 		return
 	}
-	if g.Incarnation > held.Incarnation {
-		held.lost = m.now
-	}
-	if held.Running && !g.Running {
+	if g.Incarnation > held.Incarnation || held.Running && !g.Running && !held.handedOver() {
 		held.lost = m.now
 	}
 	if held.Running != g.Running {
@@ -94,7 +91,8 @@
 			held.Incarnation = n.Gate.Incarnation
 			held.lost = m.now
 		}
-		if at := m.now.Add(-n.LostMemory); n.LostMemory > 0 && at.After(held.lost) {
+		handedOver := held.handedOver() && n.Gate.Incarnation == held.Incarnation
+		if at := m.now.Add(-n.LostMemory); n.LostMemory > 0 && at.After(held.lost) && !handedOver {
 			held.lost = at
 		}
 		if at := m.now.Add(-n.Changed); n.Changed > 0 && at.After(held.changed) {
--- a/internal/coordination/keyed/machine.go
+++ b/internal/coordination/keyed/machine.go
@@ -10,7 +10,8 @@
 type Options struct {
 	// Self is this gate.
 	Self Gate
-	// Retention is how long claims and former gates are remembered.
+	// Retention is how long after its admission a call's claim, and former gates,
+	// are remembered at least.
 	Retention time.Duration
 	// Settle is how long after its own start a gate takes those it hears of as
 	// new to its table only: afterwards it takes them as settled.
@@ -26,12 +27,17 @@
 	changed time.Time
 	lost    time.Time
 	weight  uint64
+	// handed is the incarnation that handed its claims to this gate when it left.
+	handed uint64
 }
 
 // claim is a key that is held.
 type claim struct {
 	holder Holder
 	at     time.Time
+	// contested says that another claim came with a hand-over. It is not known
+	// which of the two ran, so neither claimant's word frees the key.
+	contested bool
 }
 
 // attempt is a claim of this gate that waits for answers.
@@ -71,10 +77,13 @@
 	// introductions holds those asked, true for those that answered.
 	introduced    bool
 	introductions map[string]bool
+	handingOver   handingOver
 }
 
 // New returns a machine of a gate that starts now.
 func New(now time.Time, options Options) *Machine {
+	// A call may be admitted as late as Patience after its claim was recorded.
+	options.Retention += options.Patience
 	m := &Machine{
 		options: options, started: now, now: now,
 		members:  make(map[string]*member),
@@ -118,6 +127,8 @@
 		return []Action{Reply{Token: e.Token, Answer: m.answer(e.Request)}}
 	case Release:
 		return m.release(e)
+	case Leave:
+		return m.leave()
 	}
 	return nil
 }
@@ -141,6 +152,13 @@
 	m.expiries = append(m.expiries, expiry{key: key, at: m.now})
 }
 
+// drop forgets a claim that its holder gave up.
+func (m *Machine) drop(key string, holder Holder) {
+	if held, ok := m.claims[key]; ok && held.holder == holder && !held.contested {
+		delete(m.claims, key)
+	}
+}
+
 func (m *Machine) admit(e Admit) []Action {
 	if waits := m.byKey[e.Key]; waits != nil {
 		waits.tokens = append(waits.tokens, e.Token)
@@ -149,7 +167,7 @@
 	if held, ok := m.claims[e.Key]; ok && m.mine(held.holder) {
 		return []Action{Admitted{Token: e.Token, Repeat: true}}
 	}
-	if e.Closed {
+	if e.Closed || m.handingOver.begun {
 		return []Action{Admitted{Token: e.Token}}
 	}
 	if !m.introduced {
@@ -162,7 +180,9 @@
 		outstanding: make(map[string]bool), recorded: make(map[string]bool), dismissed: make(map[Holder]bool),
 	}
 	m.attempts[m.serial], m.byKey[e.Key] = a, a
-	if held, ok := m.claims[e.Key]; ok {
+	if held, ok := m.claims[e.Key]; ok && held.contested {
+		return m.refuse(a, call.ReasonKeyClaimed)
+	} else if ok {
 		return m.inTheWay(a, held.holder)
 	}
 	m.hold(e.Key, a.holder)
--- a/internal/coordination/keyed/machine_test.go
+++ b/internal/coordination/keyed/machine_test.go
@@ -51,7 +51,7 @@
 
 // age lets the gates' first retention pass.
 func (w *world) age() {
-	w.now = w.now.Add(testRetention + testSettle)
+	w.now = w.now.Add(testRetention + testPatience + testSettle)
 	for _, g := range w.gates {
 		w.step(g, Tick{})
 	}
@@ -124,6 +124,69 @@
 	})
 }
 
+// youngWorld returns a world whose gates all saw each other come within the
+// retention, so that none counts as settled.
+func youngWorld(t *testing.T, use func(w *world)) {
+	newQuietWorld(t, func(w *world) {
+		for _, g := range w.gates {
+			for _, held := range g.machine.members {
+				held.changed = w.now
+			}
+		}
+		use(w)
+	})
+}
+
+// TestPlannedStopInYoungFleet holds that new keys go on after a gate of a young
+// fleet left, and that a key which the gate ran is not run again.
+func TestPlannedStopInYoungFleet(t *testing.T) {
+	youngWorld(t, func(w *world) {
+		is := is.New(t)
+		leaver := w.gates[0]
+		w.step(leaver, Admit{Token: 1, Key: "ran"})
+		w.flush()
+		w.step(leaver, Leave{})
+		w.flush()
+		is.Equal(w.handed, 1)
+		leaver.up = false
+		for _, g := range w.gates[1:] {
+			g.view[leaver.id] = leaver.truth()
+			w.share(g)
+		}
+		for i, g := range w.gates[1:] {
+			w.refused = ""
+			w.step(g, Admit{Token: uint64(100 + i), Key: "ran"})
+			w.flush()
+			is.Equal(w.refused, call.ReasonKeyClaimed)
+		}
+		is.Equal(w.admitted, 1)
+		for i := range 100 {
+			w.step(w.gates[1+i%5], Admit{Token: uint64(200 + i), Key: fmt.Sprint("new-", i)})
+			w.flush()
+		}
+		is.Equal(w.admitted, 101)
+	})
+}
+
+// TestHandOverInParts holds that more claims than fit into one message all
+// arrive.
+func TestHandOverInParts(t *testing.T) {
+	newQuietWorld(t, func(w *world) {
+		is := is.New(t)
+		leaver := w.gates[0]
+		for i := range handOverBatch + 1 {
+			leaver.machine.hold(fmt.Sprint("key-", i), Holder{Gate: leaver.id, Incarnation: 1, Serial: uint64(i + 1)})
+		}
+		w.step(leaver, Leave{})
+		w.flush()
+		is.Equal(w.handed, 1)
+		for _, g := range w.gates[1:] {
+			is.Equal(g.machine.Claims(), handOverBatch+1)
+			is.True(g.machine.members[leaver.id].handedOver())
+		}
+	})
+}
+
 // BenchmarkClaim is the work for one admitted key in a service of 500 gates: at
 // the gate that claims it, and at one that records another's claim.
 func BenchmarkClaim(b *testing.B) {
@@ -135,13 +198,13 @@
 	machine := New(now, Options{Self: gates[0], Retention: testRetention, Settle: testSettle, Patience: testPatience})
 	machine.Step(now, SetGates{Gates: gates})
 	machine.introduced = true
-	now = now.Add(testRetention + testSettle + 1)
+	now = now.Add(testRetention + testPatience + testSettle + 1)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		key := fmt.Sprint("key-", i)
 		for _, action := range machine.Step(now, Admit{Token: uint64(i), Key: key}) {
 			ask := action.(Ask)
-			machine.Step(now, Answered{Serial: ask.Serial, From: ask.To, Answer: Answer{State: Recorded}})
+			machine.Step(now, Answered{Serial: ask.Serial, From: ask.To, Kind: ask.Request.Kind, Answer: Answer{State: Recorded}})
 		}
 		other := Holder{Gate: "gate-1", Incarnation: 1, Serial: uint64(i)}
 		machine.Step(now, Asked{Request: Request{Kind: Record, Key: "other-" + key, Holder: other, ToIncarnation: 1}})
--- a/internal/coordination/keyed/property_test.go
+++ b/internal/coordination/keyed/property_test.go
@@ -52,6 +52,7 @@
 	wrongSince map[string]time.Time
 	pending    []waitingCall
 	keys       map[uint64]string
+	leaving    bool
 }
 
 // world runs gates over a network that loses, reorders and delays, while gates
@@ -67,11 +68,15 @@
 	token    uint64
 	admitted int
 	answered int
+	handed   int
 	refused  call.Reason
 }
 
 func newWorld(t *rapid.T) *world {
-	seed := rapid.Uint64().Draw(t, "seed")
+	return worldOf(t, rapid.Uint64().Draw(t, "seed"))
+}
+
+func worldOf(t *rapid.T, seed uint64) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0),
 		cut: make(map[[2]string]bool), runs: make(map[string][]time.Time),
@@ -100,7 +105,7 @@
 func (w *world) boot(g *worldGate) {
 	g.up, g.started = true, w.now
 	g.view, g.wrongSince = make(map[string]Gate), make(map[string]time.Time)
-	g.pending, g.keys = nil, make(map[uint64]string)
+	g.pending, g.keys, g.leaving = nil, make(map[uint64]string), false
 	for _, other := range w.gates {
 		g.view[other.id] = other.truth()
 	}
@@ -133,8 +138,13 @@
 				w.answered++
 				continue
 			}
+			if g.leaving {
+				continue // the gate's own machine refuses it
+			}
 			w.admitted++
 			g.pending = append(g.pending, waitingCall{Admitted: a, since: w.now})
+		case HandedOver:
+			w.handed++
 		case Reply:
 			w.network[len(w.network)-1].answer = &a.Answer
 		}
@@ -155,11 +165,11 @@
 	m := w.network[index]
 	w.network = append(w.network[:index], w.network[index+1:]...)
 	if m.answer != nil {
-		w.toAsker(m, Answered{Serial: m.ask.Serial, From: m.to.id, Confirms: m.ask.Request.Kind == Confirm, Answer: *m.answer})
+		w.toAsker(m, Answered{Serial: m.ask.Serial, From: m.to.id, Kind: m.ask.Request.Kind, Answer: *m.answer})
 		return
 	}
 	if !m.to.up || w.cut[pair(m.from, m.to)] {
-		w.toAsker(m, Lost{Serial: m.ask.Serial, From: m.to.id})
+		w.toAsker(m, Lost{Serial: m.ask.Serial, From: m.to.id, Kind: m.ask.Request.Kind})
 		return
 	}
 	w.network = append(w.network, m)
@@ -176,7 +186,7 @@
 func (w *world) lose(index int) {
 	m := w.network[index]
 	w.network = append(w.network[:index], w.network[index+1:]...)
-	w.toAsker(m, Lost{Serial: m.ask.Serial, From: m.to.id})
+	w.toAsker(m, Lost{Serial: m.ask.Serial, From: m.to.id, Kind: m.ask.Request.Kind})
 }
 
 func pair(a, b *worldGate) [2]string { return [2]string{min(a.id, b.id), max(a.id, b.id)} }
@@ -267,8 +277,15 @@
 	}
 }
 
+// endOrStart ends the gate, starts it, or lets it leave: it then ends the next
+// time, whether its claims have arrived by then or not.
 func (w *world) endOrStart(g *worldGate) {
 	if g.up && w.mayEnd(g) {
+		if w.random.IntN(3) > 0 && !g.leaving && len(g.pending) == 0 && len(g.machine.attempts) == 0 {
+			g.leaving = true
+			w.step(g, Leave{})
+			return
+		}
 		g.up = false
 		return
 	}
@@ -302,7 +319,7 @@
 // TestKeyRunsOnce holds that no key runs twice, whatever the network loses and
 // reorders and whichever gates end, start, pause, are cut off or misjudged.
 func TestKeyRunsOnce(t *testing.T) {
-	admitted, repeats := 0, 0
+	admitted, repeats, handed := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		for range worldSteps {
@@ -310,9 +327,29 @@
 		}
 		admitted += w.admitted
 		repeats += w.answered
+		handed += w.handed
 	})
-	if admitted == 0 || repeats == 0 {
-		t.Fatalf("%d calls were admitted and %d repeats met them: nothing was proved", admitted, repeats)
+	if admitted == 0 || repeats == 0 || handed == 0 {
+		t.Fatalf("%d calls were admitted, %d repeats met them and %d gates handed over: nothing was proved", admitted, repeats, handed)
 	}
 	t.Logf("%d calls admitted, %d repeats met them", admitted, repeats)
 }
+
+// failedSeeds are worlds in which a key ran twice: 0x1d1 by a claim that was
+// forgotten a retention after it was recorded, though its call was admitted
+// later; 0x33e2afac by a contested claim that expired with the older of the two.
+var failedSeeds = []uint64{0x1d1, 0x33e2afac}
+
+func TestFailedSeeds(t *testing.T) {
+	next := 0
+	rapid.Check(t, func(t *rapid.T) {
+		if next == len(failedSeeds) {
+			return
+		}
+		w := worldOf(t, failedSeeds[next])
+		next++
+		for range worldSteps {
+			w.happen()
+		}
+	})
+}
--- a/internal/coordination/keyed/rank.go
+++ b/internal/coordination/keyed/rank.go
@@ -21,7 +21,7 @@
 	least := m.leastWeight(key)
 	var ranked []*member
 	for _, g := range m.members {
-		if g.weight >= least && (g.Running || m.recent(g.changed)) {
+		if g.weight >= least && (g.Running || m.recent(g.changed)) && !g.handedOver() {
 			ranked = append(ranked, g)
 		}
 	}
@@ -35,7 +35,7 @@
 	var highest [setSize]uint64
 	for _, g := range m.members {
 		g.weight = Weight(g.ID, key)
-		if !g.Running || m.recent(g.changed) {
+		if !g.Running || m.recent(g.changed) || g.handedOver() {
 			continue
 		}
 		weight := g.weight
--- a/internal/node/calls/claimwire.go
+++ b/internal/node/calls/claimwire.go
@@ -14,9 +14,29 @@
 		Dismissed:     &wire.KeyClaim{Gate: r.Dismissed.Gate, Incarnation: r.Dismissed.Incarnation, Serial: r.Dismissed.Serial},
 		ToIncarnation: r.ToIncarnation,
 		Notes:         wireNotes(r.Notes),
+		Handed:        wireHanded(r.Handed),
+		Last:          r.Last,
 	}
 }
 
+func wireHanded(claims []keyed.HandedClaim) []*wire.HandedClaim {
+	out := make([]*wire.HandedClaim, 0, len(claims))
+	for _, c := range claims {
+		holder := &wire.KeyClaim{Gate: c.Holder.Gate, Incarnation: c.Holder.Incarnation, Serial: c.Holder.Serial}
+		out = append(out, &wire.HandedClaim{Key: c.Key, Holder: holder, AgeNs: c.Age.Nanoseconds()})
+	}
+	return out
+}
+
+func handedOf(claims []*wire.HandedClaim) []keyed.HandedClaim {
+	out := make([]keyed.HandedClaim, 0, len(claims))
+	for _, c := range claims {
+		holder := keyed.Holder{Gate: c.Holder.GetGate(), Incarnation: c.Holder.GetIncarnation(), Serial: c.Holder.GetSerial()}
+		out = append(out, keyed.HandedClaim{Key: c.Key, Holder: holder, Age: time.Duration(c.AgeNs)})
+	}
+	return out
+}
+
 func requestOf(r *wire.ClaimRequest) keyed.Request {
 	return keyed.Request{
 		Key: r.Key, Kind: keyed.Kind(r.Kind),
@@ -24,6 +44,8 @@
 		Dismissed:     keyed.Holder{Gate: r.Dismissed.GetGate(), Incarnation: r.Dismissed.GetIncarnation(), Serial: r.Dismissed.GetSerial()},
 		ToIncarnation: r.ToIncarnation,
 		Notes:         notesOf(r.Notes),
+		Handed:        handedOf(r.Handed),
+		Last:          r.Last,
 	}
 }
 
--- a/internal/node/calls/drain.go
+++ b/internal/node/calls/drain.go
@@ -11,7 +11,8 @@
 const drainPoll = 5 * time.Millisecond
 
 // Drain refuses new work at the gate from now on, and returns when the calls in
-// flight there are finished and their answers sent, or when ctx ends. Callers
+// flight there are finished, their answers sent and the claims of idempotency
+// keys handed over, or when ctx ends. Callers
 // go on being served, at other gates, and are told to close their connections;
 // http.Server.Shutdown ends that.
 func (d *Duty) Drain(ctx context.Context) error {
@@ -26,5 +27,5 @@
 			return ctx.Err()
 		}
 	}
-	return nil
+	return d.keyed.leave(ctx)
 }
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -48,6 +48,8 @@
 	addresses map[string]string
 	// introduced is set once the machine admits calls.
 	introduced atomic.Bool
+	// handedOver is closed once a leaving gate has handed its claims over.
+	handedOver chan struct{}
 }
 
 func newKeyedLoop(d *Duty) *keyedLoop {
@@ -62,6 +64,8 @@
 		ring:     ring.New[keyedItem](keyedRingSize),
 		done:     make(chan struct{}),
 		verdicts: make(map[uint64]chan keyed.Action),
+
+		handedOver: make(chan struct{}),
 	}
 }
 
@@ -107,6 +111,8 @@
 			delete(l.verdicts, a.Token)
 		case keyed.Reply:
 			item.reply <- a.Answer
+		case keyed.HandedOver:
+			close(l.handedOver)
 		}
 	}
 }
@@ -137,10 +143,9 @@
 	if a.Request.Kind == keyed.Withdraw {
 		return
 	}
-	var event keyed.Event = keyed.Lost{Serial: a.Serial, From: a.To}
+	var event keyed.Event = keyed.Lost{Serial: a.Serial, From: a.To, Kind: a.Request.Kind}
 	if err == nil {
-		confirms := a.Request.Kind == keyed.Confirm
-		event = keyed.Answered{Serial: a.Serial, From: a.To, Confirms: confirms, Answer: answerOf(answer)}
+		event = keyed.Answered{Serial: a.Serial, From: a.To, Kind: a.Request.Kind, Answer: answerOf(answer)}
 	}
 	l.ring.Push(keyedItem{event: event}, l.done)
 }
@@ -181,6 +186,21 @@
 	}
 }
 
+// leave hands this gate's claims to the service's other gates.
+func (l *keyedLoop) leave(ctx context.Context) error {
+	if !l.ring.Push(keyedItem{event: keyed.Leave{}}, ctx.Done()) {
+		return ctx.Err()
+	}
+	select {
+	case <-l.handedOver:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.done:
+		return nil
+	}
+}
+
 // release gives up the claim of a call that was not run.
 func (l *keyedLoop) release(key string, serial uint64) {
 	l.ring.Push(keyedItem{event: keyed.Release{Key: key, Serial: serial}}, l.done)
