--- a/cmd/jasminegate/main.go
+++ b/cmd/jasminegate/main.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"jasminegate/internal/cli"
+	"jasminegate/internal/node"
+	"jasminegate/platform"
 )
 
 func main() {
@@ -16,7 +18,7 @@
 		Out:      os.Stdout,
 		Err:      os.Stderr,
 		Terminal: isTerminal(os.Stderr),
-	})
+	}, map[string]node.NewAdapter{platform.Name: platform.New})
 	stop()
 	os.Exit(int(code))
 }
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -18,7 +21,7 @@
   jasminegate node --config /etc/jasminegate/node.yaml
   JASMINEGATE_NODE_ID=web-1 jasminegate node --config node.yaml --telemetry.log_level debug`
 
-func nodeCommand(streams Streams) *ffcli.Command {
+func nodeCommand(streams Streams, adapters map[string]node.NewAdapter) *ffcli.Command {
 	flags := newFlags("jasminegate node", streams)
 	path := flags.String("config", "", "settings `FILE` (required)")
 	overrides := config.RegisterFlags(flags)
@@ -36,18 +39,41 @@
 			if *path == "" {
 				return ErrUsage.New("no settings given: name the file with --config FILE or JASMINEGATE_CONFIG")
 			}
-			return runNode(ctx, streams, *path, overrides.List)
+			return runNode(ctx, streams, adapters, *path, overrides.List)
 		},
 	}
 }
 
-func runNode(ctx context.Context, streams Streams, path string, overrides []config.Override) error {
+func runNode(ctx context.Context, streams Streams, adapters map[string]node.NewAdapter, path string, overrides []config.Override) error {
 	settings, err := config.Load(path, overrides...)
 	if err != nil {
 		return logRejected(streams, path, err)
 	}
 	logger := logging.New(streams.Err, settings.Telemetry.LogLevel, settings.Node.ID)
-	return node.Run(ctx, settings, logger)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	go reload(ctx, reloads, logger, func() (config.Settings, error) { return config.Load(path, overrides...) })
+	return node.Run(ctx, settings, adapters, logger)
+}
+
+// reload reads the settings again at each signal. A file that is rejected
+// changes nothing.
+func reload(ctx context.Context, signals <-chan os.Signal, logger *logging.Logger, load func() (config.Settings, error)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		settings, err := load()
+		if err != nil {
+			logger.Event(logging.SettingsRejected).Str("problem", err.Error()).Send()
+			continue
+		}
+		logger.SetLevel(settings.Telemetry.LogLevel)
+		logger.Event(logging.SettingsReloaded).Str("log_level", settings.Telemetry.LogLevel).Send()
+	}
 }
 
 // logRejected writes one event for each problem of the settings.
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"jasminegate/internal/config"
+	"jasminegate/internal/node"
 )
 
 // Streams are where a command writes: results to Out, all else to Err.
@@ -23,9 +24,10 @@
 	Terminal bool
 }
 
-// Run runs the command that args name until it ends or ctx does.
-func Run(ctx context.Context, args []string, streams Streams) ExitCode {
-	root := rootCommand(streams)
+// Run runs the command that args name until it ends or ctx does. Nodes may use
+// the adapters to platforms by their names.
+func Run(ctx context.Context, args []string, streams Streams, adapters map[string]node.NewAdapter) ExitCode {
+	root := rootCommand(streams, adapters)
 	if err := root.Parse(args); err != nil {
 		return reportParse(err, streams)
 	}
@@ -62,7 +64,7 @@
 	return err.Error()
 }
 
-func rootCommand(streams Streams) *ffcli.Command {
+func rootCommand(streams Streams, adapters map[string]node.NewAdapter) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "jasminegate",
 		ShortUsage: "jasminegate <subcommand> [flags] [arguments]",
@@ -70,7 +72,7 @@
 		LongHelp:   exitCodeHelp,
 		FlagSet:    newFlags("jasminegate", streams),
 		Subcommands: []*ffcli.Command{
-			nodeCommand(streams),
+			nodeCommand(streams, adapters),
 			ticketCommand(streams),
 			configCommand(streams),
 			statusCommand(streams),
--- a/internal/config/addresses.go
+++ b/internal/config/addresses.go
@@ -17,21 +17,30 @@
 	// announced returns the address that other nodes are told, which cannot be
 	// the unspecified one; nil when they are told none.
 	announced func(Node) string
+	// optional says that the address may be left out.
+	optional bool
 }
 
 var listeners = []listener{
-	{"node.callers_address", func(s *Settings) string { return s.Node.CallersAddress }, nil},
-	{"node.admin_address", func(s *Settings) string { return s.Node.AdminAddress }, nil},
-	{"node.control_address", func(s *Settings) string { return s.Node.ControlAddress }, Node.PeerControlAddress},
-	{"node.calls_address", func(s *Settings) string { return s.Node.CallsAddress }, Node.PeerCallsAddress},
+	{"node.callers_address", func(s *Settings) string { return s.Node.CallersAddress }, nil, false},
+	{"node.admin_address", func(s *Settings) string { return s.Node.AdminAddress }, nil, false},
+	{"node.control_address", func(s *Settings) string { return s.Node.ControlAddress }, Node.PeerControlAddress, false},
+	{"node.calls_address", func(s *Settings) string { return s.Node.CallsAddress }, Node.PeerCallsAddress, false},
+	{"node.announce_address", func(s *Settings) string { return s.Node.AnnounceAddress }, nil, true},
+	{"node.ready_address", func(s *Settings) string { return s.Node.ReadyAddress }, nil, true},
 }
 
 func addressRules() []rule {
 	var rules []rule
 	for _, listener := range listeners {
-		rules = append(rules, rule{listener.key, boundsAddress, listener.check})
+		bounds := boundsAddress
+		if listener.optional {
+			bounds += " or empty"
+		}
+		rules = append(rules, rule{listener.key, bounds, listener.check})
 	}
 	return append(rules,
+		advertised("node.target_address", func(s *Settings) string { return s.Node.TargetAddress }),
 		advertised("node.control_advertise_address", func(s *Settings) string { return s.Node.ControlAdvertiseAddress }),
 		advertised("node.calls_advertise_address", func(s *Settings) string { return s.Node.CallsAdvertiseAddress }),
 	)
@@ -52,6 +61,9 @@
 }
 
 func (l listener) check(s *Settings) (text, remedy string) {
+	if l.optional && l.get(s) == "" {
+		return "", ""
+	}
 	address, text, remedy := parseAddress(l.get(s))
 	if text != "" {
 		return text, remedy
@@ -69,12 +81,15 @@
 			if !document.Sound(later.key, earlier.key) || !clash(later.get(settings), earlier.get(settings)) {
 				continue
 			}
-			document.Reject(later.key, "listens on the same port as "+earlier.key, "give each of the four addresses its own port")
+			document.Reject(later.key, "listens on the same port as "+earlier.key, "give each address its own port")
 		}
 	}
 }
 
 func clash(a, b string) bool {
+	if a == "" || b == "" {
+		return false
+	}
 	one, other := netip.MustParseAddrPort(a), netip.MustParseAddrPort(b)
 	if one.Port() != other.Port() {
 		return false
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -40,6 +40,9 @@
 var rules = slices.Concat([]rule{
 	name("node.id", func(s *Settings) string { return s.Node.ID }),
 	name("node.domain", func(s *Settings) string { return s.Node.Domain }),
+	optionalName("node.service", func(s *Settings) string { return s.Node.Service }),
+	optionalName("platform.adapter", func(s *Settings) string { return s.Platform.Adapter }),
+	between("platform.heartbeat", func(s *Settings) time.Duration { return s.Platform.Heartbeat }, 10*time.Millisecond, time.Minute),
 	{"platform.url", boundsURL, checkPlatformURL},
 	between("platform.request_timeout", func(s *Settings) time.Duration { return s.Platform.RequestTimeout }, 10*time.Millisecond, time.Minute),
 	between("platform.read_wait", func(s *Settings) time.Duration { return s.Platform.ReadWait }, 10*time.Millisecond, 10*time.Minute),
@@ -50,7 +53,7 @@
 	between("membership.probe_interval", func(s *Settings) time.Duration { return s.Membership.ProbeInterval }, 10*time.Millisecond, time.Minute),
 	between("membership.probe_timeout", func(s *Settings) time.Duration { return s.Membership.ProbeTimeout }, time.Millisecond, time.Minute),
 	between("membership.suspicion_timeout", func(s *Settings) time.Duration { return s.Membership.SuspicionTimeout }, 10*time.Millisecond, 10*time.Minute),
-	between("membership.fence_timeout", func(s *Settings) time.Duration { return s.Membership.FenceTimeout }, 100*time.Millisecond, 10*time.Minute),
+	between("membership.fence_timeout", func(s *Settings) time.Duration { return s.Membership.FenceTimeout }, 0, 10*time.Minute),
 	between("membership.forget_timeout", func(s *Settings) time.Duration { return s.Membership.ForgetTimeout }, 100*time.Millisecond, time.Hour),
 	between("membership.relay_interval", func(s *Settings) time.Duration { return s.Membership.RelayInterval }, 10*time.Millisecond, time.Minute),
 	between("membership.relays", func(s *Settings) int { return s.Membership.Relays }, 1, 16),
@@ -59,6 +62,7 @@
 	between("calls.retry_ratio", func(s *Settings) float64 { return s.Calls.RetryRatio }, 0, 1),
 	sizeBetween("calls.ledger_bytes", func(s *Settings) int64 { return s.Calls.LedgerBytes }, 64<<10, 1<<30),
 	between("calls.ledger_retention", func(s *Settings) time.Duration { return s.Calls.LedgerRetention }, time.Second, 24*time.Hour),
+	between("calls.leave_delay", func(s *Settings) time.Duration { return s.Calls.LeaveDelay }, 0, time.Minute),
 	between("calls.drain_timeout", func(s *Settings) time.Duration { return s.Calls.DrainTimeout }, 100*time.Millisecond, time.Hour),
 	between("calls.idle_timeout", func(s *Settings) time.Duration { return s.Calls.IdleTimeout }, 100*time.Millisecond, time.Hour),
 	between("calls.silence_timeout", func(s *Settings) time.Duration { return s.Calls.SilenceTimeout }, 10*time.Millisecond, time.Minute),
@@ -82,7 +86,7 @@
 	},
 	{
 		keys:   []string{"membership.fence_timeout", "membership.probe_interval"},
-		breach: func(s *Settings) bool { return s.Membership.FenceTimeout < 2*s.Membership.ProbeInterval },
+		breach: func(s *Settings) bool { return fenced(s) && s.Membership.FenceTimeout < 2*s.Membership.ProbeInterval },
 		text:   "is below twice membership.probe_interval",
 		remedy: "raise it, so that one lost probe does not stop the node from serving",
 	},
@@ -98,6 +102,24 @@
 		text:   fmt.Sprintf("is over half of the %s for which word on a failure domain counts", readback.FreshAge),
 		remedy: "lower it, so that one lost exchange does not make read-backs unconfirmed",
 	},
+	{
+		keys:   []string{"calls.leave_delay", "calls.drain_timeout"},
+		breach: func(s *Settings) bool { return s.Calls.LeaveDelay >= s.Calls.DrainTimeout },
+		text:   "is not below calls.drain_timeout",
+		remedy: "lower it: it is part of the planned stop",
+	},
+	{
+		keys:   []string{"node.announce_address", "platform.adapter"},
+		breach: func(s *Settings) bool { return (s.Node.AnnounceAddress != "") != (s.Platform.Adapter != "") },
+		text:   "does not go with platform.adapter",
+		remedy: "give both or neither",
+	},
+	{
+		keys:   []string{"node.ready_address", "platform.adapter"},
+		breach: func(s *Settings) bool { return (s.Node.ReadyAddress != "") != (s.Platform.Adapter != "") },
+		text:   "does not go with platform.adapter",
+		remedy: "give both or neither",
+	},
 	{
 		keys:   []string{"calls.buffer_bytes", "calls.max_body_bytes"},
 		breach: func(s *Settings) bool { return s.Calls.BufferBytes > s.Calls.MaxBodyBytes },
@@ -106,6 +128,9 @@
 	},
 }
 
+// fenced reports whether a node without contact stops serving.
+func fenced(s *Settings) bool { return s.Membership.FenceTimeout > 0 }
+
 // check adds a problem for each rule and relation that the settings break.
 func check(document *strictyaml.Document, settings *Settings) {
 	for _, rule := range rules {
@@ -165,6 +190,16 @@
 	return rule{key, bounds, func(s *Settings) (string, string) { return checkName(get(s)) }}
 }
 
+func optionalName(key string, get func(*Settings) string) rule {
+	required := name(key, get)
+	return rule{key, required.bounds + ", or empty", func(s *Settings) (string, string) {
+		if get(s) == "" {
+			return "", ""
+		}
+		return checkName(get(s))
+	}}
+}
+
 func checkName(value string) (text, remedy string) {
 	return state.NameFault(value, maxNameBytes)
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -36,6 +36,17 @@
 	ControlAdvertiseAddress string `yaml:"control_advertise_address"`
 	// CallsAdvertiseAddress is the same for CallsAddress.
 	CallsAdvertiseAddress string `yaml:"calls_advertise_address"`
+	// Service is the service of the target on this instance. Targets of callers'
+	// requests are told it; empty tells nothing.
+	Service string `yaml:"service"`
+	// TargetAddress is where the target on this instance serves, for platforms
+	// whose targets announce themselves by other addresses; empty takes the
+	// announced one.
+	TargetAddress string `yaml:"target_address"`
+	// AnnounceAddress and ReadyAddress serve a platform's own announcements and
+	// readiness questions, and are used with an adapter only.
+	AnnounceAddress string `yaml:"announce_address"`
+	ReadyAddress    string `yaml:"ready_address"`
 	// Seeds lists nodes to join through when the platform is out.
 	Seeds []Seed `yaml:"seeds"`
 	// Seed feeds every random choice; 0 draws one from the system.
@@ -63,7 +74,13 @@
 
 // Platform says how to reach the append-only log.
 type Platform struct {
-	URL string `yaml:"url"`
+	// Adapter names the translation to a platform with a protocol of its own;
+	// empty is the product's own log protocol.
+	Adapter string `yaml:"adapter"`
+	// Heartbeat is how often the platform's targets announce themselves. It is
+	// used with an adapter only.
+	Heartbeat time.Duration `yaml:"heartbeat"`
+	URL       string        `yaml:"url"`
 	// RequestTimeout bounds one request to the log.
 	RequestTimeout time.Duration `yaml:"request_timeout"`
 	// ReadWait is how long one read may wait for a new record. A longer wait
@@ -94,7 +111,7 @@
 	// SuspicionTimeout is how long a suspect may refute before it is dead.
 	SuspicionTimeout time.Duration `yaml:"suspicion_timeout"`
 	// FenceTimeout is how long a node serves without hearing from any other
-	// node or the platform.
+	// node or the platform; 0 is without end.
 	FenceTimeout time.Duration `yaml:"fence_timeout"`
 	// ForgetTimeout is how long a dead member still counts for read-back. It
 	// must be above FenceTimeout.
@@ -118,6 +135,9 @@
 	LedgerBytes int64 `yaml:"ledger_bytes"`
 	// LedgerRetention is how long outcomes of non-idempotent calls are kept.
 	LedgerRetention time.Duration `yaml:"ledger_retention"`
+	// LeaveDelay is how long a stopping node goes on taking callers' requests, so
+	// that those who send them there can turn away first.
+	LeaveDelay time.Duration `yaml:"leave_delay"`
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
 	// IdleTimeout closes pooled connections that carry nothing.
@@ -142,6 +162,7 @@
 func Defaults() Settings {
 	return Settings{
 		Platform: Platform{
+			Heartbeat:          time.Second,
 			RequestTimeout:     2 * time.Second,
 			ReadWait:           2 * time.Second,
 			CheckpointInterval: 10 * time.Minute,
--- a/internal/coordination/acceptance/fold.go
+++ b/internal/coordination/acceptance/fold.go
@@ -73,6 +73,32 @@
 	return result, true, nil
 }
 
+// Skip passes over a record that holds no ticket. It fails as Apply does.
+func (f *Fold) Skip(offset int64) error {
+	if offset > f.next {
+		return ErrGap.New("record %d follows %d: read the newest ticket of each key", offset, f.next-1)
+	}
+	f.next = max(f.next, offset+1)
+	return nil
+}
+
+// Restart folds a ticket that replaces the whole configuration without the
+// records before it. It fails with ErrGap, and changes nothing, when the ticket
+// needs those. A record below Next is folded already; done is false then.
+func (f *Fold) Restart(offset int64, data []byte) (result Result, done bool, err error) {
+	if offset < f.next {
+		return Result{}, false, nil
+	}
+	if ticket, err := state.DecodeTicket(data); err == nil && !ticket.Replace {
+		return Result{}, false, ErrGap.New("the newest ticket, number %d, is not a whole configuration: read the records before it", ticket.Number)
+	}
+	f.next = offset
+	return f.Apply(offset, data)
+}
+
+// PassTo goes on at next: the records before it are superseded.
+func (f *Fold) PassTo(next int64) { f.next = max(f.next, next) }
+
 func (f *Fold) decide(position uint64, data []byte) Result {
 	verdict := Verdict{Position: position, Content: xxhash.Sum64(data)}
 	if len(data) > state.MaxTicketBytes {
@@ -116,6 +142,9 @@
 	if err != nil {
 		return Result{Verdict: verdict.rejected(err)}
 	}
+	if ticket.Replace {
+		changes = f.snapshot.Replacing(changes)
+	}
 	next, err := f.snapshot.With(verdict.Position, changes)
 	if err != nil {
 		return Result{Verdict: verdict.rejected(err)}
--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -65,12 +65,14 @@
 	ReasonLost        Reason = "connection-lost"
 	ReasonTargetLost  Reason = "target-connection-lost"
 	ReasonTargetDown  Reason = "target-unreachable"
-	ReasonDeadline    Reason = "deadline"
-	ReasonNoEndpoint  Reason = "no-endpoint"
-	ReasonNoBudget    Reason = "retry-budget-spent"
-	ReasonTooLarge    Reason = "answer-too-large"
-	ReasonKeyReused   Reason = "key-reused"
-	ReasonMalformed   Reason = "malformed"
+	// ReasonTargetShed says that the target told that it did not run the call.
+	ReasonTargetShed Reason = "target-shed"
+	ReasonDeadline   Reason = "deadline"
+	ReasonNoEndpoint Reason = "no-endpoint"
+	ReasonNoBudget   Reason = "retry-budget-spent"
+	ReasonTooLarge   Reason = "answer-too-large"
+	ReasonKeyReused  Reason = "key-reused"
+	ReasonMalformed  Reason = "malformed"
 	// ReasonKeyClaimed says that another gate holds the idempotency key.
 	ReasonKeyClaimed Reason = "key-claimed"
 	// ReasonKeyUncertain says that the gates that may know of an earlier call
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -89,7 +89,7 @@
 	case call.ReasonTargetDown:
 		m.countFailure(now, c.Service, at)
 		return true
-	case call.ReasonQueueFull, call.ReasonTooLate:
+	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetShed:
 		at.avoidTill = now.Add(overloadedFor)
 	}
 	return false
@@ -237,7 +237,7 @@
 // ruled out that an earlier call with the same key ran.
 func keyDecided(reason call.Reason) bool {
 	switch reason {
-	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetDown, call.ReasonCancelled, call.ReasonMalformed, call.ReasonKeyReused:
+	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetDown, call.ReasonTargetShed, call.ReasonCancelled, call.ReasonMalformed, call.ReasonKeyReused:
 		return true
 	default:
 		return false
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/state"
 )
 
 // Endpoint is a gate and the target beside it.
@@ -37,8 +38,11 @@
 // Begin says that a caller's request came in.
 type Begin struct {
 	// Handle names the request until its End.
-	Handle  uint64
-	Service string
+	Handle uint64
+	// Service answers the request, unless Destinations share the calls of Route.
+	Service      string
+	Route        string
+	Destinations []state.Destination
 	// Idempotent says that running the call twice does no harm.
 	Idempotent bool
 	Deadline   time.Time
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -28,6 +28,7 @@
 	groups     map[string]*group
 	budgets    map[string]*budget
 	requests   map[uint64]*request
+	sharing    sharing
 	counter    uint64
 	retries    uint64
 	charged    uint64
@@ -65,6 +66,7 @@
 		groups:    make(map[string]*group),
 		budgets:   make(map[string]*budget),
 		requests:  make(map[uint64]*request),
+		sharing:   make(sharing),
 	}
 }
 
@@ -140,6 +142,9 @@
 }
 
 func (m *Machine) begin(now time.Time, e Begin) []Action {
+	if len(e.Destinations) > 0 {
+		e.Service = m.sharing.choose(e.Route, e.Destinations, m.random)
+	}
 	c := &request{Begin: e}
 	m.requests[e.Handle] = c
 	m.budgetOf(e.Service).earn(m.options.RetryRatio)
--- a/internal/coordination/entry/machine_test.go
+++ b/internal/coordination/entry/machine_test.go
@@ -279,6 +279,10 @@
 		{"", "/sheets/1", "POST", "file"},
 		{"", "/sheets/old/7", "POST", "deep"},
 		{"", "/sheets/older", "GET", "sheets"},
+		{"", "/sheets/old", "GET", "sheets"}, // the prefix ends with a slash
+		{"", "/sheets/old/", "GET", "deep"},
+		{"", "/sheets/old//../7", "GET", "deep"},
+		{"", "//sheets/old/7", "GET", "any"},
 		{"Depot.example:8080", "/sheets/1", "POST", "host"},
 		{"depot.example", "/other", "GET", "any"},
 		{"[::1]:80", "/sheets", "GET", "sheets"},
--- a/internal/coordination/entry/routes.go
+++ b/internal/coordination/entry/routes.go
@@ -9,79 +9,61 @@
 
 // Routes is an index over the routes of one snapshot.
 type Routes struct {
-	byHost map[string]*pathNode
+	byHost map[string]prefixes
 }
 
-// pathNode holds the routes whose path prefix ends here, the most specific
-// first, and the next segments.
-type pathNode struct {
-	routes   []state.Route
-	children map[string]*pathNode
-}
+// prefixes holds the routes of one host by path prefix. Those of one prefix are
+// in matching order.
+type prefixes map[string][]state.Route
 
 // NewRoutes indexes the snapshot's routes.
 func NewRoutes(snapshot *state.Snapshot) *Routes {
-	index := &Routes{byHost: make(map[string]*pathNode)}
+	index := &Routes{byHost: make(map[string]prefixes)}
 	for _, route := range snapshot.Routes() {
-		index.add(route)
-	}
-	return index
-}
-
-func (r *Routes) add(route state.Route) {
-	host := strings.ToLower(route.Host)
-	node := r.byHost[host]
-	if node == nil {
-		node = &pathNode{}
-		r.byHost[host] = node
-	}
-	for _, segment := range segments(route.PathPrefix) {
-		next := node.children[segment]
-		if next == nil {
-			next = &pathNode{}
-			if node.children == nil {
-				node.children = make(map[string]*pathNode)
-			}
-			node.children[segment] = next
+		host := strings.ToLower(route.Host)
+		if index.byHost[host] == nil {
+			index.byHost[host] = make(prefixes)
 		}
-		node = next
+		index.byHost[host][route.PathPrefix] = append(index.byHost[host][route.PathPrefix], route)
 	}
-	node.routes = append(node.routes, route)
+	return index
 }
 
 // Match returns the most specific route of the call: a route of its host before
 // one of any host, then the longest prefix, then one that lists the method.
 func (r *Routes) Match(host, path, method string) (state.Route, bool) {
 	host = strings.ToLower(stripPort(host))
-	parts := segments(path)
-	if route, ok := match(r.byHost[host], parts, method); ok || host == "" {
+	if route, ok := r.byHost[host].match(path, method); ok || host == "" {
 		return route, ok
 	}
-	return match(r.byHost[""], parts, method)
+	return r.byHost[""].match(path, method)
 }
 
-func match(node *pathNode, parts []string, method string) (found state.Route, ok bool) {
-	for depth := 0; node != nil; depth++ {
-		for _, route := range node.routes {
-			if len(route.Methods) == 0 || slices.Contains(route.Methods, method) {
-				found, ok = route, true
-				break
-			}
+// match looks for the longest prefix that ends at the end of a segment or with
+// the slash after it.
+func (p prefixes) match(path, method string) (state.Route, bool) {
+	if len(p) == 0 {
+		return state.Route{}, false
+	}
+	for end := len(path); end > 0; end-- {
+		if end != len(path) && path[end] != '/' && path[end-1] != '/' {
+			continue
 		}
-		if depth == len(parts) {
-			break
+		if route, ok := allowing(p[path[:end]], method); ok {
+			return route, true
 		}
-		node = node.children[parts[depth]]
 	}
-	return found, ok
+	return state.Route{}, false
 }
 
-func segments(path string) []string {
-	path = strings.Trim(path, "/")
-	if path == "" {
-		return nil
+// allowing returns the first route that takes the method.
+func allowing(routes []state.Route, method string) (state.Route, bool) {
+	for _, route := range routes {
+		if len(route.Methods) == 0 || slices.Contains(route.Methods, method) {
+			return route, true
+		}
 	}
-	return strings.Split(path, "/")
+	return state.Route{}, false
 }
 
 func stripPort(host string) string {
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -49,6 +49,8 @@
 	Withdrawn Result = 5
 	// Expired means that the target gave no answer before the deadline.
 	Expired Result = 6
+	// Declined means that the target told that it did not run the call.
+	Declined Result = 7
 )
 
 // Finished says that a started call ended.
--- a/internal/coordination/gate/limit.go
+++ b/internal/coordination/gate/limit.go
@@ -106,7 +106,7 @@
 			return
 		}
 		l.increase()
-	case Shed, Expired:
+	case Shed, Expired, Declined:
 		l.decrease(now)
 	}
 }
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -12,7 +12,7 @@
 		return nil
 	}
 	m.limit.observe(now, r.background, now.Sub(r.started), e.Result, m.ledger.running)
-	if e.Result == NotSent {
+	if e.Result == NotSent || e.Result == Declined {
 		m.clearStarted(e.ID)
 		m.ledger.finish(now, r, false, 0)
 		return []Action{Evict{ID: e.ID}}
--- a/internal/coordination/membership/fence.go
+++ b/internal/coordination/membership/fence.go
@@ -49,11 +49,15 @@
 // have stopped counting this one. The node has to be heard in its own domain,
 // and by another domain or the platform too when its part of the domain is the
 // smaller one. With no other live member in its domain the outside is enough;
-// one that knows no other node at all needs nothing.
+// one that knows no other node at all needs nothing. Without a fence timeout a
+// node serves also while nobody hears it.
 func (m *Machine) Serving(now time.Time) bool {
 	if m.replaced || m.self.State == Left {
 		return false
 	}
+	if m.settings.FenceTimeout == 0 {
+		return true
+	}
 	if len(m.table.records) == 1 && len(m.join.seeds) == 0 {
 		return true
 	}
--- a/internal/coordination/membership/join.go
+++ b/internal/coordination/membership/join.go
@@ -51,6 +51,7 @@
 		case known && seed.Incarnation > m.join.seeds[at].Incarnation:
 			m.join.seeds[at] = seed
 		case !known && len(m.join.seeds) < maxSeeds:
+			m.join.next, m.join.backoff = time.Time{}, 0
 			m.join.index[key] = len(m.join.seeds)
 			m.join.seeds = append(m.join.seeds, seed)
 		}
--- a/internal/coordination/membership/settings.go
+++ b/internal/coordination/membership/settings.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Settings trade detection time against bytes. All must be above zero, and
+// Settings trade detection time against bytes. All but FenceTimeout must be above
+// zero, and
 // ForgetTimeout above FenceTimeout.
 type Settings struct {
 	// ProbeInterval is the mean time between two probes of a node.
@@ -11,7 +12,7 @@
 	ProbeTimeout time.Duration
 	// SuspicionTimeout is how long a suspect may refute before it is dead.
 	SuspicionTimeout time.Duration
-	// FenceTimeout is how long a node serves without contact.
+	// FenceTimeout is how long a node serves without contact; 0 is without end.
 	FenceTimeout time.Duration
 	// ForgetTimeout is how long a dead member still counts in summaries.
 	ForgetTimeout time.Duration
--- a/internal/coordination/spread/actions.go
+++ b/internal/coordination/spread/actions.go
@@ -21,6 +21,12 @@
 	Wait bool
 }
 
+// ReadNewest reads the newest ticket of a keyed log, and where the log ends.
+type ReadNewest struct {
+	// Floor says that the answer is wanted to join.
+	Floor bool
+}
+
 // ReadCheckpoint reads the newest usable checkpoint.
 type ReadCheckpoint struct{}
 
@@ -82,6 +88,7 @@
 
 func (ReadBounds) action()      {}
 func (ReadTickets) action()     {}
+func (ReadNewest) action()      {}
 func (ReadCheckpoint) action()  {}
 func (WriteCheckpoint) action() {}
 func (PushUpdate) action()      {}
--- a/internal/coordination/spread/checkpoints.go
+++ b/internal/coordination/spread/checkpoints.go
@@ -22,7 +22,7 @@
 
 func (m *Machine) wantCheckpoint(now time.Time) {
 	c := &m.checkpoints
-	if !m.join.joined || !m.roster.reader(m.options.Readers) {
+	if m.options.Keyed || !m.join.joined || !m.roster.reader(m.options.Readers) {
 		c.due = time.Time{}
 		c.known = unknownOffset
 		return
--- a/internal/coordination/spread/events.go
+++ b/internal/coordination/spread/events.go
@@ -19,6 +19,8 @@
 type Record struct {
 	Offset int64
 	Data   []byte
+	// Skip says that it holds no ticket.
+	Skip bool
 }
 
 // Event is something that happened to the node.
@@ -39,6 +41,14 @@
 // TicketsRead answers ReadTickets.
 type TicketsRead struct{ Records []Record }
 
+// NewestRead answers ReadNewest with the newest ticket, if there is one, and the
+// offset that the next record gets.
+type NewestRead struct {
+	Floor   bool
+	Records []Record
+	Next    int64
+}
+
 // TicketsTrimmed answers ReadTickets when the records are past retention.
 type TicketsTrimmed struct{}
 
@@ -94,6 +104,7 @@
 func (ViewChanged) event()       {}
 func (BoundsRead) event()        {}
 func (TicketsRead) event()       {}
+func (NewestRead) event()        {}
 func (TicketsTrimmed) event()    {}
 func (CheckpointRead) event()    {}
 func (CheckpointWritten) event() {}
--- a/internal/coordination/spread/join.go
+++ b/internal/coordination/spread/join.go
@@ -31,6 +31,10 @@
 		return
 	}
 	m.join.bounds.running = true
+	if m.options.Keyed {
+		m.do(ReadNewest{Floor: true})
+		return
+	}
 	m.do(ReadBounds{Stream: Tickets})
 }
 
@@ -51,6 +55,9 @@
 	if !m.join.known || m.fold.Next() < m.join.floor {
 		return
 	}
+	if m.options.Keyed && m.position() == 0 {
+		return // the operators have not written a configuration yet
+	}
 	if m.join.joined && m.position() <= m.join.installed {
 		return
 	}
--- a/internal/coordination/spread/machine.go
+++ b/internal/coordination/spread/machine.go
@@ -81,6 +81,9 @@
 	case TicketsRead:
 		m.platformAnswered()
 		m.takeTickets(now, e.Records)
+	case NewestRead:
+		m.platformAnswered()
+		m.takeNewest(now, e)
 	case TicketsTrimmed:
 		m.platformAnswered()
 		m.reading.tail.succeeded()
--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -15,6 +15,9 @@
 	FanOut int
 	// PullsPerSecond bounds the whole states that the node gives to pulls.
 	PullsPerSecond int
+	// Keyed says that the log keeps the newest ticket for ever, and that each
+	// ticket holds the whole configuration: no checkpoints are needed.
+	Keyed bool
 	// CheckpointInterval is the longest time between two checkpoints.
 	CheckpointInterval time.Duration
 	// Seed feeds the random choices.
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jasminegate/internal/coordination/acceptance"
 	"jasminegate/internal/state"
 )
 
@@ -25,11 +26,15 @@
 	}
 	m.reading.tail.running = true
 	m.reading.started = now
-	if m.needsCheckpoint() {
+	switch {
+	case m.reading.trimmed && m.options.Keyed:
+		m.do(ReadNewest{})
+		return
+	case m.needsCheckpoint():
 		m.do(ReadCheckpoint{})
 		return
 	}
-	m.do(ReadTickets{From: m.fold.Next(), Wait: m.join.joined})
+	m.do(ReadTickets{From: m.fold.Next(), Wait: m.join.joined || m.options.Keyed})
 }
 
 func (m *Machine) needsCheckpoint() bool {
@@ -44,7 +49,7 @@
 	}
 	before, next := m.position(), m.fold.Next()
 	for _, record := range records {
-		result, done, err := m.fold.Apply(record.Offset, record.Data)
+		result, done, err := m.foldRecord(record)
 		if err != nil {
 			m.reading.trimmed = true
 			break
@@ -58,11 +63,50 @@
 		return
 	}
 	m.checkpoints.folded += int(m.fold.Next() - next)
+	m.spreadRead(now, before)
+}
+
+func (m *Machine) foldRecord(record Record) (result acceptance.Result, done bool, err error) {
+	if record.Skip {
+		return acceptance.Result{}, false, m.fold.Skip(record.Offset)
+	}
+	return m.fold.Apply(record.Offset, record.Data)
+}
+
+// spreadRead installs and pushes what was read, which before was the base of.
+func (m *Machine) spreadRead(now time.Time, before uint64) {
 	m.pushing.base = before
 	m.settleJoin()
 	m.pushRead(now)
 }
 
+// takeNewest folds the newest ticket without those before it.
+func (m *Machine) takeNewest(now time.Time, e NewestRead) {
+	if !e.Floor {
+		m.reading.tail.succeeded()
+	}
+	before, next := m.position(), m.fold.Next()
+	for _, record := range e.Records {
+		result, done, err := m.fold.Restart(record.Offset, record.Data)
+		if err != nil {
+			m.do(Refused{Err: err})
+			continue
+		}
+		if done {
+			m.do(Decided{Verdict: result.Verdict})
+			m.history.reset(m.position())
+		}
+	}
+	m.fold.PassTo(e.Next)
+	m.reading.trimmed = false
+	if e.Floor {
+		m.takeFloor(now, e.Next)
+	}
+	if m.fold.Next() > next {
+		m.spreadRead(now, before)
+	}
+}
+
 func (m *Machine) remember(position uint64, changes []state.Resource) {
 	if len(changes) > 0 {
 		m.history.add(position, changes)
@@ -99,6 +143,12 @@
 		limit = readerRetryMax
 	}
 	switch r := request.(type) {
+	case ReadNewest:
+		if r.Floor {
+			m.join.bounds.failed(now, limit, m.random)
+			return
+		}
+		m.reading.tail.failed(now, limit, m.random)
 	case ReadBounds:
 		if r.Stream == Tickets {
 			m.join.bounds.failed(now, limit, m.random)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -4,6 +4,7 @@
 
 // Events of the process.
 var (
+	SettingsReloaded = Event{106, log.InfoLevel, "settings read again: changes other than the log level take effect at the next start"}
 	NodeStarted      = Event{100, log.InfoLevel, "node started"}
 	NodeStopping     = Event{101, log.InfoLevel, "node stops: new work is refused, work in flight is finished"}
 	NodeStopped      = Event{102, log.InfoLevel, "node stopped"}
@@ -23,24 +24,27 @@
 	LogTrimmed            = Event{206, log.ErrorLevel, "needed tickets are past the log's retention and no checkpoint covers them: the node does not serve"}
 	CheckpointWritten     = Event{207, log.InfoLevel, "checkpoint written"}
 	PlatformRequestFailed = Event{208, log.DebugLevel, "request to the platform log failed"}
+	TicketUndecodable     = Event{210, log.WarnLevel, "configuration on the platform cannot be translated: the one before stays in force"}
 	CheckpointUnusable    = Event{209, log.WarnLevel, "checkpoint cannot be used: an older one is read"}
 )
 
 // Events of membership.
 var (
-	MemberJoined   = Event{300, log.InfoLevel, "member joined"}
-	MemberSuspect  = Event{301, log.WarnLevel, "member suspected"}
-	MemberDead     = Event{302, log.WarnLevel, "member dead"}
-	MemberLeft     = Event{303, log.InfoLevel, "member left"}
-	TargetReady    = Event{304, log.InfoLevel, "target announced ready"}
-	TargetDraining = Event{305, log.InfoLevel, "target announced draining"}
-	TargetGone     = Event{306, log.WarnLevel, "target's announcement expired"}
-	MemberReplaced = Event{307, log.ErrorLevel, "a later process holds this node's ID: calls are refused; stop this one, or give it another ID"}
+	MemberJoined        = Event{300, log.InfoLevel, "member joined"}
+	MemberSuspect       = Event{301, log.WarnLevel, "member suspected"}
+	MemberDead          = Event{302, log.WarnLevel, "member dead"}
+	MemberLeft          = Event{303, log.InfoLevel, "member left"}
+	TargetReady         = Event{304, log.InfoLevel, "target announced ready"}
+	TargetDraining      = Event{305, log.InfoLevel, "target announced draining"}
+	TargetGone          = Event{306, log.WarnLevel, "target's announcement expired"}
+	AnnouncementRefused = Event{308, log.WarnLevel, "announcement of a target refused: the known target stays"}
+	MemberReplaced      = Event{307, log.ErrorLevel, "a later process holds this node's ID: calls are refused; stop this one, or give it another ID"}
 )
 
 // Events of calls and connections.
 var (
 	CallOutcomeUnknown = Event{400, log.WarnLevel, "outcome of a call could not be learned"}
 	PathSilent         = Event{401, log.WarnLevel, "path went silent: its pooled connections are dropped"}
+	AnswerForeign      = Event{403, log.WarnLevel, "answer of the local target does not belong to its call: the outcome is unknown and the connection is closed"}
 	BadMessage         = Event{402, log.WarnLevel, "foreign or malformed bytes on a port: connection closed"}
 )
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -30,6 +30,9 @@
 	}}
 }
 
+// SetLevel changes the least level of the events that are written.
+func (l *Logger) SetLevel(level string) { l.logger.SetLevel(log.ParseLevel(level)) }
+
 // Discard returns a logger that writes nothing.
 func Discard() *Logger {
 	return New(io.Discard, "error", "")
--- a/internal/node/admin_tickets.go
+++ b/internal/node/admin_tickets.go
@@ -26,7 +26,7 @@
 func (n *node) postTicket(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAdminBodyBytes))
 	if err != nil {
-		badRequest(w, "ticket: "+err.Error(), "send one ticket of at most 256 KiB as JSON")
+		badRequest(w, "ticket: "+err.Error(), "send one ticket of at most 512 KiB as JSON")
 		return
 	}
 	ticket, err := state.DecodeTicket(body)
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -17,7 +17,7 @@
 const (
 	// gateGrace is how much longer than the deadline an entry waits for its gate
 	// to tell what became of the call.
-	gateGrace = 250 * time.Millisecond
+	gateGrace = 100 * time.Millisecond
 	// recoverTime is how long a question about a lost attempt may take at least.
 	recoverTime = 500 * time.Millisecond
 )
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -74,8 +74,8 @@
 	if !ok {
 		return nil, noRoute()
 	}
-	c := &callerCall{ctx: ctx, control: http.NewResponseController(w), route: route, key: r.Header.Get(headers.IdempotencyKey)}
-	if refused := c.readContract(now, r); refused != nil {
+	c := &callerCall{ctx: ctx, control: http.NewResponseController(w), route: route}
+	if refused := c.readContract(now, r, d.options.Contract); refused != nil {
 		return nil, refused
 	}
 	_ = c.control.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
@@ -83,28 +83,33 @@
 	if err != nil {
 		return nil, badBody(err)
 	}
+	if body.rest == nil {
+		// Past the body a read deadline would look as if the caller had left.
+		_ = c.control.SetReadDeadline(time.Time{})
+	}
 	c.body = body
 	c.handle = d.entry.handles.Add(1)
-	c.template = c.newTemplate(ctx, r)
+	c.template = d.newTemplate(ctx, c, r)
 	return c, nil
 }
 
 // readContract reads the deadline and the attempts that the caller set.
-func (c *callerCall) readContract(now time.Time, r *http.Request) *problem.Problem {
+func (c *callerCall) readContract(now time.Time, r *http.Request, contract headers.Contract) *problem.Problem {
+	c.key = r.Header.Get(contract.IdempotencyKey)
 	timeout := time.Duration(c.route.Timeout)
-	if text := r.Header.Get(headers.Timeout); text != "" {
+	if text := r.Header.Get(contract.Timeout); text != "" {
 		ms, err := strconv.ParseUint(text, 10, 32)
 		if err != nil || ms == 0 {
-			return badHeader(headers.Timeout, "a whole number of milliseconds above 0")
+			return badHeader(contract.Timeout, "a whole number of milliseconds above 0")
 		}
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	c.deadline = now.Add(timeout)
 	c.attempts = max(1, c.route.MaxAttempts)
-	if text := r.Header.Get(headers.Attempts); text != "" {
+	if text := r.Header.Get(contract.Attempts); text != "" {
 		left, err := strconv.ParseUint(text, 10, 16)
 		if err != nil || left == 0 {
-			return badHeader(headers.Attempts, "a whole number above 0")
+			return badHeader(contract.Attempts, "a whole number above 0")
 		}
 		c.attempts = min(c.attempts, int(left))
 	}
@@ -112,17 +117,20 @@
 }
 
 // newTemplate returns the start that all attempts of the request share.
-func (c *callerCall) newTemplate(ctx context.Context, r *http.Request) *wire.CallStart {
+func (d *Duty) newTemplate(ctx context.Context, c *callerCall, r *http.Request) *wire.CallStart {
+	contract := d.options.Contract
 	header := r.Header.Clone()
 	headers.RemoveHopByHop(header)
-	for _, name := range [...]string{headers.Timeout, headers.Attempts, headers.CallID, "Expect", "Content-Length"} {
+	for _, name := range append(contract.System(), "Expect", "Content-Length") {
 		header.Del(name)
 	}
+	if contract.CallerService != "" {
+		header.Set(contract.CallerService, d.options.Service)
+	}
 	start := &wire.CallStart{
 		Route:         c.route.Name,
-		Service:       c.route.Service,
 		Method:        r.Method,
-		Uri:           r.URL.RequestURI(),
+		Uri:           r.RequestURI,
 		Host:          r.Host,
 		Headers:       wireHeaders(header),
 		Key:           c.key,
@@ -158,7 +166,7 @@
 	t := c.template
 	return &wire.CallStart{
 		Id: wireID(action.ID), GateIncarnation: action.Endpoint.Incarnation,
-		Route: t.Route, Service: t.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
+		Route: t.Route, Service: action.Endpoint.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
 		Idempotent: t.Idempotent, Background: t.Background,
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength,
@@ -172,7 +180,7 @@
 // carry does what the entry decides until the caller has an answer.
 func (d *Duty) carry(w http.ResponseWriter, r *http.Request, c *callerCall) {
 	begin := entry.Begin{
-		Handle: c.handle, Service: c.route.Service, Idempotent: c.route.Idempotent,
+		Handle: c.handle, Route: c.route.Name, Destinations: c.route.Leads(), Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, Attempts: c.attempts, Key: c.key,
 	}
 	action, accepted := d.entry.tryAsk(begin)
@@ -204,6 +212,7 @@
 		}
 		action = d.entry.ask(event)
 	}
+	panic(http.ErrAbortHandler) // the caller has left: nothing may look like an answer
 }
 
 func (d *Duty) wait(c *callerCall, action entry.Wait) entry.Event {
@@ -250,6 +259,7 @@
 	case problem.Ran:
 		d.counters.ran.Add(1)
 	}
+	p.PreciseRetryAfter = d.options.Contract.PreciseRetryAfter
 	problem.Write(w, *p)
 }
 
--- a/internal/node/calls/duty.go
+++ b/internal/node/calls/duty.go
@@ -20,6 +20,7 @@
 	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
+	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
 	"jasminegate/internal/transport/peer"
@@ -32,6 +33,11 @@
 type Options struct {
 	Self     membership.Member
 	Settings config.Calls
+	// Contract names the headers of callers and targets; the zero value is that of
+	// headers.Own.
+	Contract headers.Contract
+	// Service is the service of this instance, told to targets as the caller's.
+	Service string
 	// Pool connects to the calls addresses of other nodes.
 	Pool     *peer.Pool
 	View     func() *membership.View
@@ -78,6 +84,9 @@
 	if options.Tracer == nil {
 		options.Tracer = noop.NewTracerProvider().Tracer("")
 	}
+	if options.Contract == (headers.Contract{}) {
+		options.Contract = headers.Own()
+	}
 	d := &Duty{options: options}
 	d.life, d.endLife = context.WithCancel(context.Background())
 	d.entry = newEntryLoop(options)
--- a/internal/node/calls/faults_test.go
+++ b/internal/node/calls/faults_test.go
@@ -468,3 +468,14 @@
 	f.waitFor("the first call", func() bool { return f.nodes[0].duty.Stats().Started == 1 })
 	f.is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
 }
+
+// TestDeadlineIsAnswered holds that each call that reaches its deadline at the
+// target gets its answer, and none is taken for one whose caller left.
+func TestDeadlineIsAnswered(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 1}, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	for range 40 {
+		got := f.call(0, "GET", "/read", "", headers.Timeout, "20")
+		f.is.NoErr(got.err)
+		f.is.Equal(got.status, http.StatusGatewayTimeout)
+	}
+}
--- a/internal/node/calls/gateloop.go
+++ b/internal/node/calls/gateloop.go
@@ -107,7 +107,7 @@
 
 // releaseNotSent frees the key of a call of which no byte reached the target.
 func (l *gateLoop) releaseNotSent(event gate.Event) {
-	if finished, ok := event.(gate.Finished); ok && finished.Result == gate.NotSent {
+	if finished, ok := event.(gate.Finished); ok && (finished.Result == gate.NotSent || finished.Result == gate.Declined) {
 		l.releaseKey(l.calls[finished.ID])
 	}
 }
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -14,6 +14,7 @@
 
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/gate"
+	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/wire"
 )
@@ -44,11 +45,21 @@
 		d.recordOutcome(c, call.NotRun, call.ReasonMalformed)
 		return gate.NotSent
 	}
-	response, sent, err := t.roundTrip(request, c)
+	response, conn, err := t.roundTrip(request, c)
 	if err != nil {
-		return d.recordFailure(c, t, sent, err)
+		return d.recordFailure(c, t, conn.sent(), err)
 	}
 	defer response.Body.Close()
+	switch judge(d.options.Contract, request, response) {
+	case notRunAnswer:
+		d.recordOutcome(c, call.NotRun, call.ReasonTargetShed)
+		return gate.Declined
+	case foreignAnswer:
+		conn.discard()
+		d.options.Logger.Event(logging.AnswerForeign).Str("route", c.start.Route).Int("status", int64(response.StatusCode)).Send()
+		d.recordOutcome(c, call.Unknown, call.ReasonTargetLost)
+		return gate.Failed
+	}
 	return d.recordAnswer(c, response)
 }
 
@@ -63,13 +74,20 @@
 		Method:        c.start.Method,
 		URL:           uri,
 		Host:          c.start.Host,
-		Header:        d.targetHeader(ctx, c),
+		Header:        d.targetHeader(ctx, c, t),
 		ContentLength: c.start.ContentLength,
 	}
 	return request.WithContext(c.run), nil
 }
 
-func (d *Duty) targetHeader(ctx context.Context, c *gateCall) http.Header {
+// setKnown sets a header that the contract has and a value is known for.
+func setKnown(header http.Header, name, value string) {
+	if name != "" && value != "" {
+		header.Set(name, value)
+	}
+}
+
+func (d *Duty) targetHeader(ctx context.Context, c *gateCall, t *target) http.Header {
 	header := make(http.Header, len(c.start.Headers)+4)
 	for _, field := range c.start.Headers {
 		header[field.Name] = field.Values
@@ -77,32 +95,33 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""}
 	}
+	contract := d.options.Contract
 	left := max(1, c.deadline.Sub(d.options.Now()).Milliseconds())
-	header.Set(headers.Timeout, strconv.FormatInt(left, 10))
-	header.Set(headers.Attempts, strconv.FormatUint(uint64(c.start.AttemptsLeft)+1, 10))
-	header.Set(headers.CallID, formatID(c.id))
+	setKnown(header, contract.Timeout, strconv.FormatInt(left, 10))
+	setKnown(header, contract.Attempts, strconv.FormatUint(uint64(c.start.AttemptsLeft)+1, 10))
+	setKnown(header, contract.CallID, formatID(c.id))
+	setKnown(header, contract.TargetInstance, t.Instance)
 	propagator.Inject(ctx, propagation.HeaderCarrier(header))
 	return header
 }
 
 // roundTrip gives the request to a connection, and once more when no byte of it
-// had left. sent reports whether any byte did.
-func (t *target) roundTrip(request *http.Request, c *gateCall) (response *http.Response, sent bool, err error) {
+// had left. used is the connection that it was given to last.
+func (t *target) roundTrip(request *http.Request, c *gateCall) (response *http.Response, used *sentTracker, err error) {
 	transport := t.reuse
 	if !c.start.Idempotent && !c.streaming && len(c.held) == 0 {
 		transport = t.single
 	}
 	for try := 0; try < notSentTries; try++ {
-		var tracker sentTracker
-		traced := request.WithContext(httptrace.WithClientTrace(request.Context(), tracker.trace()))
+		used = &sentTracker{}
+		traced := request.WithContext(httptrace.WithClientTrace(request.Context(), used.trace()))
 		traced.Body = c.requestBody()
 		response, err = transport.RoundTrip(traced)
-		sent = tracker.sent()
-		if err == nil || sent || c.streaming || request.Context().Err() != nil {
+		if err == nil || used.sent() || c.streaming || request.Context().Err() != nil {
 			break
 		}
 	}
-	return response, sent, err
+	return response, used, err
 }
 
 // sentTracker learns from the connection whether bytes of a request were
@@ -125,6 +144,13 @@
 	return s.conn != nil && s.conn.written.Load() > s.before
 }
 
+// discard closes the connection, on which bytes came that belong to no request.
+func (s *sentTracker) discard() {
+	if s.conn != nil {
+		_ = s.conn.Close()
+	}
+}
+
 // recordFailure records the end of a request that got no answer's start.
 func (d *Duty) recordFailure(c *gateCall, t *target, sent bool, err error) gate.Result {
 	if !sent {
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -20,7 +20,9 @@
 	Connections int
 	// Address is where it serves HTTP.
 	Address string
-	State   membership.TargetState
+	// Instance names the target's process, if it told a name.
+	Instance string
+	State    membership.TargetState
 }
 
 const (
@@ -108,9 +110,10 @@
 // SetTarget takes in what the target announced.
 func (d *Duty) SetTarget(announced Target) {
 	known := d.target.Load()
-	if known == nil || known.Address != announced.Address || known.Connections != announced.Connections {
+	switch {
+	case known == nil || known.Address != announced.Address || known.Instance != announced.Instance || known.Connections != announced.Connections:
 		d.replaceTarget(newTarget(announced), known)
-	} else if known.Target != announced {
+	case known.Target != announced:
 		next := &target{Target: announced, reuse: known.reuse, single: known.single}
 		d.target.Store(next)
 	}
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -15,9 +15,9 @@
 	"jasminegate/internal/node/calls"
 	"jasminegate/internal/node/configuration"
 	"jasminegate/internal/node/members"
+	"jasminegate/internal/protocol/adminapi"
 	"jasminegate/internal/state"
 	"jasminegate/internal/transport/peer"
-	"jasminegate/internal/transport/platformlog"
 )
 
 // Bounds of the connection pools.
@@ -53,9 +53,12 @@
 
 	callersServer *http.Server
 	adminServer   *http.Server
+	// announceServer and readyServer are nil without an adapter.
+	announceServer *http.Server
+	readyServer    *http.Server
 }
 
-func compose(settings config.Settings, listeners *listeners, telemetry *telemetry, logger *logging.Logger) *node {
+func compose(settings config.Settings, listeners *listeners, telemetry *telemetry, newAdapter NewAdapter, logger *logging.Logger) *node {
 	n := &node{
 		settings:        settings,
 		logger:          logger,
@@ -80,11 +83,11 @@
 		DialTimeout:   callsDialTimeout,
 		IdleTimeout:   settings.Calls.IdleTimeout,
 	})
-	log := platformlog.New(settings.Platform.URL, settings.Platform.RequestTimeout, n.platformClient())
-	n.composeDuties(log)
+	adapter := newAdapter(AdapterOptions{Settings: settings, Client: n.platformClient(), Logger: logger})
+	n.composeDuties(adapter)
 	n.targets = newTargetRegistry(n)
 	n.metrics = n.newMetrics()
-	n.composeServers()
+	n.composeServers(adapter)
 	return n
 }
 
@@ -99,7 +102,7 @@
 	}
 }
 
-func (n *node) composeDuties(log platformlog.Log) {
+func (n *node) composeDuties(adapter Adapter) {
 	seed := n.settings.Node.Seed
 	if seed == 0 {
 		seed = n.self.Incarnation
@@ -109,11 +112,13 @@
 		Settings: n.settings.Membership,
 		Seeds:    n.settings.Node.Seeds,
 		Pool:     n.controlPool,
-		Log:      log,
-		Logger:   n.logger,
-		Seed:     seed,
-		Applied:  func() state.Version { return n.configuration.Applied() },
-		Load:     func() uint32 { return n.calls.Load() },
+		Log:      adapter.Log,
+
+		Directory: adapter.Keyed,
+		Logger:    n.logger,
+		Seed:      seed,
+		Applied:   func() state.Version { return n.configuration.Applied() },
+		Load:      func() uint32 { return n.calls.Load() },
 		OnPeerVersion: func(member membership.Member, version state.Version) {
 			n.configuration.PeerVersion(member, version)
 		},
@@ -124,7 +129,8 @@
 		Spread:          n.settings.Spread,
 		Platform:        n.settings.Platform,
 		Pool:            n.controlPool,
-		Log:             log,
+		Log:             adapter.Log,
+		Keyed:           adapter.Keyed,
 		Logger:          n.logger,
 		Seed:            seed,
 		View:            n.members.View,
@@ -134,6 +140,8 @@
 	n.calls = calls.New(calls.Options{
 		Self:     n.self,
 		Settings: n.settings.Calls,
+		Contract: adapter.Contract,
+		Service:  n.settings.Node.Service,
 		Pool:     n.callsPool,
 		View:     n.members.View,
 		Snapshot: n.configuration.Snapshot,
@@ -146,15 +154,20 @@
 	})
 }
 
-func (n *node) composeServers() {
-	n.callersServer = &http.Server{
-		Handler:           n.calls.CallersHandler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+func (n *node) composeServers(adapter Adapter) {
+	n.callersServer = newServer(n.calls.CallersHandler())
+	n.adminServer = newServer(n.adminHandler())
+	if adapter.Announcements != nil {
+		n.announceServer = newServer(adapter.Announcements(n.targets))
+	}
+	if adapter.Readiness != nil {
+		n.readyServer = newServer(adapter.Readiness(func() bool { return n.state() == adminapi.NodeServing }))
 	}
-	n.adminServer = &http.Server{
-		Handler:           n.adminHandler(),
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -164,7 +177,7 @@
 // platformClient returns the HTTP client of the platform's log with its bytes
 // counted as control traffic.
 func (n *node) platformClient() *http.Client {
-	dialer := &net.Dialer{Timeout: n.settings.Platform.RequestTimeout}
+	dialer := &net.Dialer{Timeout: n.settings.Platform.RequestTimeout, KeepAliveConfig: peer.KeepAlive}
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: platformIdleConnections,
 		IdleConnTimeout:     n.settings.Calls.IdleTimeout + n.settings.Platform.ReadWait,
--- a/internal/node/configuration/duty.go
+++ b/internal/node/configuration/duty.go
@@ -43,7 +43,9 @@
 	Platform config.Platform
 	Pool     *peer.Pool
 	Log      platformlog.Log
-	Logger   *logging.Logger
+	// Keyed is the log when it keeps the newest ticket for ever, or nil.
+	Keyed  platformlog.Keyed
+	Logger *logging.Logger
 	// Seed feeds the random choices.
 	Seed uint64
 	View func() *membership.View
@@ -95,6 +97,7 @@
 			Readers:            options.Spread.Readers,
 			FanOut:             options.Spread.FanOut,
 			PullsPerSecond:     options.Spread.PullsPerSecond,
+			Keyed:              options.Keyed != nil,
 			CheckpointInterval: options.Platform.CheckpointInterval,
 			Seed:               options.Seed,
 		}),
--- a/internal/node/configuration/perform.go
+++ b/internal/node/configuration/perform.go
@@ -11,7 +11,7 @@
 // not be handed to a worker.
 func (d *Duty) perform(action spread.Action, reply chan spread.Action) spread.Event {
 	switch a := action.(type) {
-	case spread.ReadTickets, spread.ReadCheckpoint:
+	case spread.ReadTickets, spread.ReadCheckpoint, spread.ReadNewest:
 		if !d.tail.TryPush(action) {
 			return spread.PlatformFailed{Request: action}
 		}
--- a/internal/node/configuration/platform.go
+++ b/internal/node/configuration/platform.go
@@ -42,6 +42,8 @@
 		return spread.BoundsRead{Stream: r.Stream, Next: bounds.Next}, err
 	case spread.ReadTickets:
 		return d.readTickets(ctx, r)
+	case spread.ReadNewest:
+		return d.readNewest(ctx, r)
 	case spread.WriteCheckpoint:
 		return d.writeCheckpoint(ctx, r.Update)
 	default:
@@ -69,11 +71,24 @@
 	if err != nil {
 		return nil, err
 	}
+	return spread.TicketsRead{Records: recordsOf(batch)}, nil
+}
+
+func (d *Duty) readNewest(ctx context.Context, request spread.ReadNewest) (spread.Event, error) {
+	d.stats.platformReads.Add(1)
+	batch, err := d.options.Keyed.Newest(ctx, platformlog.StreamTickets)
+	if err != nil {
+		return nil, err
+	}
+	return spread.NewestRead{Floor: request.Floor, Records: recordsOf(batch), Next: batch.Bounds.Next}, nil
+}
+
+func recordsOf(batch platformlog.Batch) []spread.Record {
 	records := make([]spread.Record, 0, len(batch.Records))
 	for _, record := range batch.Records {
-		records = append(records, spread.Record{Offset: record.Offset, Data: record.Data})
+		records = append(records, spread.Record{Offset: record.Offset, Data: record.Data, Skip: record.Skip})
 	}
-	return spread.TicketsRead{Records: records}, nil
+	return records
 }
 
 func (d *Duty) writeCheckpoint(ctx context.Context, whole acceptance.Update) (spread.Event, error) {
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -14,14 +14,19 @@
 
 	// ErrAddress says that a listen address cannot be used.
 	ErrAddress = errorx.NewType(Errors, "address")
+	// ErrAdapter says that the settings name an adapter that does not exist.
+	ErrAdapter = errorx.NewType(Errors, "adapter")
 )
 
-// listeners are the node's four open ports.
+// listeners are the node's open ports. The last two are nil without an adapter.
 type listeners struct {
 	callers net.Listener
 	admin   net.Listener
 	control net.Listener
 	calls   net.Listener
+
+	announce net.Listener
+	ready    net.Listener
 }
 
 func listen(settings config.Node) (*listeners, error) {
@@ -35,7 +40,12 @@
 		{"node.admin_address", settings.AdminAddress, &opened.admin},
 		{"node.control_address", settings.ControlAddress, &opened.control},
 		{"node.calls_address", settings.CallsAddress, &opened.calls},
+		{"node.announce_address", settings.AnnounceAddress, &opened.announce},
+		{"node.ready_address", settings.ReadyAddress, &opened.ready},
 	} {
+		if port.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			opened.close()
@@ -47,7 +57,7 @@
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.admin, l.control, l.calls} {
+	for _, listener := range []net.Listener{l.callers, l.admin, l.control, l.calls, l.announce, l.ready} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/internal/node/members/duty.go
+++ b/internal/node/members/duty.go
@@ -42,8 +42,10 @@
 	Seeds    []config.Seed
 	Pool     *peer.Pool
 	Log      platformlog.Log
-	Logger   *logging.Logger
-	Seed     uint64
+	// Directory is the log when it keeps the newest record of each key, or nil.
+	Directory platformlog.Keyed
+	Logger    *logging.Logger
+	Seed      uint64
 	// Applied returns the version that this node applies.
 	Applied func() state.Version
 	// Load returns the calls running and queued at this node's gate.
@@ -96,7 +98,10 @@
 	var roster sync.WaitGroup
 	defer roster.Wait()
 	defer close(d.done)
-	if d.options.Log != nil {
+	switch {
+	case d.options.Directory != nil:
+		roster.Go(func() { d.runDirectory(ctx) })
+	case d.options.Log != nil:
 		roster.Go(func() { d.runRoster(ctx) })
 	}
 	ticker := time.NewTicker(tickInterval)
--- a/internal/node/members/roster.go
+++ b/internal/node/members/roster.go
@@ -117,19 +117,26 @@
 }
 
 func (r *roster) take(records []platformlog.Record) {
-	var seeds []membership.Seed
 	for _, record := range records {
 		r.next = record.Offset + 1
+	}
+	r.duty.learnSeeds(records)
+}
+
+// learnSeeds takes in the nodes that records of the members stream name.
+func (d *Duty) learnSeeds(records []platformlog.Record) {
+	var seeds []membership.Seed
+	for _, record := range records {
 		var roster wire.Roster
 		if err := proto.Unmarshal(record.Data, &roster); err != nil {
-			r.duty.options.Logger.Event(logging.BadMessage).Str("stream", platformlog.StreamMembers).Err(err).Send()
+			d.options.Logger.Event(logging.BadMessage).Str("stream", platformlog.StreamMembers).Err(err).Send()
 			continue
 		}
 		for _, m := range membersFromWire(roster.GetMembers()) {
 			seeds = append(seeds, membership.Seed{ID: m.ID, Domain: m.Domain, ControlAddress: m.ControlAddress, Incarnation: m.Incarnation})
 		}
 	}
-	r.duty.events.Push(membership.SeedsLearned{Seeds: seeds}, r.duty.done)
+	d.events.Push(membership.SeedsLearned{Seeds: seeds}, d.done)
 }
 
 // write appends the domain when it changed or its record grows old, or this
@@ -162,13 +169,18 @@
 	view := d.View()
 	record := &wire.Roster{Domain: view.Self.Domain}
 	for _, m := range append(view.DomainPeers(), view.Self) {
-		record.Members = append(record.Members, &wire.Member{
-			Id:             m.ID,
-			Incarnation:    m.Incarnation,
-			Domain:         m.Domain,
-			ControlAddress: m.ControlAddress,
-			State:          uint32(membership.Alive),
-		})
+		record.Members = append(record.Members, joinableMember(m))
 	}
 	return record
 }
+
+// joinableMember holds what it takes to join by the member.
+func joinableMember(m membership.Member) *wire.Member {
+	return &wire.Member{
+		Id:             m.ID,
+		Incarnation:    m.Incarnation,
+		Domain:         m.Domain,
+		ControlAddress: m.ControlAddress,
+		State:          uint32(membership.Alive),
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -31,7 +34,16 @@
 // Run runs a node until ctx ends, then stops it gracefully: new work is
 // refused, work in flight is finished, the fleet is told. It fails when the
 // settings cannot be put in force, such as when an address is taken.
-func Run(ctx context.Context, settings config.Settings, logger *logging.Logger) error {
+//
+// The adapters are known by the names that platform.adapter may give.
+func Run(ctx context.Context, settings config.Settings, adapters map[string]NewAdapter, logger *logging.Logger) error {
+	newAdapter := adapters[settings.Platform.Adapter]
+	if settings.Platform.Adapter == "" {
+		newAdapter = ownAdapter
+	}
+	if newAdapter == nil {
+		return ErrAdapter.New("platform.adapter %q is not known: use %s or leave it out", settings.Platform.Adapter, adapterNames(adapters))
+	}
 	listeners, err := listen(settings.Node)
 	if err != nil {
 		return err
@@ -42,7 +54,7 @@
 		return err
 	}
 	defer telemetry.close()
-	node := compose(settings, listeners, telemetry, logger)
+	node := compose(settings, listeners, telemetry, newAdapter, logger)
 	logger.Event(logging.NodeStarted).
 		Str("callers", listeners.callers.Addr().String()).
 		Str("control", listeners.control.Addr().String()).
@@ -51,6 +63,10 @@
 	return node.run(ctx)
 }
 
+func adapterNames(adapters map[string]NewAdapter) string {
+	return strings.Join(slices.Sorted(maps.Keys(adapters)), ", ")
+}
+
 func (n *node) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -93,17 +109,28 @@
 	})
 	n.serveHTTP(group, n.callersServer, n.listeners.callers)
 	n.serveHTTP(group, n.adminServer, n.listeners.admin)
+	n.serveHTTP(group, n.announceServer, n.listeners.announce)
+	n.serveHTTP(group, n.readyServer, n.listeners.ready)
 	group.Go(func() error {
 		<-ctx.Done()
-		_ = n.callersServer.Close()
-		return n.adminServer.Close()
+		for _, server := range []*http.Server{n.callersServer, n.adminServer, n.announceServer, n.readyServer} {
+			if server != nil {
+				_ = server.Close() // every connection is past its last answer
+			}
+		}
+		return nil
 	})
 }
 
+// serveHTTP serves until the listener is closed at the end of the node. A server
+// that the node does not have is left out.
 func (n *node) serveHTTP(group *errgroup.Group, server *http.Server, listener net.Listener) {
+	if server == nil || listener == nil {
+		return
+	}
 	group.Go(func() error {
 		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		return err
@@ -118,7 +145,9 @@
 	n.targets.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Calls.DrainTimeout)
 	defer cancel()
+	closing := time.After(n.settings.Calls.LeaveDelay)
 	_ = n.calls.Drain(ctx)
+	<-closing
 	_ = n.callersServer.Shutdown(ctx)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -32,6 +32,14 @@
 	return &targetRegistry{node: n}
 }
 
+// Announce implements Targets.
+func (r *targetRegistry) Announce(target calls.Target, ttl time.Duration) {
+	r.announce(target, ttl, time.Now())
+}
+
+// Withdraw implements Targets.
+func (r *targetRegistry) Withdraw() { r.remove() }
+
 // announce takes or renews an announcement that is valid for ttl.
 func (r *targetRegistry) announce(target calls.Target, ttl time.Duration, now time.Time) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/protocol/headers/contract.go
@@ -0,0 +1,39 @@
+package headers
+
+// Contract names the headers by which callers, this system and targets
+// understand each other. An empty name means that the deployment has no such
+// header.
+type Contract struct {
+	// Timeout holds the whole milliseconds that the caller still waits.
+	Timeout string
+	// Attempts holds how many more attempts the whole chain of calls may make.
+	Attempts string
+	// CallID tells the target how logs and traces name the call.
+	CallID string
+	// IdempotencyKey names a call across the caller's repeats.
+	IdempotencyKey string
+	// RequestID is the caller's own name of the request. It goes on unchanged, and
+	// an answer that bears another one belongs to another request.
+	RequestID string
+	// CallerService tells the target which service's instance the call came from.
+	CallerService string
+	// TargetInstance names the target process that a call is meant for.
+	TargetInstance string
+	// NotRun marks a target's answer to a call that it did not run.
+	NotRun string
+	// Seal marks each successful answer as the target's own.
+	Seal string
+	// PreciseRetryAfter says that callers read fractions of a second.
+	PreciseRetryAfter bool
+}
+
+// Own is the product's own contract.
+func Own() Contract {
+	return Contract{Timeout: Timeout, Attempts: Attempts, CallID: CallID, IdempotencyKey: IdempotencyKey}
+}
+
+// System returns the headers that only the system sets towards targets; what a
+// caller sent under these names does not go on.
+func (c Contract) System() []string {
+	return []string{c.Timeout, c.Attempts, c.CallID, c.CallerService, c.TargetInstance}
+}
--- a/internal/protocol/problem/problem.go
+++ b/internal/protocol/problem/problem.go
@@ -54,6 +54,8 @@
 	// RetryAfterMS is how long to wait before a repeat, in milliseconds; 0 says
 	// nothing about repeats.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// PreciseRetryAfter writes the header with fractions of a second.
+	PreciseRetryAfter bool `json:"-"`
 }
 
 // Write sends the problem as the whole answer.
@@ -70,7 +72,7 @@
 	header.Set("Cache-Control", "no-store")
 	header.Set(headers.Outcome, string(p.Outcome))
 	if p.RetryAfterMS > 0 {
-		header.Set(headers.RetryAfter, strconv.FormatInt(wholeSeconds(p.RetryAfterMS), 10))
+		header.Set(headers.RetryAfter, p.retryAfterSeconds())
 	}
 	w.WriteHeader(p.Status)
 	_, _ = w.Write(body)
@@ -94,6 +96,13 @@
 	return p
 }
 
+func (p Problem) retryAfterSeconds() string {
+	if p.PreciseRetryAfter {
+		return strconv.FormatFloat(p.RetryAfter().Seconds(), 'f', -1, 64)
+	}
+	return strconv.FormatInt(wholeSeconds(p.RetryAfterMS), 10)
+}
+
 // wholeSeconds rounds up, so that nobody comes back too early.
 func wholeSeconds(milliseconds int64) int64 {
 	const second = 1000
--- a/internal/state/faults.go
+++ b/internal/state/faults.go
@@ -62,7 +62,10 @@
 	}
 	c.checkRemovals("remove_services", KindService, t.RemoveServices)
 	c.checkRemovals("remove_routes", KindRoute, t.RemoveRoutes)
-	if len(c.seen) == 0 && len(c.faults) == 0 {
+	if t.Replace && len(t.RemoveServices)+len(t.RemoveRoutes) > 0 {
+		c.add("replace", "stands beside removals", "leave the removals out: what the ticket does not name is removed")
+	}
+	if len(c.seen) == 0 && len(c.faults) == 0 && !t.Replace {
 		c.add("", "changes nothing", "add services, routes or removals")
 	}
 	return c.faults
@@ -102,14 +105,44 @@
 	c.checkHost(path+".host", route.Host)
 	c.checkPathPrefix(path+".path_prefix", route.PathPrefix)
 	c.checkMethods(path+".methods", route.Methods)
-	c.checkName(path+".service", route.Service)
+	c.checkDestinations(path, route)
 	if route.Class != ClassInteractive && route.Class != ClassBackground {
 		c.add(path+".class", fmt.Sprintf("is %q", route.Class), fmt.Sprintf("use %s or %s", ClassInteractive, ClassBackground))
 	}
 	c.checkDuration(path+".timeout", route.Timeout, time.Millisecond, MaxRouteTimeout)
+	c.checkDuration(path+".target_latency", route.TargetLatency, 0, MaxRouteTimeout)
+	c.checkRange(path+".priority", route.Priority, 0, MaxPriority)
 	c.checkRange(path+".max_attempts", route.MaxAttempts, 1, MaxRouteAttempts)
 }
 
+func (c *checker) checkDestinations(path string, route Route) {
+	if len(route.Destinations) == 0 {
+		c.checkName(path+".service", route.Service)
+		return
+	}
+	if route.Service != "" {
+		c.add(path+".service", "stands beside destinations", "give one of the two")
+	}
+	if len(route.Destinations) > MaxDestinations {
+		c.add(path+".destinations", fmt.Sprintf("has %d entries", len(route.Destinations)), fmt.Sprintf("use at most %d", MaxDestinations))
+	}
+	total := 0
+	seen := make(map[string]bool)
+	for i, destination := range route.Destinations {
+		at := fmt.Sprintf("%s.destinations[%d]", path, i)
+		c.checkName(at+".service", destination.Service)
+		c.checkRange(at+".weight", destination.Weight, 0, MaxWeight)
+		if seen[destination.Service] {
+			c.add(at+".service", fmt.Sprintf("gives %q again", destination.Service), "give each service once")
+		}
+		seen[destination.Service] = true
+		total += destination.Weight
+	}
+	if total <= 0 {
+		c.add(path+".destinations", "has no weight above 0", "give at least one destination a weight")
+	}
+}
+
 func (c *checker) checkRemovals(path string, kind Kind, names []string) {
 	for i, name := range names {
 		at := fmt.Sprintf("%s[%d]", path, i)
--- a/internal/state/resource.go
+++ b/internal/state/resource.go
@@ -49,26 +49,52 @@
 	Name string `json:"name" yaml:"name"`
 	// Host matches the call's host without port; empty matches all.
 	Host string `json:"host,omitempty" yaml:"host,omitempty"`
-	// PathPrefix matches whole path segments.
+	// PathPrefix matches whole path segments; one that ends with a slash matches
+	// the paths below it only.
 	PathPrefix string `json:"path_prefix" yaml:"path_prefix"`
 	// Methods lists the HTTP methods that match; empty matches all.
 	Methods []string `json:"methods,omitempty" yaml:"methods,omitempty"`
-	// Service is the name of the service that answers.
-	Service string `json:"service" yaml:"service"`
-	Class   Class  `json:"class" yaml:"class"`
+	// Service is the name of the service that answers; empty with Destinations.
+	Service string `json:"service,omitempty" yaml:"service,omitempty"`
+	// Destinations are the services that answer in place of Service, each getting
+	// its weight's share of the calls.
+	Destinations []Destination `json:"destinations,omitempty" yaml:"destinations,omitempty"`
+	Class        Class         `json:"class" yaml:"class"`
+	// Priority ranks the calls of one class; 0 is the most urgent.
+	Priority int `json:"priority,omitempty" yaml:"priority,omitempty"`
 	// Timeout bounds a whole call, attempts and waiting included.
 	Timeout Duration `json:"timeout" yaml:"timeout"`
+	// TargetLatency is within which time an answer is wanted; 0 is Timeout.
+	TargetLatency Duration `json:"target_latency,omitempty" yaml:"target_latency,omitempty"`
 	// Idempotent says that running a call twice does no harm.
 	Idempotent bool `json:"idempotent" yaml:"idempotent"`
 	// MaxAttempts bounds how often one call is sent to a gate.
 	MaxAttempts int `json:"max_attempts" yaml:"max_attempts"`
 }
 
+// Destination is one of the services that share a route's calls.
+type Destination struct {
+	Service string `json:"service" yaml:"service"`
+	// Weight is the service's part of the sum of all weights.
+	Weight int `json:"weight" yaml:"weight"`
+}
+
+// Leads returns the services that the route's calls go to.
+func (r Route) Leads() []Destination {
+	if len(r.Destinations) > 0 {
+		return r.Destinations
+	}
+	return []Destination{{Service: r.Service, Weight: 1}}
+}
+
 // Ticket is one numbered change. It carries the whole new state of each
 // resource that it touches.
 type Ticket struct {
-	Number         uint64    `json:"number" yaml:"number"`
-	Author         string    `json:"author,omitempty" yaml:"author,omitempty"`
+	Number uint64 `json:"number" yaml:"number"`
+	Author string `json:"author,omitempty" yaml:"author,omitempty"`
+	// Replace says that the ticket holds the whole configuration: what it does
+	// not name is removed.
+	Replace        bool      `json:"replace,omitempty" yaml:"replace,omitempty"`
 	Services       []Service `json:"services,omitempty" yaml:"services,omitempty"`
 	Routes         []Route   `json:"routes,omitempty" yaml:"routes,omitempty"`
 	RemoveServices []string  `json:"remove_services,omitempty" yaml:"remove_services,omitempty"`
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -187,17 +188,37 @@
 // checkReferences names the first dangling route by name, so that every node
 // gives the same reason.
 func (s *Snapshot) checkReferences() error {
-	var dangling *Route
+	name, missing := "", ""
 	for _, route := range s.named {
-		_, ok := s.services[route.Service]
-		if !ok && (dangling == nil || route.Name < dangling.Name) {
-			dangling = &route
+		for _, destination := range route.Leads() {
+			if _, ok := s.services[destination.Service]; !ok && (name == "" || route.Name < name) {
+				name, missing = route.Name, destination.Service
+			}
 		}
 	}
-	if dangling == nil {
+	if name == "" {
 		return nil
 	}
-	return ErrDangling.New("route %q leads to service %q, which does not exist: add the service or remove the route in the same ticket", dangling.Name, dangling.Service)
+	return ErrDangling.New("route %q leads to service %q, which does not exist: add the service or remove the route in the same ticket", name, missing)
+}
+
+// Replacing returns the changes that lead from s to a configuration that holds
+// just the given resources.
+func (s *Snapshot) Replacing(whole []Resource) []Resource {
+	var changes []Resource
+	kept := make(map[Key]bool, len(whole))
+	for _, resource := range whole {
+		kept[resource.Key] = true
+		if !bytes.Equal(s.resources[resource.Key], resource.Data) {
+			changes = append(changes, resource)
+		}
+	}
+	for _, key := range sortedKeys(s.resources) {
+		if !kept[key] {
+			changes = append(changes, Resource{Key: key, Removed: true})
+		}
+	}
+	return changes
 }
 
 // sealed completes s; it is not changed afterwards.
--- a/internal/state/ticket.go
+++ b/internal/state/ticket.go
@@ -12,7 +12,7 @@
 
 // Bounds of tickets and resources.
 const (
-	MaxTicketBytes   = 256 << 10
+	MaxTicketBytes   = 512 << 10
 	MaxNameBytes     = 120
 	MaxPathBytes     = 1024
 	MaxSlots         = 100_000
@@ -21,6 +21,9 @@
 	MaxRouteTimeout  = 10 * time.Minute
 	MaxQueueTimeout  = time.Minute
 	MaxRouteAttempts = 10
+	MaxDestinations  = 32
+	MaxWeight        = 1_000_000
+	MaxPriority      = 100
 )
 
 // DecodeTicket reads a ticket as it stands on the log and checks each of its
--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -80,7 +80,7 @@
 // of the listen address, so that the other end and firewalls between can tell
 // the nodes of one host apart. An unspecified address leaves it to the system.
 func DialFrom(listenAddress string) func(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{KeepAliveConfig: KeepAlive}
 	listen, err := netip.ParseAddrPort(listenAddress)
 	if err == nil && !listen.Addr().IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(listen.Addr(), 0))
--- a/internal/transport/platformlog/log.go
+++ b/internal/transport/platformlog/log.go
@@ -18,6 +18,9 @@
 	Offset int64
 	Time   time.Time // when the platform took the record, by its clock
 	Data   []byte
+	// Skip says that the record holds nothing for this system and only takes its
+	// offset.
+	Skip bool
 }
 
 // Bounds are the offsets that a stream still holds: First is the oldest kept
@@ -44,3 +47,14 @@
 	// Bounds returns the offsets that the stream holds.
 	Bounds(ctx context.Context, stream string) (Bounds, error)
 }
+
+// Keyed is a log that keeps the newest record of each key for ever, so that
+// what must last needs no refreshing.
+type Keyed interface {
+	// Newest returns the newest record of each key of the stream, in the order of
+	// their offsets, with the stream's bounds as of the answer.
+	Newest(ctx context.Context, stream string) (Batch, error)
+	// Put adds a record under the key; without data the key is dropped. After an
+	// error the record may or may not have been added.
+	Put(ctx context.Context, stream, key string, data []byte) error
+}
