Refuse calls that do not run before a planned stop ends

The callers' listener was closed only after the gate had finished its own calls. Ruled out: a shorter queue, which refuses calls that other entries can wait for. Change: 0.7 s before the end of the stop waiting calls are recalled from gates and answered 503, and no further attempt is made; running ones go on. Closing the callers' listener no longer waits for the gate.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -23,6 +23,9 @@
 	maxRecoveries = 3
 	// noEndpointRetryAfter is when a call that found no gate may try again.
 	noEndpointRetryAfter = time.Second
+	// leavingRetryAfter is when a call that this node gave up as it stops may try
+	// again: another node takes it at once.
+	leavingRetryAfter = 100 * time.Millisecond
 )
 
 func (m *Machine) answered(now time.Time, e Answered) {
@@ -206,6 +209,20 @@
 	return m.send(now, c)
 }
 
+// giveUp fails the request by what is known of the attempts that were made; one
+// that was only planned did not run.
+func (m *Machine) giveUp(e GiveUp) []Action {
+	c := m.requests[e.Handle]
+	if c == nil {
+		return nil
+	}
+	m.detach(c)
+	if !c.unknown {
+		c.lastRefuse = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: leavingRetryAfter}
+	}
+	return m.fail(c, e.Reason)
+}
+
 // backoff draws the wait after n attempts (full jitter).
 func (m *Machine) backoff(n int) time.Duration {
 	bound := min(backoffMax, backoffBase<<min(n, 10))
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -87,6 +87,12 @@
 	BodySpent bool
 }
 
+// GiveUp ends the request in place of a further attempt.
+type GiveUp struct {
+	Handle uint64
+	Reason call.Reason
+}
+
 // Resume ends a Wait.
 type Resume struct{ Handle uint64 }
 
@@ -100,6 +106,7 @@
 func (Refused) isEvent()      {}
 func (NotSent) isEvent()      {}
 func (Lost) isEvent()         {}
+func (GiveUp) isEvent()       {}
 func (Resume) isEvent()       {}
 func (End) isEvent()          {}
 
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -98,6 +98,8 @@
 		return m.lost(now, e)
 	case Resume:
 		return m.resume(now, e.Handle)
+	case GiveUp:
+		return m.giveUp(e)
 	case End:
 		m.end(e.Handle)
 	}
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -65,6 +65,10 @@
 // Cancelled says that the caller no longer wants the call.
 type Cancelled struct{ ID call.ID }
 
+// Recalled says that the call must not start any more, because its entry is
+// leaving. A running one goes on.
+type Recalled struct{ ID call.ID }
+
 // Detached says that the connection that the call came over is gone.
 type Detached struct{ ID call.ID }
 
@@ -94,6 +98,7 @@
 func (Arrive) isEvent()    {}
 func (Finished) isEvent()  {}
 func (Cancelled) isEvent() {}
+func (Recalled) isEvent()  {}
 func (Detached) isEvent()  {}
 func (Resolve) isEvent()   {}
 func (SetTarget) isEvent() {}
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -67,6 +67,8 @@
 		actions = append(actions, m.finished(now, e)...)
 	case Cancelled:
 		actions = append(actions, m.cancelled(e.ID)...)
+	case Recalled:
+		actions = append(actions, m.recalled(e.ID)...)
 	case Detached:
 		actions = append(actions, m.detached(e.ID)...)
 	case Resolve:
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -43,6 +43,13 @@
 	return nil
 }
 
+func (m *Machine) recalled(id call.ID) []Action {
+	if !m.withdraw(id) {
+		return nil
+	}
+	return []Action{Refuse{ID: id, Outcome: call.NotRun, Reason: call.ReasonLeaving, RetryAfter: leavingRetryAfter}}
+}
+
 // detached withdraws a waiting call, and cancels a running one that nobody can
 // ask for again: the answers of idempotent calls are not kept.
 func (m *Machine) detached(id call.ID) []Action {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -5,6 +5,7 @@
 // Events of the process.
 var (
 	SettingsReloaded = Event{106, log.InfoLevel, "settings read again: changes other than the log level take effect at the next start"}
+	StopCutWork      = Event{107, log.WarnLevel, "planned stop ended before the work in flight"}
 	NodeStarted      = Event{100, log.InfoLevel, "node started"}
 	NodeStopping     = Event{101, log.InfoLevel, "node stops: new work is refused, work in flight is finished"}
 	NodeStopped      = Event{102, log.InfoLevel, "node stopped"}
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -38,8 +38,10 @@
 	// uploads waits for the goroutine that sends the rest of the body.
 	uploads sync.WaitGroup
 	started chan struct{}
-	// unfollow stops the watch for the caller's leaving.
+	// unfollow stops the watch for the caller's leaving, and unrecall that for this
+	// node's.
 	unfollow func() bool
+	unrecall func() bool
 }
 
 // errStart says that a call's start could not be handed to a connection.
@@ -132,11 +134,18 @@
 	a.cancel(errCallerLeft.New("the caller left: nothing to do"))
 }
 
+// recall tells the gate that the call must not start any more. A broken stream
+// says the same.
+func (a *attempt) recall() {
+	_ = a.stream.Send(&wire.CallFrame{Recall: true})
+}
+
 // exchange sends the first frame and reads the answer up to the buffer bound.
 func (a *attempt) exchange(first *wire.CallFrame) (*answer, entry.Event) {
 	if err := a.stream.Send(first); err != nil {
 		return nil, a.lost()
 	}
+	a.unrecall = context.AfterFunc(a.duty.recalled, a.recall)
 	if !first.Last {
 		a.uploads.Add(1)
 		go a.upload()
@@ -267,6 +276,9 @@
 // of the gate's answer was received.
 func (a *attempt) end(whole bool) {
 	a.silence.Stop()
+	if a.unrecall != nil {
+		a.unrecall()
+	}
 	left := !a.unfollow()
 	reuse := whole && !left && a.ctx.Err() == nil && a.stream.Close() == nil
 	a.request.stopUpload(a)
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -70,6 +70,9 @@
 	if !d.options.Serving(now) {
 		return nil, fenced()
 	}
+	if d.recalled.Err() != nil {
+		return nil, leaving()
+	}
 	route, ok := index.routes.Match(r.Host, r.URL.EscapedPath(), r.Method)
 	if !ok {
 		return nil, noRoute()
@@ -211,10 +214,22 @@
 			return
 		}
 		action = d.entry.ask(event)
+		if d.recalled.Err() != nil && furtherAttempt(action) {
+			action = d.entry.ask(entry.GiveUp{Handle: c.handle, Reason: call.ReasonLeaving})
+		}
 	}
 	panic(http.ErrAbortHandler) // the caller has left: nothing may look like an answer
 }
 
+// furtherAttempt reports whether the action leads to another attempt.
+func furtherAttempt(action entry.Action) bool {
+	switch action.(type) {
+	case entry.Send, entry.Wait:
+		return true
+	}
+	return false
+}
+
 func (d *Duty) wait(c *callerCall, action entry.Wait) entry.Event {
 	timer := time.NewTimer(action.For)
 	defer timer.Stop()
--- a/internal/node/calls/drain.go
+++ b/internal/node/calls/drain.go
@@ -10,6 +10,10 @@
 // drainPoll is how often a drain looks whether the work in flight has ended.
 const drainPoll = 5 * time.Millisecond
 
+// Recall ends the callers' requests that do not run yet: those that wait at gates
+// are withdrawn, and no further attempt is made. Each gets its answer at once.
+func (d *Duty) Recall() { d.recall() }
+
 // Drain refuses new work at the gate from now on, and returns when the calls in
 // flight there are finished, their answers sent and the claims of idempotency
 // keys handed over, or when ctx ends. Callers
--- a/internal/node/calls/duty.go
+++ b/internal/node/calls/duty.go
@@ -70,7 +70,10 @@
 	// life ends with Run; calls at the target end with it.
 	life    context.Context
 	endLife context.CancelFunc
-	runs    sync.WaitGroup
+	// recalled ends when a stopping node starts no further attempts.
+	recalled context.Context
+	recall   context.CancelFunc
+	runs     sync.WaitGroup
 }
 
 // routeIndex is a snapshot with its index.
@@ -89,6 +92,7 @@
 	}
 	d := &Duty{options: options}
 	d.life, d.endLife = context.WithCancel(context.Background())
+	d.recalled, d.recall = context.WithCancel(context.Background())
 	d.entry = newEntryLoop(options)
 	d.gate = newGateLoop(options.Now, gate.Options{
 		Incarnation: options.Self.Incarnation,
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -165,6 +165,10 @@
 			d.gate.tell(gate.Cancelled{ID: c.id})
 			continue
 		}
+		if frame.Recall {
+			d.gate.tell(gate.Recalled{ID: c.id})
+			continue
+		}
 		c.takeBody(frame)
 	}
 }
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -17,6 +17,10 @@
 // shortRetryAfter is when a call may try again that only this node refused.
 const shortRetryAfter = time.Second
 
+// leavingRetryAfter is when a call that a stopping node refused may try again:
+// another node takes it at once.
+const leavingRetryAfter = 100 * time.Millisecond
+
 func notRun(kind, title string, status int, remedy string, retryAfter time.Duration) *problem.Problem {
 	return &problem.Problem{
 		Type: problemBase + kind, Title: title, Status: status, Remedy: remedy,
@@ -34,6 +38,11 @@
 		"Send the call to another node, or again after the given time.", shortRetryAfter)
 }
 
+func leaving() *problem.Problem {
+	return notRun("leaving", "This node is about to stop", http.StatusServiceUnavailable,
+		"Send the call to another node, or again after the given time.", leavingRetryAfter)
+}
+
 func overloaded() *problem.Problem {
 	return notRun("overloaded", "This node has too many calls in work", http.StatusServiceUnavailable,
 		"Send the call to another node, or again after the given time.", shortRetryAfter)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,6 +30,9 @@
 	leaveTimeout   = time.Second
 	closeTimeout   = 5 * time.Second
 	sweepInterval  = time.Second
+	// recallTime is how long before the end of a planned stop the calls that do not
+	// run are refused, so that their callers have the answers in time.
+	recallTime = 700 * time.Millisecond
 )
 
 // Run runs a node until ctx ends, then stops it gracefully: new work is
@@ -137,23 +141,36 @@
 	})
 }
 
-// drain stops the node gracefully. The fleet is told first, so that no new
-// work is sent while the work in flight is finished.
+// drain stops the node gracefully. The fleet is told first, so that no new work
+// is sent while the work in flight is finished. Callers are served until the
+// leave delay is over; what does not run shortly before the end is refused.
 func (n *node) drain() {
 	n.stopping.Store(true)
 	n.logger.Event(logging.NodeStopping).Send()
 	n.targets.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Calls.DrainTimeout)
 	defer cancel()
-	closing := time.After(n.settings.Calls.LeaveDelay)
-	_ = n.calls.Drain(ctx)
-	<-closing
-	_ = n.callersServer.Shutdown(ctx)
+	recall := time.AfterFunc(max(0, n.settings.Calls.DrainTimeout-recallTime), n.calls.Recall)
+	defer recall.Stop()
+	var group sync.WaitGroup
+	group.Go(func() { n.report("gate", n.calls.Drain(ctx)) })
+	group.Go(func() {
+		time.Sleep(n.settings.Calls.LeaveDelay)
+		n.report("callers", n.callersServer.Shutdown(ctx))
+	})
+	group.Wait()
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	n.members.Leave(leaveCtx)
 }
 
+// report logs work that a planned stop cut off.
+func (n *node) report(part string, err error) {
+	if err != nil {
+		n.logger.Event(logging.StopCutWork).Str("part", part).Err(err).Send()
+	}
+}
+
 func (n *node) controlMux() *drpcmux.Mux {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterControl(mux, &controlServer{node: n}); err != nil {
