Go on asking gates whose targets left before their nodes

Ruled out: the time that the hand-over takes (it never began). Change: a gate without a target stays one of its service's gates while its process lives. TestGatesWithoutTargetStayAsked fails before and passes after.

--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -44,8 +45,10 @@
 	service  string
 	token    uint64
 	verdicts map[uint64]chan keyed.Action
-	// addresses are the calls addresses of the service's gates.
+	// addresses are the calls addresses of the service's gates, and gates their
+	// processes.
 	addresses map[string]string
+	gates     map[string]uint64
 	// introduced is set once the machine admits calls.
 	introduced atomic.Bool
 	// handedOver is closed once a leaving gate has handed its claims over.
@@ -117,22 +120,35 @@
 	}
 }
 
-// followView takes in the gates of the own target's service.
+// followView takes in the gates of the own target's service. A gate whose target
+// is gone still holds its claims, this one included.
 func (l *keyedLoop) followView(now time.Time) {
 	view := l.duty.options.View()
 	t := l.duty.target.Load()
-	if t == nil || view == l.view && t.Service == l.service {
+	if t == nil || t.Service == "" && l.service == "" {
 		return
 	}
-	l.view, l.service = view, t.Service
-	l.addresses = make(map[string]string)
+	service := cmp.Or(t.Service, l.service)
+	if view == l.view && service == l.service {
+		return
+	}
+	if service != l.service {
+		l.gates = nil
+	}
+	l.view, l.service = view, service
+	former := l.gates
+	l.gates, l.addresses = make(map[string]uint64), make(map[string]string)
 	var gates []keyed.Gate
 	for _, member := range view.Members {
-		if member.Service == t.Service {
-			running := member.State == membership.Alive || member.State == membership.Suspect
-			gates = append(gates, keyed.Gate{ID: member.ID, Incarnation: member.Incarnation, Running: running})
-			l.addresses[member.ID] = member.CallsAddress
+		incarnation, known := former[member.ID]
+		without := known && member.Service == "" && member.Incarnation == incarnation
+		if member.Service != service && !without {
+			continue
 		}
+		running := member.State == membership.Alive || member.State == membership.Suspect
+		gates = append(gates, keyed.Gate{ID: member.ID, Incarnation: member.Incarnation, Running: running})
+		l.gates[member.ID] = member.Incarnation
+		l.addresses[member.ID] = member.CallsAddress
 	}
 	l.act(keyedItem{}, l.machine.Step(now, keyed.SetGates{Gates: gates}))
 }
