Let gates order and refuse by rank and aim, and keep calls in their domain

Change: calls of running requests start first, then by priority; a call waits at most a third of the time that its aim leaves beside its own work, and whoever is overtaken past that is refused at once; the time to come back is when the queue has passed, spread, within a third of the caller's patience. A call that a gate refuses is offered to the domain's other gates and then to one with room elsewhere, without the retry budget; exact slots are all used. A stopping node keeps its gate until the leave delay is over. Settings: calls.overload_tries, calls.spill_load, calls.fixed_limit; their defaults keep what was.

--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -191,7 +191,7 @@
 // Every key has a rule, so that no value is taken unchecked.
 func TestEveryKeyIsChecked(t *testing.T) {
 	is := is.New(t)
-	checked := map[string]bool{"node.seed": true, "telemetry.profiling": true} // any value is fine
+	checked := map[string]bool{"node.seed": true, "telemetry.profiling": true, "calls.fixed_limit": true} // any value is fine
 	for _, rule := range rules {
 		is.True(!checked[rule.key]) // one rule a key
 		checked[rule.key] = true
--- a/internal/config/reference_test.go
+++ b/internal/config/reference_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/settings-reference.md")
 	is.NoErr(err)
-	bounds := map[string]string{"node.seed": "any", "telemetry.profiling": "true, false"}
+	bounds := map[string]string{"node.seed": "any", "telemetry.profiling": "true, false", "calls.fixed_limit": "true, false"}
 	for _, rule := range rules {
 		bounds[rule.key] = rule.bounds
 	}
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -60,6 +60,8 @@
 	sizeBetween("calls.max_body_bytes", func(s *Settings) int64 { return s.Calls.MaxBodyBytes }, 1<<10, 1<<30),
 	sizeBetween("calls.buffer_bytes", func(s *Settings) int64 { return s.Calls.BufferBytes }, 1<<10, 64<<20),
 	between("calls.retry_ratio", func(s *Settings) float64 { return s.Calls.RetryRatio }, 0, 1),
+	between("calls.overload_tries", func(s *Settings) int { return s.Calls.OverloadTries }, 0, 16),
+	between("calls.spill_load", func(s *Settings) float64 { return s.Calls.SpillLoad }, 0, 10),
 	sizeBetween("calls.ledger_bytes", func(s *Settings) int64 { return s.Calls.LedgerBytes }, 64<<10, 1<<30),
 	between("calls.ledger_retention", func(s *Settings) time.Duration { return s.Calls.LedgerRetention }, time.Second, 24*time.Hour),
 	between("calls.leave_delay", func(s *Settings) time.Duration { return s.Calls.LeaveDelay }, 0, time.Minute),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -131,6 +131,15 @@
 	BufferBytes int64 `yaml:"buffer_bytes"`
 	// RetryRatio bounds retries to this share of the calls.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// OverloadTries is how many further gates a call that was refused for load is
+	// offered to at once.
+	OverloadTries int `yaml:"overload_tries"`
+	// SpillLoad is the load, 1 being full, of the own domain's gates from which
+	// calls go to another domain; 0 leaves that to the gates' refusals.
+	SpillLoad float64 `yaml:"spill_load"`
+	// FixedLimit runs as many calls as the target has slots, whatever its answers'
+	// times tell.
+	FixedLimit bool `yaml:"fixed_limit"`
 	// LedgerBytes bounds the kept answers of non-idempotent calls.
 	LedgerBytes int64 `yaml:"ledger_bytes"`
 	// LedgerRetention is how long outcomes of non-idempotent calls are kept.
@@ -181,6 +190,7 @@
 			MaxBodyBytes:    16 << 20,
 			BufferBytes:     256 << 10,
 			RetryRatio:      0.1,
+			SpillLoad:       1,
 			LedgerBytes:     8 << 20,
 			LedgerRetention: 10 * time.Minute,
 			DrainTimeout:    30 * time.Second,
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -172,6 +172,9 @@
 		c.free++
 		return m.send(now, c)
 	}
+	if m.options.OverloadTries > 0 && refusedForLoad(c) {
+		return m.offer(now, c)
+	}
 	if c.sent-c.free >= c.Attempts || !m.budgetOf(c.Service).spend() {
 		return m.fail(c, "")
 	}
@@ -179,6 +182,26 @@
 	return m.wait(c, m.backoff(c.sent))
 }
 
+// offer sends a call that a gate refused for load to another gate at once, or
+// tells the caller. That costs no target any work, so the budget has no part in
+// it.
+func (m *Machine) offer(now time.Time, c *request) []Action {
+	c.offers++
+	if c.offers > m.options.OverloadTries || m.pick(now, c) == nil {
+		return m.fail(c, "")
+	}
+	c.free++
+	return m.send(now, c)
+}
+
+// refusedForLoad reports whether the last attempt found a gate without room.
+func refusedForLoad(c *request) bool {
+	if c.unknown {
+		return false
+	}
+	return c.lastRefuse.Reason == call.ReasonQueueFull || c.lastRefuse.Reason == call.ReasonTooLate
+}
+
 // awaitHome lets a keyed call wait for the key's home to move when the present
 // one is leaving or gone: no other gate may run it before.
 func (m *Machine) awaitHome(c *request, free bool) []Action {
--- a/internal/coordination/entry/endpoint.go
+++ b/internal/coordination/entry/endpoint.go
@@ -71,6 +71,15 @@
 	return score
 }
 
+// roomShare is the load, 1 being full, below which a target of another domain is
+// taken to have room: word of its load is some tenths of a second old.
+const roomShare = 0.9
+
+// hasRoom reports whether the endpoint is likely to start a call at once.
+func (e *endpoint) hasRoom(now time.Time) bool {
+	return !now.Before(e.avoidTill) && float64(e.load(now)+1) <= roomShare*float64(max(1, e.Slots))
+}
+
 // ramp returns the share of its weight that the endpoint has, by age.
 func (e *endpoint) ramp(now time.Time) float64 {
 	age := now.Sub(e.since)
--- a/internal/coordination/entry/interleaving_test.go
+++ b/internal/coordination/entry/interleaving_test.go
@@ -116,7 +116,7 @@
 func newWorld(t *rapid.T, seed uint64, entries, nodes int, f faults) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, faults: f, callers: make(map[uint64]*caller), begun: make([]int, entries)}
 	for i := range entries {
-		w.entries = append(w.entries, entry.New(entry.Options{Node: fmt.Sprint("entry", i), Incarnation: 1, Domain: "a", RetryRatio: retryRatio, Seed: seed + uint64(i)}))
+		w.entries = append(w.entries, entry.New(entry.Options{Node: fmt.Sprint("entry", i), Incarnation: 1, Domain: "a", RetryRatio: retryRatio, SpillLoad: 1, Seed: seed + uint64(i)}))
 	}
 	for i := range nodes {
 		n := &node{world: w, id: fmt.Sprint("gate", i)}
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -15,6 +15,12 @@
 	Domain      string
 	// RetryRatio is the share of the calls that may be sent again.
 	RetryRatio float64
+	// OverloadTries is how many further gates a call that a gate refused for load
+	// is offered to at once; no target has had any work of it.
+	OverloadTries int
+	// SpillLoad is the load of the own domain's gate, 1 being full, from which a
+	// call may go to another domain; 0 leaves that to the gates' refusals.
+	SpillLoad float64
 	// Seed feeds every random choice.
 	Seed uint64
 }
@@ -39,6 +45,8 @@
 type request struct {
 	Begin
 	sent int
+	// offers counts the gates that were tried after a refusal for load.
+	offers int
 	// free counts the attempts beyond the first that took nothing from the budget.
 	free int
 	// tried lists the endpoints that had an attempt.
--- a/internal/coordination/entry/machine_test.go
+++ b/internal/coordination/entry/machine_test.go
@@ -31,7 +31,7 @@
 }
 
 func newDriver(list []Endpoint) *driver {
-	d := &driver{machine: New(Options{Node: "n", Incarnation: 1, Domain: "near", RetryRatio: 0.1, Seed: 1}), now: start}
+	d := &driver{machine: New(Options{Node: "n", Incarnation: 1, Domain: "near", RetryRatio: 0.1, SpillLoad: 1, Seed: 1}), now: start}
 	d.machine.Step(d.now, SetEndpoints{list})
 	d.now = d.now.Add(slowStart)
 	return d
--- a/internal/coordination/entry/pick.go
+++ b/internal/coordination/entry/pick.go
@@ -6,10 +6,6 @@
 	"jasminegate/internal/coordination/keyed"
 )
 
-// spillScore is the score of the better local endpoint from which a call may go
-// to another failure domain; 1 is a full target.
-const spillScore = 1.0
-
 // spillMargin is by how much the other domain's endpoint must be better.
 const spillMargin = 0.25
 
@@ -25,10 +21,13 @@
 		return home(g.endpoints, c.Key)
 	}
 	local := m.better(now, g, c, true)
-	if local != nil && local.score(now) < spillScore {
+	if local != nil && (m.options.SpillLoad == 0 || local.score(now) < m.options.SpillLoad) {
 		return local
 	}
 	remote := m.better(now, g, c, false)
+	if local == nil && c.offers > 0 && remote != nil && !remote.hasRoom(now) {
+		return nil // the refused call would be refused there too
+	}
 	if local == nil {
 		return remote
 	}
--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -24,7 +24,7 @@
 		return []Action{action}
 	}
 	if !now.Before(e.Deadline) {
-		return []Action{m.refusal(e.ID, call.ReasonTooLate, e.Background)}
+		return []Action{m.refusal(waiting{id: e.ID, background: e.Background}, call.ReasonTooLate)}
 	}
 	if m.canStart() {
 		return []Action{m.start(now, e)}
@@ -123,42 +123,98 @@
 	return m.queue.len() == 0 && m.ledger.running < m.limit.current()
 }
 
+// waitShare is the part of the time that an answer's aim leaves beside the call's
+// own work which it may spend waiting. Service times scatter: of calls that wait
+// for longer too many would miss their aim, and hold up those behind them.
+const waitShare = 1.0 / 3
+
 // enqueue lets the call wait, or refuses it at once when it would not start in
-// time.
+// time. Calls that it overtakes and that would start too late now are refused.
 func (m *Machine) enqueue(now time.Time, e Arrive) []Action {
-	if m.queue.len() >= m.target.QueueLength {
-		return []Action{m.refusal(e.ID, call.ReasonQueueFull, e.Background)}
+	item := waiting{
+		id: e.ID, background: e.Background, idempotent: e.Idempotent,
+		rank: rank{nested: e.Nested, priority: e.Priority},
+		work: m.limit.workOf(e.Route, e.Background), latest: m.latestStart(now, e),
 	}
-	latest := now.Add(m.target.QueueTimeout)
-	if byDeadline := e.Deadline.Add(-m.limit.meanOf(e.Background)); byDeadline.Before(latest) {
-		latest = byDeadline
+	if m.queue.len() >= m.target.QueueLength {
+		return []Action{m.refusal(item, call.ReasonQueueFull)}
 	}
-	if now.Add(m.estimate(e.Background)).After(latest) {
-		return []Action{m.refusal(e.ID, call.ReasonTooLate, e.Background)}
+	if now.Add(m.estimate(item)).After(item.latest) {
+		return []Action{m.refusal(item, call.ReasonTooLate)}
 	}
 	m.arrivals[e.ID] = e
 	if e.Key != "" {
 		m.waitingKeys[e.Key] = e.ID
 	}
-	m.queue.push(waiting{id: e.ID, background: e.Background, idempotent: e.Idempotent, latest: latest})
-	return nil
+	m.queue.push(item)
+	return m.refuseLate(now)
 }
 
-// estimate returns how long a call of the class that arrives now would wait.
-func (m *Machine) estimate(background bool) time.Duration {
+// latestStart is until when the call may wait.
+func (m *Machine) latestStart(now time.Time, e Arrive) time.Time {
+	work := m.limit.workOf(e.Route, e.Background)
+	latest := now.Add(m.target.QueueTimeout)
+	if byDeadline := e.Deadline.Add(-work); byDeadline.Before(latest) {
+		latest = byDeadline
+	}
+	slack := e.Aim.Sub(now) - work
+	if e.Nested || e.Aim.IsZero() || slack <= 0 {
+		return latest
+	}
+	if byAim := now.Add(time.Duration(float64(slack) * waitShare)); byAim.Before(latest) {
+		latest = byAim
+	}
+	return latest
+}
+
+// refuseLate refuses the waiting calls that would start too late.
+func (m *Machine) refuseLate(now time.Time) []Action {
+	slots := max(1, m.limit.current())
+	var actions []Action
+	for _, item := range m.queue.takeLate(now, slots, m.limit.meanOf(false)/time.Duration(slots)) {
+		m.leaveQueue(item.id)
+		actions = append(actions, m.refusal(item, call.ReasonTooLate))
+	}
+	return actions
+}
+
+// estimate returns how long a call like the item that arrives now would wait.
+func (m *Machine) estimate(item waiting) time.Duration {
 	limit := max(1, m.limit.current())
-	interactive := time.Duration(len(m.queue.interactive))
-	waits := time.Duration(len(m.queue.background))
 	meanInteractive := m.limit.meanOf(false)
 	meanBackground := m.limit.meanOf(true)
-	if !background {
-		work := (interactive + 1) * meanInteractive
-		work += min(waits, interactive/time.Duration(m.queue.bound)) * meanBackground
+	waits := time.Duration(len(m.queue.background))
+	if !item.background {
+		calls, work := m.queue.ahead(item.rank)
+		work += meanInteractive
+		work += min(waits, time.Duration(calls/m.queue.bound)) * meanBackground
 		return work / time.Duration(limit)
 	}
 	work := (waits + 1) * meanBackground
-	if interactive > 0 {
+	if len(m.queue.interactive) > 0 {
 		work += (waits + 1) * time.Duration(m.queue.bound) * meanInteractive
 	}
 	return work / time.Duration(limit)
 }
+
+const (
+	// minRetryAfter and maxRetryAfter bound when a refused call may try again. An
+	// entry tells its caller less where the caller's time is short.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	// retryAfterSpread is by how much of it callers are spread, so that those who
+	// were refused together do not return together.
+	retryAfterSpread = 0.5
+)
+
+// retryAfter returns when a call like the refused one is likely to find room:
+// when what waits before it has started.
+func (m *Machine) retryAfter(item waiting) time.Duration {
+	wait := min(maxRetryAfter, max(minRetryAfter, m.estimate(item)))
+	m.refusals++
+	turn := float64(m.refusals%retryAfterTurns) / retryAfterTurns
+	return time.Duration(float64(wait) * (1 - retryAfterSpread/2 + retryAfterSpread*turn))
+}
+
+// retryAfterTurns is over how many refusals the spread is dealt out.
+const retryAfterTurns = 16
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -18,9 +18,18 @@
 	// Gate is the gate incarnation that the call is meant for.
 	Gate       uint64
 	Background bool
+	// Nested says that a running request made the call: its parent holds a slot
+	// elsewhere until the answer comes.
+	Nested bool
+	// Priority ranks the calls of one class; 0 is the most urgent.
+	Priority   int
 	Idempotent bool
+	// Route names the calls whose service times are alike.
+	Route string
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Aim is by when an answer is wanted; zero is the Deadline.
+	Aim time.Time
 	// Key is the caller's idempotency key; empty has none.
 	Key string
 	// Fingerprint is the hash of the request that the key stands for.
@@ -85,6 +94,9 @@
 	Slots        int
 	QueueLength  int
 	QueueTimeout time.Duration
+	// FixedLimit says that the slots are exact: as many calls run as there are,
+	// whatever the answers' times tell.
+	FixedLimit bool
 	// Ready is false while the target is absent or draining.
 	Ready bool
 }
--- a/internal/coordination/gate/ledger.go
+++ b/internal/coordination/gate/ledger.go
@@ -10,6 +10,7 @@
 type record struct {
 	id          call.ID
 	background  bool
+	route       string
 	idempotent  bool
 	started     time.Time
 	done        bool
--- a/internal/coordination/gate/limit.go
+++ b/internal/coordination/gate/limit.go
@@ -32,10 +32,14 @@
 // additive increase and multiplicative decrease. Latency counts only while half
 // of the slots are in use: below that it says nothing about load.
 type limiter struct {
-	slots   int
-	limit   float64
-	good    int
+	slots int
+	limit float64
+	good  int
+	// fixed says that all slots are used, whatever the answers tell.
+	fixed   bool
 	classes [2]latency
+	// routes are the mean service times by route, in nanoseconds.
+	routes map[string]float64
 	// resume is until when a further sign of overload is the same one.
 	resume time.Time
 }
@@ -96,10 +100,12 @@
 }
 
 // observe takes in one call that ended while running calls ran.
-func (l *limiter) observe(now time.Time, background bool, took time.Duration, result Result, running int) {
+func (l *limiter) observe(now time.Time, ended *record, result Result, running int) {
+	took := now.Sub(ended.started)
 	switch result {
 	case Completed:
-		class := &l.classes[classIndex(background)]
+		l.observeRoute(ended.route, float64(took))
+		class := &l.classes[classIndex(ended.background)]
 		class.observe(float64(took))
 		if class.slow() && 2*running >= l.current() {
 			l.decrease(now)
@@ -111,7 +117,35 @@
 	}
 }
 
+// maxRoutes bounds the routes whose service times are kept.
+const maxRoutes = 512
+
+func (l *limiter) observeRoute(route string, took float64) {
+	mean, known := l.routes[route]
+	switch {
+	case known:
+		l.routes[route] = mean + (took-mean)*meanWeight
+	case len(l.routes) < maxRoutes:
+		if l.routes == nil {
+			l.routes = make(map[string]float64)
+		}
+		l.routes[route] = took
+	}
+}
+
+// workOf returns the mean service time of the route's calls, or of their class
+// before the first answer.
+func (l *limiter) workOf(route string, background bool) time.Duration {
+	if mean := l.routes[route]; mean > 0 {
+		return time.Duration(mean)
+	}
+	return l.meanOf(background)
+}
+
 func (l *limiter) decrease(now time.Time) {
+	if l.fixed {
+		return
+	}
 	if now.Before(l.resume) {
 		return
 	}
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -30,6 +30,7 @@
 	waitingKeys map[string]call.ID
 	ledger      ledger
 	windows     map[string]*window
+	refusals    uint64
 }
 
 // New returns a machine without a target.
@@ -86,6 +87,7 @@
 func (m *Machine) setTarget(e SetTarget) []Action {
 	m.target = e
 	m.limit.setSlots(e.Slots)
+	m.limit.fixed = e.FixedLimit
 	if e.Ready {
 		return nil
 	}
@@ -96,7 +98,7 @@
 	var actions []Action
 	for _, item := range m.queue.expire(now) {
 		m.leaveQueue(item.id)
-		actions = append(actions, m.refusal(item.id, call.ReasonTooLate, item.background))
+		actions = append(actions, m.refusal(item, call.ReasonTooLate))
 	}
 	return actions
 }
@@ -105,7 +107,7 @@
 	var actions []Action
 	for _, item := range m.queue.takeAll() {
 		m.leaveQueue(item.id)
-		actions = append(actions, m.refusal(item.id, reason, item.background))
+		actions = append(actions, Refuse{ID: item.id, Outcome: call.NotRun, Reason: reason, RetryAfter: leavingRetryAfter})
 	}
 	return actions
 }
@@ -138,12 +140,12 @@
 		w.setStarted(e.ID.Counter, true)
 	}
 	m.ledger.start(&record{
-		id: e.ID, background: e.Background, idempotent: e.Idempotent,
+		id: e.ID, background: e.Background, idempotent: e.Idempotent, route: e.Route,
 		started: now, key: e.Key, fingerprint: e.Fingerprint,
 	})
 	return Start{ID: e.ID}
 }
 
-func (m *Machine) refusal(id call.ID, reason call.Reason, background bool) Action {
-	return Refuse{ID: id, Outcome: call.NotRun, Reason: reason, RetryAfter: m.estimate(background)}
+func (m *Machine) refusal(item waiting, reason call.Reason) Action {
+	return Refuse{ID: item.id, Outcome: call.NotRun, Reason: reason, RetryAfter: m.retryAfter(item)}
 }
--- a/internal/coordination/gate/machine_test.go
+++ b/internal/coordination/gate/machine_test.go
@@ -122,6 +122,7 @@
 	g.call(id).arrivals++
 	g.step(Arrive{
 		ID: id, Gate: rapid.SampledFrom([]uint64{3, 3, 3, 3, 2}).Draw(t, "gate"),
+		Nested: rapid.Bool().Draw(t, "nested"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Aim: g.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "aim")) * time.Millisecond),
 		Background: rapid.Bool().Draw(t, "background"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
 		Deadline: g.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "deadline")) * time.Millisecond),
 	})
@@ -138,9 +139,9 @@
 		t.Skip("nothing runs")
 	}
 	id := rapid.SampledFrom(running).Draw(t, "finished")
-	result := Result(rapid.IntRange(int(Completed), int(Expired)).Draw(t, "result"))
+	result := Result(rapid.IntRange(int(Completed), int(Declined)).Draw(t, "result"))
 	g.calls[id].running = false
-	g.calls[id].notSent = result == NotSent
+	g.calls[id].notSent = result == NotSent || result == Declined
 	g.running--
 	g.step(Finished{ID: id, Result: result, KeptBytes: int64(rapid.IntRange(-1, 400).Draw(t, "bytes"))})
 }
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -11,7 +11,7 @@
 	if r == nil || r.done {
 		return nil
 	}
-	m.limit.observe(now, r.background, now.Sub(r.started), e.Result, m.ledger.running)
+	m.limit.observe(now, r, e.Result, m.ledger.running)
 	if e.Result == NotSent || e.Result == Declined {
 		m.clearStarted(e.ID)
 		m.ledger.finish(now, r, false, 0)
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -21,11 +21,30 @@
 	id         call.ID
 	background bool
 	idempotent bool
+	rank       rank
+	// work is how long the call is expected to run.
+	work time.Duration
 	// latest is the last time at which the call may start.
 	latest time.Time
 }
 
-// queue holds the waiting calls of both classes, each first in, first out.
+// rank orders the calls of one class. Calls of running requests go first: a
+// parent that waits holds a slot for nothing.
+type rank struct {
+	nested   bool
+	priority int
+}
+
+// before reports whether a call of the rank starts before one of the other.
+func (r rank) before(other rank) bool {
+	if r.nested != other.nested {
+		return r.nested
+	}
+	return r.priority < other.priority
+}
+
+// queue holds the waiting calls of both classes, each in the order of their
+// ranks, and first in, first out within one.
 // Interactive calls overtake background ones, but a background call with n of
 // its class before it is overtaken at most (n+1)*bound times.
 //
@@ -57,10 +76,50 @@
 		if len(q.background) == 0 {
 			q.passed = 0
 		}
-		q.background = append(q.background, item)
+		q.background = insert(q.background, item)
 		return
 	}
-	q.interactive = append(q.interactive, item)
+	q.interactive = insert(q.interactive, item)
+}
+
+// insert puts the item behind all that do not come after it.
+func insert(list []waiting, item waiting) []waiting {
+	at := len(list)
+	for at > 0 && item.rank.before(list[at-1].rank) {
+		at--
+	}
+	return slices.Insert(list, at, item)
+}
+
+// ahead returns how many interactive calls start before one of the rank that
+// arrives now, and the work that they are.
+func (q *queue) ahead(of rank) (calls int, work time.Duration) {
+	for _, item := range q.interactive {
+		if of.before(item.rank) {
+			break
+		}
+		calls++
+		work += item.work
+	}
+	return calls, work
+}
+
+// takeLate takes out the interactive calls that, with the given slots and so much
+// time until the first of them is free, would start too late.
+func (q *queue) takeLate(now time.Time, slots int, first time.Duration) []waiting {
+	var late []waiting
+	start := now.Add(first)
+	kept := q.interactive[:0]
+	for _, item := range q.interactive {
+		if start.After(item.latest) {
+			late = append(late, item)
+			continue
+		}
+		kept = append(kept, item)
+		start = start.Add(item.work / time.Duration(slots))
+	}
+	q.interactive = kept
+	return late
 }
 
 // pop takes the next call.
--- /dev/null
+++ b/internal/coordination/gate/rank_test.go
@@ -0,0 +1,131 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminegate/internal/coordination/call"
+)
+
+// replay drives a machine with one slot whose calls take their time each.
+type replay struct {
+	*is.I
+	machine *Machine
+	now     time.Time
+	counter uint64
+	started []call.ID
+	refused map[call.ID]Refuse
+}
+
+func newReplay(t *testing.T, slots int) *replay {
+	r := &replay{I: is.New(t), machine: New(testOptions()), now: epoch, refused: make(map[call.ID]Refuse)}
+	r.step(SetTarget{Slots: slots, QueueLength: 100, QueueTimeout: time.Minute, FixedLimit: true, Ready: true})
+	return r
+}
+
+func (r *replay) step(event Event) {
+	for _, action := range r.machine.Step(r.now, event) {
+		switch a := action.(type) {
+		case Start:
+			r.started = append(r.started, a.ID)
+		case Refuse:
+			r.refused[a.ID] = a
+		}
+	}
+}
+
+func (r *replay) arrive(e Arrive) call.ID {
+	r.counter++
+	e.ID, e.Gate = call.ID{Entry: "a", Counter: r.counter}, 3
+	if e.Deadline.IsZero() {
+		e.Deadline = r.now.Add(time.Minute)
+	}
+	r.step(e)
+	return e.ID
+}
+
+// learn lets the machine measure a route's service time.
+func (r *replay) learn(route string, took time.Duration) {
+	for range 50 {
+		id := r.arrive(Arrive{Route: route})
+		r.now = r.now.Add(took)
+		r.step(Finished{ID: id, Result: Completed})
+	}
+	r.started = nil
+}
+
+func (r *replay) finish(id call.ID) { r.step(Finished{ID: id, Result: Completed}) }
+
+// TestNestedCallsGoFirst replays parents that hold slots elsewhere: their calls
+// start before whatever waits, then the most urgent.
+func TestNestedCallsGoFirst(t *testing.T) {
+	r := newReplay(t, 1)
+	running := r.arrive(Arrive{})
+	later := r.arrive(Arrive{Priority: 2})
+	urgent := r.arrive(Arrive{Priority: 1})
+	nested := r.arrive(Arrive{Nested: true, Priority: 5})
+	r.finish(running)
+	r.finish(nested)
+	r.finish(urgent)
+	r.Equal(r.started, []call.ID{running, nested, urgent, later})
+}
+
+// TestWaitsForAShareOfTheAim replays a burst: calls wait only while they are
+// likely to be answered in time, and the rest is refused at once with when to
+// come back, spread over the callers.
+func TestWaitsForAShareOfTheAim(t *testing.T) {
+	r := newReplay(t, 10)
+	r.learn("sheets", 100*time.Millisecond)
+	var burst []call.ID
+	for range 100 {
+		burst = append(burst, r.arrive(Arrive{Route: "sheets", Aim: r.now.Add(300 * time.Millisecond)}))
+	}
+	r.Equal(len(r.started), 10)
+	waiting := len(burst) - len(r.started) - len(r.refused)
+	// Ten slots start one call each 10 ms; a third of the 200 ms beside the work
+	// is 66 ms.
+	r.True(waiting >= 4 && waiting <= 7)
+	times := make(map[time.Duration]bool)
+	for _, refuse := range r.refused {
+		r.Equal(refuse.Outcome, call.NotRun)
+		r.True(refuse.RetryAfter > 0)
+		times[refuse.RetryAfter] = true
+	}
+	r.True(len(times) > 8)
+}
+
+// TestOvertakenCallsAreRefusedAtOnce replays urgent calls that arrive at a gate
+// with a full queue: those that will not start in time any more are told so when
+// that is known.
+func TestOvertakenCallsAreRefusedAtOnce(t *testing.T) {
+	r := newReplay(t, 1)
+	r.learn("r", 100*time.Millisecond)
+	r.arrive(Arrive{Route: "r"})
+	waits := r.arrive(Arrive{Route: "r", Priority: 2, Deadline: r.now.Add(350 * time.Millisecond)})
+	_, refused := r.refused[waits]
+	r.True(!refused)
+	for range 3 {
+		r.arrive(Arrive{Route: "r", Priority: 1})
+	}
+	refuse, refused := r.refused[waits]
+	r.True(refused)
+	r.Equal(refuse.Reason, call.ReasonTooLate)
+}
+
+// TestExactSlotsStayUsed replays a target that fails part of its calls and slows
+// down: with exact slots no slot is left empty for it.
+func TestExactSlotsStayUsed(t *testing.T) {
+	r := newReplay(t, 20)
+	for i := range 400 {
+		id := r.arrive(Arrive{Route: "r"})
+		r.now = r.now.Add(time.Duration(10+i) * time.Millisecond)
+		result := Completed
+		if i%2 == 0 {
+			result = Declined
+		}
+		r.step(Finished{ID: id, Result: result})
+	}
+	r.Equal(r.machine.Limit(), 20)
+}
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -56,6 +56,7 @@
 	defer span.End()
 	start := r.start(action)
 	start.TimeoutMs = r.timeoutMs(d.options.Now())
+	start.AimMs = r.aimMs(d.options.Now())
 	a, err := d.open(r, action.Endpoint, action.Fresh, r.deadline)
 	if err != nil {
 		return nil, notSent(r.handle, err)
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,10 @@
 	handle   uint64
 	route    state.Route
 	deadline time.Time
+	// aim is by when an answer is wanted; zero is the deadline.
+	aim time.Time
+	// patience is how long the caller itself waits.
+	patience time.Time
 	attempts int
 	key      string
 	body     *requestBody
@@ -105,9 +110,13 @@
 		if err != nil || ms == 0 {
 			return badHeader(contract.Timeout, "a whole number of milliseconds above 0")
 		}
+		c.patience = now.Add(time.Duration(ms) * time.Millisecond)
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	c.deadline = now.Add(timeout)
+	if aim := time.Duration(c.route.TargetLatency); aim > 0 {
+		c.aim = now.Add(aim)
+	}
 	c.attempts = max(1, c.route.MaxAttempts)
 	if text := r.Header.Get(contract.Attempts); text != "" {
 		left, err := strconv.ParseUint(text, 10, 16)
@@ -139,6 +148,8 @@
 		Key:           c.key,
 		Idempotent:    c.route.Idempotent,
 		Background:    c.route.Class == state.ClassBackground,
+		Nested:        d.fromOwnTarget(r),
+		Priority:      uint32(c.route.Priority),
 		ContentLength: c.contentLength(r),
 	}
 	if c.key != "" {
@@ -148,6 +159,18 @@
 	return start
 }
 
+// fromOwnTarget reports whether the target beside this node made the call, which
+// it does while it runs a request.
+func (d *Duty) fromOwnTarget(r *http.Request) bool {
+	t := d.target.Load()
+	if t == nil || t.Address == "" {
+		return false
+	}
+	caller, err := netip.ParseAddrPort(r.RemoteAddr)
+	own, ownErr := netip.ParseAddrPort(t.Address)
+	return err == nil && ownErr == nil && caller.Addr() == own.Addr()
+}
+
 func (c *callerCall) contentLength(r *http.Request) int64 {
 	if c.body.rest == nil {
 		return int64(len(c.body.held))
@@ -171,11 +194,16 @@
 		Id: wireID(action.ID), GateIncarnation: action.Endpoint.Incarnation,
 		Route: t.Route, Service: action.Endpoint.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
-		Idempotent: t.Idempotent, Background: t.Background,
+		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority,
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength,
 	}
 }
 
+// aimMs is the time left to the aim. A call that is past it has none.
+func (c *callerCall) aimMs(now time.Time) uint32 {
+	return uint32(max(0, c.aim.Sub(now).Milliseconds()))
+}
+
 func (c *callerCall) timeoutMs(now time.Time) uint32 {
 	return uint32(max(1, c.deadline.Sub(now).Milliseconds()))
 }
@@ -261,9 +289,22 @@
 		d.refuse(w, p)
 		return
 	}
+	action.RetryAfter = c.withinPatience(d.options.Now(), action.RetryAfter)
 	d.refuse(w, failure(action))
 }
 
+// patienceShare is the part of the time that a caller still waits which it is
+// told to stay away at most: it needs the rest for the answer.
+const patienceShare = 1.0 / 3
+
+// withinPatience shortens the time after which the caller may come back.
+func (c *callerCall) withinPatience(now time.Time, after time.Duration) time.Duration {
+	if c.patience.IsZero() {
+		return after
+	}
+	return min(after, time.Duration(float64(c.patience.Sub(now))*patienceShare))
+}
+
 // refuse writes the system's own answer and counts its outcome.
 func (d *Duty) refuse(w http.ResponseWriter, p *problem.Problem) {
 	switch p.Outcome {
@@ -274,6 +315,7 @@
 	case problem.Ran:
 		d.counters.ran.Add(1)
 	}
+	d.options.Logger.Event(logging.CallRefused).Str("type", p.Type).Str("outcome", string(p.Outcome)).Int("retry_after_ms", p.RetryAfterMS).Send()
 	p.PreciseRetryAfter = d.options.Contract.PreciseRetryAfter
 	problem.Write(w, *p)
 }
--- a/internal/node/calls/duty.go
+++ b/internal/node/calls/duty.go
@@ -63,7 +63,10 @@
 	keyed   *keyedLoop
 	routes  atomic.Pointer[routeIndex]
 	target  atomic.Pointer[target]
+	// drain says that callers are told to close their connections, and leaving that
+	// the gate starts nothing any more.
 	drain   atomic.Bool
+	leaving atomic.Bool
 	// serving counts calls whose answers are being sent to entries.
 	serving  atomic.Int64
 	counters counters
--- a/internal/node/calls/entryloop.go
+++ b/internal/node/calls/entryloop.go
@@ -43,7 +43,10 @@
 			Incarnation: options.Self.Incarnation,
 			Domain:      options.Self.Domain,
 			RetryRatio:  options.Settings.RetryRatio,
-			Seed:        options.Seed,
+
+			OverloadTries: options.Settings.OverloadTries,
+			SpillLoad:     options.Settings.SpillLoad,
+			Seed:          options.Seed,
 		}),
 		ring: ring.New[entryItem](entryRingSize),
 		done: make(chan struct{}),
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -20,6 +20,8 @@
 	start    *wire.CallStart
 	id       call.ID
 	deadline time.Time
+	// aim is by when an answer is wanted; zero is the deadline.
+	aim time.Time
 	// held is what came of the body with the first frame; the rest of a streamed
 	// one goes through bodyIn to body.
 	held      []byte
@@ -49,6 +51,9 @@
 		decisions: make(chan decision, 1),
 		recording: newRecording(d.options.Settings.BufferBytes),
 	}
+	if start.AimMs > 0 {
+		c.aim = d.options.Now().Add(time.Duration(start.AimMs) * time.Millisecond)
+	}
 	c.run, c.cancelRun = context.WithTimeout(d.life, timeout)
 	if c.streaming {
 		c.body, c.bodyIn = io.Pipe()
@@ -130,8 +135,12 @@
 		ID:          c.id,
 		Gate:        c.start.GateIncarnation,
 		Background:  c.start.Background,
+		Nested:      c.start.Nested,
+		Priority:    int(c.start.Priority),
 		Idempotent:  c.start.Idempotent,
+		Route:       c.start.Route,
 		Deadline:    c.deadline,
+		Aim:         c.aim,
 		Key:         c.start.Key,
 		Fingerprint: c.start.Fingerprint,
 		Repeat:      c.repeat,
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -265,7 +265,7 @@
 
 // closed reports whether the gate starts nothing at present.
 func (d *Duty) closed(start *wire.CallStart) bool {
-	if d.drain.Load() || d.refuseReason(start) != "" {
+	if d.leaving.Load() || d.refuseReason(start) != "" {
 		return true
 	}
 	return d.target.Load().State != membership.TargetReady
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -133,7 +133,7 @@
 	if t == nil {
 		return
 	}
-	event := gate.SetTarget{Slots: t.Slots, Ready: t.State == membership.TargetReady}
+	event := gate.SetTarget{Slots: t.Slots, FixedLimit: d.options.Settings.FixedLimit, Ready: t.State == membership.TargetReady}
 	if index := d.currentRoutes(); index != nil {
 		if service, ok := index.snapshot.Service(t.Service); ok {
 			event.QueueLength = service.QueueLength
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -141,23 +141,23 @@
 	})
 }
 
-// drain stops the node gracefully. The fleet is told first, so that no new work
-// is sent while the work in flight is finished. Callers are served until the
-// leave delay is over; what does not run shortly before the end is refused.
+// drain stops the node gracefully. It goes on as before until the leave delay is
+// over, so that callers can turn away and the target is without its gate for a
+// short time only. Then the fleet is told, so that no new work is sent while the
+// work in flight is finished; what does not run shortly before the end is refused.
 func (n *node) drain() {
 	n.stopping.Store(true)
 	n.logger.Event(logging.NodeStopping).Send()
-	n.targets.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Calls.DrainTimeout)
 	defer cancel()
 	recall := time.AfterFunc(max(0, n.settings.Calls.DrainTimeout-recallTime), n.calls.Recall)
 	defer recall.Stop()
+	n.calls.CloseCallers()
+	time.Sleep(n.settings.Calls.LeaveDelay)
+	n.targets.drain()
 	var group sync.WaitGroup
 	group.Go(func() { n.report("gate", n.calls.Drain(ctx)) })
-	group.Go(func() {
-		time.Sleep(n.settings.Calls.LeaveDelay)
-		n.report("callers", n.callersServer.Shutdown(ctx))
-	})
+	group.Go(func() { n.report("callers", n.callersServer.Shutdown(ctx)) })
 	group.Wait()
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
