Offer calls to gates that can answer in time before any other

Ruled out: choosing by load reports alone; they do not tell a target's speed. Change: the first offers of a call are on condition that the gate, by its own measure of the route's service time and its queue, expects to answer within the aim; when no gate does, one at home takes it for a late answer. Of equal priority the shorter aim goes first. Where a target is too slow for the aim a call waits a third of its deadline at most. The fewer calls find room, the later the refused are told to come back.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -182,14 +182,20 @@
 	return m.wait(c, m.backoff(c.sent))
 }
 
-// offer sends a call that a gate refused for load to another gate at once, or
-// tells the caller. That costs no target any work, so the budget has no part in
-// it.
+// offer sends a call that a gate refused for load to another gate at once. When
+// none can answer it in time, one of the own domain is asked to take it all the
+// same, and then the caller is told. That costs no target any work, so the budget
+// has no part in it.
 func (m *Machine) offer(now time.Time, c *request) []Action {
 	c.offers++
-	if c.offers > m.options.OverloadTries || m.pick(now, c) == nil {
+	if c.lateToo {
 		return m.fail(c, "")
 	}
+	if c.offers > m.options.OverloadTries || m.pick(now, c) == nil {
+		c.lateToo = true
+		c.tried = c.tried[:0]
+		c.offers = 0
+	}
 	c.free++
 	return m.send(now, c)
 }
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -124,6 +124,9 @@
 	// Fresh asks for a new connection, because older ones to the gate are in
 	// doubt.
 	Fresh bool
+	// InTime says that the gate shall take the call only if it expects to answer it
+	// within its aim.
+	InTime bool
 }
 
 // Recover asks the gate over a new connection for the answer of an attempt
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -45,8 +45,10 @@
 type request struct {
 	Begin
 	sent int
-	// offers counts the gates that were tried after a refusal for load.
-	offers int
+	// offers counts the gates that were tried after a refusal for load, and lateToo
+	// says that none of them would answer in time: any may have it now.
+	offers  int
+	lateToo bool
 	// free counts the attempts beyond the first that took nothing from the budget.
 	free int
 	// tried lists the endpoints that had an attempt.
@@ -178,6 +180,7 @@
 	return []Action{Send{
 		Handle: c.Handle, ID: c.id, Endpoint: chosen.Endpoint,
 		AttemptsLeft: max(0, c.Attempts-c.sent+c.free), Fresh: chosen.doubt,
+		InTime: m.options.OverloadTries > 0 && !c.lateToo,
 	}}
 }
 
--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -27,6 +27,10 @@
 		return []Action{m.refusal(waiting{id: e.ID, background: e.Background}, call.ReasonTooLate)}
 	}
 	if m.canStart() {
+		if e.InTime && now.Add(m.limit.workOf(e.Route, e.Background)).After(e.Aim) {
+			return []Action{m.refusal(waiting{id: e.ID, background: e.Background}, call.ReasonTooLate)}
+		}
+		m.noteAdmitted(1)
 		return []Action{m.start(now, e)}
 	}
 	return m.enqueue(now, e)
@@ -123,8 +127,8 @@
 	return m.queue.len() == 0 && m.ledger.running < m.limit.current()
 }
 
-// waitShare is the part of the time that an answer's aim leaves beside the call's
-// own work which it may spend waiting. Service times scatter: of calls that wait
+// waitShare is the part of the time that an answer's aim, or past it the deadline,
+// leaves beside the call's own work which it may spend waiting. Service times scatter: of calls that wait
 // for longer too many would miss their aim, and hold up those behind them.
 const waitShare = 1.0 / 3
 
@@ -133,15 +137,17 @@
 func (m *Machine) enqueue(now time.Time, e Arrive) []Action {
 	item := waiting{
 		id: e.ID, background: e.Background, idempotent: e.Idempotent,
-		rank: rank{nested: e.Nested, priority: e.Priority},
+		rank: rankOf(now, e),
 		work: m.limit.workOf(e.Route, e.Background), latest: m.latestStart(now, e),
 	}
 	if m.queue.len() >= m.target.QueueLength {
 		return []Action{m.refusal(item, call.ReasonQueueFull)}
 	}
-	if now.Add(m.estimate(item)).After(item.latest) {
+	wait := m.estimate(item)
+	if now.Add(wait).After(item.latest) || e.InTime && now.Add(wait+item.work).After(e.Aim) {
 		return []Action{m.refusal(item, call.ReasonTooLate)}
 	}
+	m.noteAdmitted(1)
 	m.arrivals[e.ID] = e
 	if e.Key != "" {
 		m.waitingKeys[e.Key] = e.ID
@@ -157,10 +163,14 @@
 	if byDeadline := e.Deadline.Add(-work); byDeadline.Before(latest) {
 		latest = byDeadline
 	}
-	slack := e.Aim.Sub(now) - work
-	if e.Nested || e.Aim.IsZero() || slack <= 0 {
+	if e.Nested || e.Aim.IsZero() {
 		return latest
 	}
+	slack := e.Aim.Sub(now) - work
+	if slack <= 0 {
+		// The answer comes late anyhow: what counts is that it comes.
+		slack = e.Deadline.Sub(now) - work
+	}
 	if byAim := now.Add(time.Duration(float64(slack) * waitShare)); byAim.Before(latest) {
 		latest = byAim
 	}
@@ -202,15 +212,25 @@
 	// entry tells its caller less where the caller's time is short.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// minAdmitted bounds by how much a lasting overload stretches that time.
+	minAdmitted = 0.1
+	// admittedWeight is the weight of one call in the share that is admitted.
+	admittedWeight = 1.0 / 64
 	// retryAfterSpread is by how much of it callers are spread, so that those who
 	// were refused together do not return together.
 	retryAfterSpread = 0.5
 )
 
+// noteAdmitted takes in whether a call found room.
+func (m *Machine) noteAdmitted(admitted float64) {
+	m.admitted += (admitted - m.admitted) * admittedWeight
+}
+
 // retryAfter returns when a call like the refused one is likely to find room:
-// when what waits before it has started.
+// when what waits before it has started, and later the fewer calls find room.
 func (m *Machine) retryAfter(item waiting) time.Duration {
-	wait := min(maxRetryAfter, max(minRetryAfter, m.estimate(item)))
+	wait := time.Duration(float64(m.estimate(item)) / max(minAdmitted, m.admitted))
+	wait = min(maxRetryAfter, max(minRetryAfter, wait))
 	m.refusals++
 	turn := float64(m.refusals%retryAfterTurns) / retryAfterTurns
 	return time.Duration(float64(wait) * (1 - retryAfterSpread/2 + retryAfterSpread*turn))
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -30,6 +30,9 @@
 	Deadline time.Time
 	// Aim is by when an answer is wanted; zero is the Deadline.
 	Aim time.Time
+	// InTime refuses the call when its answer is not expected by its Aim: the entry
+	// looks for a gate that can do better.
+	InTime bool
 	// Key is the caller's idempotency key; empty has none.
 	Key string
 	// Fingerprint is the hash of the request that the key stands for.
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -31,6 +31,8 @@
 	ledger      ledger
 	windows     map[string]*window
 	refusals    uint64
+	// admitted is the share of the latest calls that found room.
+	admitted float64
 }
 
 // New returns a machine without a target.
@@ -41,6 +43,7 @@
 		waitingKeys: make(map[string]call.ID),
 		ledger:      newLedger(),
 		windows:     make(map[string]*window),
+		admitted:    1,
 	}
 	m.queue.setBound(initialMean, initialMean)
 	return m
@@ -147,5 +150,6 @@
 }
 
 func (m *Machine) refusal(item waiting, reason call.Reason) Action {
+	m.noteAdmitted(0)
 	return Refuse{ID: item.id, Outcome: call.NotRun, Reason: reason, RetryAfter: m.retryAfter(item)}
 }
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -29,10 +30,30 @@
 }
 
 // rank orders the calls of one class. Calls of running requests go first: a
-// parent that waits holds a slot for nothing.
+// parent that waits holds a slot for nothing. Of equal priority those go first
+// whose answers are wanted sooner: they are the shorter ones, and more of them are
+// answered in time.
 type rank struct {
 	nested   bool
 	priority int
+	// aim is the time left to the aim in steps of aimStep; calls without an aim, or
+	// past it, come last.
+	aim int
+}
+
+const (
+	// aimStep is up to which difference in the time left calls keep their order of
+	// arrival.
+	aimStep = 100 * time.Millisecond
+	noAim   = math.MaxInt
+)
+
+func rankOf(now time.Time, e Arrive) rank {
+	r := rank{nested: e.Nested, priority: e.Priority, aim: noAim}
+	if left := e.Aim.Sub(now); !e.Aim.IsZero() && left > 0 {
+		r.aim = int((left + aimStep/2) / aimStep)
+	}
+	return r
 }
 
 // before reports whether a call of the rank starts before one of the other.
@@ -40,7 +61,10 @@
 	if r.nested != other.nested {
 		return r.nested
 	}
-	return r.priority < other.priority
+	if r.priority != other.priority {
+		return r.priority < other.priority
+	}
+	return r.aim < other.aim
 }
 
 // queue holds the waiting calls of both classes, each in the order of their
--- a/internal/coordination/gate/rank_test.go
+++ b/internal/coordination/gate/rank_test.go
@@ -129,3 +129,62 @@
 	}
 	r.Equal(r.machine.Limit(), 20)
 }
+
+// TestShorterAimsGoFirst replays two kinds of equal priority on a target that is
+// too small for both: more calls are answered in time when those whose answers
+// are wanted sooner go first.
+func TestShorterAimsGoFirst(t *testing.T) {
+	r := newReplay(t, 1)
+	running := r.arrive(Arrive{})
+	list := r.arrive(Arrive{Priority: 2, Aim: r.now.Add(2 * time.Second)})
+	check := r.arrive(Arrive{Priority: 2, Aim: r.now.Add(1200 * time.Millisecond)})
+	again := r.arrive(Arrive{Priority: 2, Aim: r.now.Add(1190 * time.Millisecond)})
+	r.finish(running)
+	r.finish(check)
+	r.finish(again)
+	r.Equal(r.started, []call.ID{running, check, again, list})
+}
+
+// TestSlowTargetDoesNotHoldCalls replays a target that is too slow for the aim:
+// calls wait a share of their deadline at most, so that another can take them.
+func TestSlowTargetDoesNotHoldCalls(t *testing.T) {
+	r := newReplay(t, 2)
+	r.learn("sheets", 400*time.Millisecond)
+	for range 20 {
+		r.arrive(Arrive{Route: "sheets", Aim: r.now.Add(300 * time.Millisecond), Deadline: r.now.Add(1200 * time.Millisecond)})
+	}
+	waiting := 20 - len(r.started) - len(r.refused)
+	r.True(waiting <= 1) // a third of 800 ms, at one start each 200 ms
+}
+
+// TestLastingOverloadStretchesRetryAfter replays a retry storm: the fewer calls
+// find room, the later the others are told to come back.
+func TestLastingOverloadStretchesRetryAfter(t *testing.T) {
+	r := newReplay(t, 1)
+	r.learn("r", 100*time.Millisecond)
+	r.arrive(Arrive{Route: "r"})
+	var first, last time.Duration
+	for range 400 {
+		id := r.arrive(Arrive{Route: "r", Aim: r.now.Add(150 * time.Millisecond)})
+		refuse, refused := r.refused[id]
+		r.True(refused)
+		if first == 0 {
+			first = refuse.RetryAfter
+		}
+		last = refuse.RetryAfter
+	}
+	r.True(last > 2*first)
+}
+
+// TestInTimeOrNotAtAll replays a target that has turned slow: it takes no call
+// that wants its answer in time, free slots or not, and the same call when a late
+// answer will do.
+func TestInTimeOrNotAtAll(t *testing.T) {
+	r := newReplay(t, 2)
+	r.learn("sheets", 500*time.Millisecond)
+	aim := r.now.Add(300 * time.Millisecond)
+	wanted := r.arrive(Arrive{Route: "sheets", Aim: aim, InTime: true})
+	r.Equal(r.refused[wanted].Reason, call.ReasonTooLate)
+	taken := r.arrive(Arrive{Route: "sheets", Aim: aim})
+	r.Equal(r.started, []call.ID{taken})
+}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -194,7 +194,7 @@
 		Id: wireID(action.ID), GateIncarnation: action.Endpoint.Incarnation,
 		Route: t.Route, Service: action.Endpoint.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
-		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority,
+		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.InTime && !c.aim.IsZero(),
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength,
 	}
 }
