Take the former process's incarnation from the directory, and expect work of unknown routes

Cause, by reading: a node that starts after its instance's clock was set back took an incarnation below its former one; the fleet would have held it for replaced for as long as the clock lags. Change: the incarnation is above the one that the directory holds; before the first answer a call is taken to run a third of its aim.

--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -27,7 +27,7 @@
 		return []Action{m.refusal(waiting{id: e.ID, background: e.Background}, call.ReasonTooLate)}
 	}
 	if m.canStart() {
-		if e.InTime && now.Add(m.limit.workOf(e.Route, e.Background)).After(e.Aim) {
+		if e.InTime && now.Add(m.limit.workOf(now, e)).After(e.Aim) {
 			return []Action{m.refusal(waiting{id: e.ID, background: e.Background}, call.ReasonTooLate)}
 		}
 		m.noteAdmitted(1)
@@ -138,7 +138,7 @@
 	item := waiting{
 		id: e.ID, background: e.Background, idempotent: e.Idempotent,
 		rank: rankOf(now, e),
-		work: m.limit.workOf(e.Route, e.Background), latest: m.latestStart(now, e),
+		work: m.limit.workOf(now, e), latest: m.latestStart(now, e),
 	}
 	if m.queue.len() >= m.target.QueueLength {
 		return []Action{m.refusal(item, call.ReasonQueueFull)}
@@ -158,7 +158,7 @@
 
 // latestStart is until when the call may wait.
 func (m *Machine) latestStart(now time.Time, e Arrive) time.Time {
-	work := m.limit.workOf(e.Route, e.Background)
+	work := m.limit.workOf(now, e)
 	latest := now.Add(m.target.QueueTimeout)
 	if byDeadline := e.Deadline.Add(-work); byDeadline.Before(latest) {
 		latest = byDeadline
--- a/internal/coordination/gate/limit.go
+++ b/internal/coordination/gate/limit.go
@@ -133,13 +133,21 @@
 	}
 }
 
-// workOf returns the mean service time of the route's calls, or of their class
-// before the first answer.
-func (l *limiter) workOf(route string, background bool) time.Duration {
-	if mean := l.routes[route]; mean > 0 {
+// unknownWorkShare is the part of the time to their aim that calls of a route are
+// taken to run before the first answer: services are given aims of some times
+// their usual work.
+const unknownWorkShare = 1.0 / 3
+
+// workOf returns the mean service time of the route's calls, or what is expected
+// of it before the first answer.
+func (l *limiter) workOf(now time.Time, e Arrive) time.Duration {
+	if mean := l.routes[e.Route]; mean > 0 {
 		return time.Duration(mean)
 	}
-	return l.meanOf(background)
+	if left := e.Aim.Sub(now); !e.Aim.IsZero() && left > 0 {
+		return time.Duration(float64(left) * unknownWorkShare)
+	}
+	return l.meanOf(e.Background)
 }
 
 func (l *limiter) decrease(now time.Time) {
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -68,7 +68,8 @@
 		controlTraffic:  &peer.Traffic{},
 		platformTraffic: &peer.Traffic{},
 	}
-	n.self = n.newSelf()
+	adapter := newAdapter(AdapterOptions{Settings: settings, Client: n.platformClient(), Logger: logger})
+	n.self = n.newSelf(n.formerIncarnation(adapter))
 	dial := peer.DialFrom(n.settings.Node.ControlAddress)
 	n.controlPool = peer.NewPool(peer.PoolOptions{
 		Dial:          dial,
@@ -83,7 +84,6 @@
 		DialTimeout:   callsDialTimeout,
 		IdleTimeout:   settings.Calls.IdleTimeout,
 	})
-	adapter := newAdapter(AdapterOptions{Settings: settings, Client: n.platformClient(), Logger: logger})
 	n.composeDuties(adapter)
 	n.targets = newTargetRegistry(n)
 	n.metrics = n.newMetrics()
@@ -91,10 +91,27 @@
 	return n
 }
 
-func (n *node) newSelf() membership.Member {
+// formerTimeout bounds the question for the former process of this node. Without
+// an answer the clock alone tells processes apart.
+const formerTimeout = 500 * time.Millisecond
+
+func (n *node) formerIncarnation(adapter Adapter) uint64 {
+	if adapter.Keyed == nil {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), formerTimeout)
+	defer cancel()
+	former, err := members.FormerIncarnation(ctx, adapter.Keyed, n.settings.Node.ID)
+	if err != nil {
+		n.logger.Event(logging.PlatformRequestFailed).Err(err).Send()
+	}
+	return former
+}
+
+func (n *node) newSelf(former uint64) membership.Member {
 	return membership.Member{
 		ID:             n.settings.Node.ID,
-		Incarnation:    uint64(n.started.UnixNano()),
+		Incarnation:    max(uint64(n.started.UnixNano()), former+1),
 		Domain:         n.settings.Node.Domain,
 		ControlAddress: n.settings.Node.PeerControlAddress(),
 		CallsAddress:   n.settings.Node.PeerCallsAddress(),
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -125,3 +125,26 @@
 	}
 	r.gone = gone
 }
+
+// FormerIncarnation returns the incarnation of the process that last wrote the
+// node down, 0 when there was none. A process that starts after the instance's
+// clock was set back must come after it all the same.
+func FormerIncarnation(ctx context.Context, directory platformlog.Keyed, id string) (uint64, error) {
+	batch, err := directory.Newest(ctx, platformlog.StreamMembers)
+	if err != nil {
+		return 0, err
+	}
+	var former uint64
+	for _, record := range batch.Records {
+		var roster wire.Roster
+		if proto.Unmarshal(record.Data, &roster) != nil {
+			continue // told when the directory is read to join
+		}
+		for _, m := range membersFromWire(roster.GetMembers()) {
+			if m.ID == id {
+				former = max(former, m.Incarnation)
+			}
+		}
+	}
+	return former, nil
+}
