--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -167,7 +167,7 @@
 		return latest
 	}
 	slack := e.Aim.Sub(now) - work
-	if slack <= 0 || e.Late {
+	if slack <= 0 {
 		// The answer comes late anyhow: what counts is that it comes.
 		slack = e.Deadline.Sub(now) - work
 	}
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -30,8 +30,6 @@
 	Deadline time.Time
 	// Aim is by when an answer is wanted; zero is the Deadline.
 	Aim time.Time
-	// Late says that the caller has waited past its aim in earlier attempts.
-	Late bool
 	// InTime refuses the call when its answer is not expected by its Aim: the entry
 	// looks for a gate that can do better.
 	InTime bool
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -31,10 +31,6 @@
 	deadline time.Time
 	// aim is by when an answer is wanted; zero is the deadline.
 	aim time.Time
-	// nested says that the target beside this node made the call, and late that its
-	// caller has waited past the aim in earlier attempts.
-	nested bool
-	late   bool
 	// patience is how long the caller itself waits.
 	patience time.Time
 	attempts int
@@ -86,8 +82,8 @@
 	if !ok {
 		return nil, noRoute()
 	}
-	c := &callerCall{ctx: ctx, control: http.NewResponseController(w), route: route, nested: d.fromOwnTarget(r)}
-	if refused := c.readContract(now, r, d.options.Contract, d.waited); refused != nil {
+	c := &callerCall{ctx: ctx, control: http.NewResponseController(w), route: route}
+	if refused := c.readContract(now, r, d.options.Contract); refused != nil {
 		return nil, refused
 	}
 	_ = c.control.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
@@ -106,7 +102,7 @@
 }
 
 // readContract reads the deadline and the attempts that the caller set.
-func (c *callerCall) readContract(now time.Time, r *http.Request, contract headers.Contract, waited func(route string, left time.Duration) time.Duration) *problem.Problem {
+func (c *callerCall) readContract(now time.Time, r *http.Request, contract headers.Contract) *problem.Problem {
 	c.key = r.Header.Get(contract.IdempotencyKey)
 	timeout := time.Duration(c.route.Timeout)
 	if text := r.Header.Get(contract.Timeout); text != "" {
@@ -121,10 +117,6 @@
 	if aim := time.Duration(c.route.TargetLatency); aim > 0 {
 		c.aim = now.Add(aim)
 	}
-	if !c.patience.IsZero() && !c.nested && !c.aim.IsZero() {
-		c.aim = c.aim.Add(-waited(c.route.Name, c.patience.Sub(now)))
-		c.late = !c.aim.After(now)
-	}
 	c.attempts = max(1, c.route.MaxAttempts)
 	if text := r.Header.Get(contract.Attempts); text != "" {
 		left, err := strconv.ParseUint(text, 10, 16)
@@ -156,8 +148,7 @@
 		Key:           c.key,
 		Idempotent:    c.route.Idempotent,
 		Background:    c.route.Class == state.ClassBackground,
-		Nested:        c.nested,
-		Late:          c.late,
+		Nested:        d.fromOwnTarget(r),
 		Priority:      uint32(c.route.Priority),
 		ContentLength: c.contentLength(r),
 	}
@@ -168,13 +159,6 @@
 	return start
 }
 
-// waited tells how long a caller has waited in earlier attempts.
-func (d *Duty) waited(route string, left time.Duration) time.Duration {
-	d.patienceMu.Lock()
-	defer d.patienceMu.Unlock()
-	return d.patience.Waited(route, left)
-}
-
 // fromOwnTarget reports whether the target beside this node made the call, which
 // it does while it runs a request.
 func (d *Duty) fromOwnTarget(r *http.Request) bool {
@@ -210,17 +194,14 @@
 		Id: wireID(action.ID), GateIncarnation: action.Endpoint.Incarnation,
 		Route: t.Route, Service: action.Endpoint.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
-		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, Late: t.Late, InTime: action.InTime && !c.aim.IsZero() && !c.late,
+		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.InTime && !c.aim.IsZero(),
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength,
 	}
 }
 
-// aimMs is the time left to the aim, at least a millisecond; 0 is no aim.
+// aimMs is the time left to the aim. A call that is past it has none.
 func (c *callerCall) aimMs(now time.Time) uint32 {
-	if c.aim.IsZero() {
-		return 0
-	}
-	return uint32(max(1, c.aim.Sub(now).Milliseconds()))
+	return uint32(max(0, c.aim.Sub(now).Milliseconds()))
 }
 
 func (c *callerCall) timeoutMs(now time.Time) uint32 {
--- a/internal/node/calls/duty.go
+++ b/internal/node/calls/duty.go
@@ -63,9 +63,6 @@
 	keyed   *keyedLoop
 	routes  atomic.Pointer[routeIndex]
 	target  atomic.Pointer[target]
-	// patience learns how long callers wait.
-	patienceMu sync.Mutex
-	patience   *entry.Patience
 	// drain says that callers are told to close their connections, and leaving that
 	// the gate starts nothing any more.
 	drain   atomic.Bool
@@ -96,7 +93,7 @@
 	if options.Contract == (headers.Contract{}) {
 		options.Contract = headers.Own()
 	}
-	d := &Duty{options: options, patience: entry.NewPatience()}
+	d := &Duty{options: options}
 	d.life, d.endLife = context.WithCancel(context.Background())
 	d.recalled, d.recall = context.WithCancel(context.Background())
 	d.entry = newEntryLoop(options)
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -141,7 +141,6 @@
 		Route:       c.start.Route,
 		Deadline:    c.deadline,
 		Aim:         c.aim,
-		Late:        c.start.Late,
 		InTime:      c.start.InTime && !c.aim.IsZero(),
 		Key:         c.start.Key,
 		Fingerprint: c.start.Fingerprint,
