--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -15,7 +15,7 @@
 
 const nodeHelp = `Runs the node beside a target until it is told to stop. SIGTERM is a planned
 stop: new work is refused, work in flight is finished. Events go to standard
-error as JSON lines; docs/events.md lists them.
+output as JSON lines; docs/events.md lists them.
 
 EXAMPLES
   jasminegate node --config /etc/jasminegate/node.yaml
@@ -49,7 +49,8 @@
 	if err != nil {
 		return logRejected(streams, path, err)
 	}
-	logger := logging.New(streams.Err, settings.Telemetry.LogLevel, settings.Node.ID)
+	logger := logging.NewLossy(streams.Out, settings.Telemetry.LogLevel, settings.Node.ID)
+	defer logger.Close()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	defer signal.Stop(reloads)
@@ -82,7 +83,7 @@
 	if !ok {
 		return err
 	}
-	logger := logging.New(streams.Err, "info", "")
+	logger := logging.New(streams.Out, "info", "")
 	for _, problem := range problems.List {
 		logger.Event(logging.SettingsRejected).Str("problem", problem.String()).Send()
 	}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -46,7 +46,7 @@
 var (
 	CallOutcomeUnknown = Event{400, log.WarnLevel, "outcome of a call could not be learned"}
 	PathSilent         = Event{401, log.WarnLevel, "path went silent: its pooled connections are dropped"}
-	CallRefused        = Event{404, log.DebugLevel, "caller told that its call has no answer from a target"}
+	CallRefused        = Event{404, log.InfoLevel, "caller told that its call has no answer from a target"}
 	AnswerForeign      = Event{403, log.WarnLevel, "answer of the local target does not belong to its call: the outcome is unknown and the connection is closed"}
 	BadMessage         = Event{402, log.WarnLevel, "foreign or malformed bytes on a port: connection closed"}
 )
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
@@ -17,6 +18,8 @@
 // Logger writes events as JSON lines.
 type Logger struct {
 	logger log.Logger
+	// writer is nil when lines are written by whoever logs them.
+	writer *lossyWriter
 }
 
 // New returns a logger that writes events at or above level ("debug", "info",
@@ -30,6 +33,50 @@
 	}}
 }
 
+// pendingLines is how many lines may wait for a slow reader of the log.
+const pendingLines = 2048
+
+// NewLossy is New for a logger that never waits for out: lines that find too many
+// waiting are left out and counted. Close ends it.
+func NewLossy(out io.Writer, level, node string) *Logger {
+	l := New(out, level, node)
+	l.writer = &lossyWriter{async: log.AsyncWriter{Writer: l.logger.Writer, ChannelSize: pendingLines, DiscardOnFull: true}}
+	l.logger.Writer = l.writer
+	return l
+}
+
+// Close writes the lines that wait. Nothing is logged afterwards.
+func (l *Logger) Close() error {
+	if l.writer == nil {
+		return nil
+	}
+	return l.writer.async.Close()
+}
+
+// LeftOut returns how many lines a slow reader has cost.
+func (l *Logger) LeftOut() uint64 {
+	if l.writer == nil {
+		return 0
+	}
+	return l.writer.leftOut.Load()
+}
+
+// lossyWriter hands lines to another goroutine, and counts those that it has no
+// room for.
+type lossyWriter struct {
+	async   log.AsyncWriter
+	leftOut atomic.Uint64
+}
+
+// WriteEntry implements log.Writer.
+func (w *lossyWriter) WriteEntry(entry *log.Entry) (int, error) {
+	n, err := w.async.WriteEntry(entry)
+	if err != nil {
+		w.leftOut.Add(1)
+	}
+	return n, err
+}
+
 // SetLevel changes the least level of the events that are written.
 func (l *Logger) SetLevel(level string) { l.logger.SetLevel(log.ParseLevel(level)) }
 
--- /dev/null
+++ b/internal/node/calls/ending_test.go
@@ -0,0 +1,58 @@
+package calls
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"jasminegate/internal/protocol/headers"
+)
+
+// TestDeadlineIsAnswered holds that each call that reaches its deadline at the
+// target gets its answer, and none is taken for one whose caller left.
+func TestDeadlineIsAnswered(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 1}, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	for range 40 {
+		got := f.call(0, "GET", "/read", "", headers.Timeout, "20")
+		f.is.NoErr(got.err)
+		f.is.Equal(got.status, http.StatusGatewayTimeout)
+	}
+}
+
+// TestRecallAnswersWaitingCalls stops an entry while one call runs and others
+// wait at a gate: the waiting ones are refused at once, the running one is
+// answered.
+func TestRecallAnswersWaitingCalls(t *testing.T) {
+	const waiting = 5
+	proceed := make(chan struct{})
+	started := make(chan struct{}, 1+waiting)
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, slots: 1}, func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		<-proceed
+		_, _ = w.Write([]byte("done"))
+	})
+	running := make(chan reply, 1)
+	go func() { running <- f.call(0, "POST", "/file", "runs") }()
+	<-started
+	refused := make(chan reply, waiting)
+	for i := range waiting {
+		method, path := "POST", "/file"
+		if i%2 == 0 {
+			method, path = "GET", "/read"
+		}
+		go func() { refused <- f.call(0, method, path, "") }()
+	}
+	f.waitFor("all wait", func() bool { return f.nodes[1].duty.Load() == 1+waiting })
+	recalled := time.Now()
+	f.nodes[0].duty.Recall()
+	for range waiting {
+		got := <-refused
+		f.is.Equal(got.status, http.StatusServiceUnavailable)
+		f.is.Equal(got.header.Get(headers.Outcome), "not-run")
+	}
+	f.is.True(time.Since(recalled) < 5*time.Second) // not by the queue's bound of 10 s
+	close(proceed)
+	got := <-running
+	f.is.Equal(got.status, http.StatusOK)
+	f.is.Equal(len(started), 0) // no waiting call was started
+}
--- a/internal/node/calls/entryloop.go
+++ b/internal/node/calls/entryloop.go
@@ -39,11 +39,10 @@
 	return &entryLoop{
 		options: options,
 		machine: entry.New(entry.Options{
-			Node:        options.Self.ID,
-			Incarnation: options.Self.Incarnation,
-			Domain:      options.Self.Domain,
-			RetryRatio:  options.Settings.RetryRatio,
-
+			Node:          options.Self.ID,
+			Incarnation:   options.Self.Incarnation,
+			Domain:        options.Self.Domain,
+			RetryRatio:    options.Settings.RetryRatio,
 			OverloadTries: options.Settings.OverloadTries,
 			SpillLoad:     options.Settings.SpillLoad,
 			Seed:          options.Seed,
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -64,10 +64,9 @@
 			Settle:    keySettle,
 			Patience:  claimPatience,
 		}),
-		ring:     ring.New[keyedItem](keyedRingSize),
-		done:     make(chan struct{}),
-		verdicts: make(map[uint64]chan keyed.Action),
-
+		ring:       ring.New[keyedItem](keyedRingSize),
+		done:       make(chan struct{}),
+		verdicts:   make(map[uint64]chan keyed.Action),
 		handedOver: make(chan struct{}),
 	}
 }
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -125,12 +125,11 @@
 		seed = n.self.Incarnation
 	}
 	n.members = members.New(members.Options{
-		Self:     n.self,
-		Settings: n.settings.Membership,
-		Seeds:    n.settings.Node.Seeds,
-		Pool:     n.controlPool,
-		Log:      adapter.Log,
-
+		Self:      n.self,
+		Settings:  n.settings.Membership,
+		Seeds:     n.settings.Node.Seeds,
+		Pool:      n.controlPool,
+		Log:       adapter.Log,
 		Directory: adapter.Keyed,
 		Logger:    n.logger,
 		Seed:      seed,
--- a/internal/node/members/duty_test.go
+++ b/internal/node/members/duty_test.go
@@ -65,12 +65,11 @@
 	settings.FenceTimeout = 2 * time.Second
 	settings.ForgetTimeout = 3 * time.Second
 	duty := New(Options{
-		Self:     self,
-		Settings: settings,
-		Seeds:    find.Seeds,
-		Pool:     pool,
-		Log:      find.Log,
-
+		Self:      self,
+		Settings:  settings,
+		Seeds:     find.Seeds,
+		Pool:      pool,
+		Log:       find.Log,
 		Directory: find.Directory,
 		Logger:    logging.Discard(),
 		Seed:      1,
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -58,6 +58,14 @@
 // Version returns the snapshot's version.
 func (s *Snapshot) Version() Version { return s.version }
 
+// AppliedVersion writes the version for logs; no snapshot has none.
+func (s *Snapshot) AppliedVersion() string {
+	if s == nil {
+		return "none"
+	}
+	return s.version.String()
+}
+
 // Service returns the service of that name.
 func (s *Snapshot) Service(name string) (Service, bool) {
 	service, ok := s.services[name]
