Take callers' limits from the configuration

Cause: the users' configuration bounds headers, bodies, header time and idle time; the node's own fixed bounds were in force instead. A connection idle for more than two minutes was closed even where the configuration lets callers keep it longer, and nothing that the configuration forbids was refused.

Change: a ticket may carry caller_limits, a third kind of resource that spreads and replaces like the others. Headers over the bound get 431, bodies 413, both before the target sees anything; connections that are idle or slow with their headers are closed by the limits then in force. The server's own bounds are the widest that a ticket may give, as they cannot change while it serves.

Ruled out: a server for each change of the limits (connections would have to move), deadlines on the connection itself (the server overwrites them).

--- a/internal/node/calls/body.go
+++ b/internal/node/calls/body.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n > limit {
+		return nil, errBounds.New("body has more than %d bytes, over the bound: send less", limit)
+	}
 	body := &requestBody{held: held.Bytes()}
 	if n == buffer && r.ContentLength != n {
 		body.rest = &boundedReader{reader: r.Body, left: limit - n}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -78,6 +78,10 @@
 	if d.recalled.Err() != nil {
 		return nil, leaving()
 	}
+	limits := index.snapshot.CallerLimits()
+	if refused := overLimits(r, limits); refused != nil {
+		return nil, refused
+	}
 	route, ok := index.routes.Match(r.Host, r.URL.EscapedPath(), r.Method)
 	if !ok {
 		return nil, noRoute()
@@ -87,7 +91,7 @@
 		return nil, refused
 	}
 	_ = c.control.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
-	body, err := readBody(r, d.options.Settings.BufferBytes, d.options.Settings.MaxBodyBytes)
+	body, err := readBody(r, d.options.Settings.BufferBytes, d.bodyLimit(limits))
 	if err != nil {
 		return nil, badBody(err)
 	}
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -172,6 +172,9 @@
 
 func (n *node) composeServers(adapter Adapter) {
 	n.callersServer = newServer(n.calls.CallersHandler())
+	n.callersServer.ReadHeaderTimeout, n.callersServer.IdleTimeout = state.MaxHeaderTimeout, state.MaxIdleTimeout
+	n.callersServer.MaxHeaderBytes = state.MaxHeaderBytes
+	n.callersServer.ConnState = newCallerConns(n.callerLimits).follow
 	n.adminServer = newServer(n.adminHandler())
 	if adapter.Announcements != nil {
 		n.announceServer = newServer(adapter.Announcements(n.targets))
@@ -181,6 +184,15 @@
 	}
 }
 
+// callerLimits returns the bounds for callers; before any configuration they are
+// the node's own.
+func (n *node) callerLimits() state.CallerLimits {
+	if snapshot := n.configuration.Snapshot(); snapshot != nil {
+		return snapshot.CallerLimits()
+	}
+	return state.CallerLimits{}
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/internal/protocol/codec/update.go
+++ b/internal/protocol/codec/update.go
@@ -114,7 +114,7 @@
 // resourceOf maps an unknown kind to 0, which no snapshot takes.
 func resourceOf(message *wire.Resource) state.Resource {
 	kind := state.Kind(0)
-	if message.GetKind() <= uint32(state.KindRoute) {
+	if message.GetKind() <= uint32(state.KindCallerLimits) {
 		kind = state.Kind(message.GetKind())
 	}
 	return state.Resource{
--- a/internal/state/faults.go
+++ b/internal/state/faults.go
@@ -60,13 +60,14 @@
 	for i, route := range t.Routes {
 		c.checkRoute(fmt.Sprintf("routes[%d]", i), route)
 	}
+	c.checkCallerLimits("caller_limits", t.CallerLimits)
 	c.checkRemovals("remove_services", KindService, t.RemoveServices)
 	c.checkRemovals("remove_routes", KindRoute, t.RemoveRoutes)
 	if t.Replace && len(t.RemoveServices)+len(t.RemoveRoutes) > 0 {
 		c.add("replace", "stands beside removals", "leave the removals out: what the ticket does not name is removed")
 	}
 	if len(c.seen) == 0 && len(c.faults) == 0 && !t.Replace {
-		c.add("", "changes nothing", "add services, routes or removals")
+		c.add("", "changes nothing", "add services, routes, caller_limits or removals")
 	}
 	return c.faults
 }
@@ -115,6 +116,17 @@
 	c.checkRange(path+".max_attempts", route.MaxAttempts, 1, MaxRouteAttempts)
 }
 
+func (c *checker) checkCallerLimits(path string, limits *CallerLimits) {
+	if limits == nil {
+		return
+	}
+	c.seen[callerLimitsKey] = path
+	c.checkRange(path+".header_bytes", limits.HeaderBytes, 0, MaxHeaderBytes)
+	c.checkRange(path+".body_bytes", int(limits.BodyBytes), 0, MaxBodyBytes)
+	c.checkDuration(path+".header_timeout", limits.HeaderTimeout, 0, MaxHeaderTimeout)
+	c.checkDuration(path+".idle_timeout", limits.IdleTimeout, 0, MaxIdleTimeout)
+}
+
 func (c *checker) checkDestinations(path string, route Route) {
 	if len(route.Destinations) == 0 {
 		c.checkName(path+".service", route.Service)
--- a/internal/state/resource.go
+++ b/internal/state/resource.go
@@ -87,6 +87,19 @@
 	return []Destination{{Service: r.Service, Weight: 1}}
 }
 
+// CallerLimits bound what a caller may send, and how long its connection may
+// take or stay idle. 0 leaves a bound to the node.
+type CallerLimits struct {
+	// HeaderBytes bounds a request's line and headers.
+	HeaderBytes int `json:"header_bytes,omitempty" yaml:"header_bytes,omitempty"`
+	// BodyBytes bounds a request's body.
+	BodyBytes int64 `json:"body_bytes,omitempty" yaml:"body_bytes,omitempty"`
+	// HeaderTimeout bounds how long the headers may take.
+	HeaderTimeout Duration `json:"header_timeout,omitempty" yaml:"header_timeout,omitempty"`
+	// IdleTimeout is how long a connection may carry nothing.
+	IdleTimeout Duration `json:"idle_timeout,omitempty" yaml:"idle_timeout,omitempty"`
+}
+
 // Ticket is one numbered change. It carries the whole new state of each
 // resource that it touches.
 type Ticket struct {
@@ -94,9 +107,12 @@
 	Author string `json:"author,omitempty" yaml:"author,omitempty"`
 	// Replace says that the ticket holds the whole configuration: what it does
 	// not name is removed.
-	Replace        bool      `json:"replace,omitempty" yaml:"replace,omitempty"`
-	Services       []Service `json:"services,omitempty" yaml:"services,omitempty"`
-	Routes         []Route   `json:"routes,omitempty" yaml:"routes,omitempty"`
-	RemoveServices []string  `json:"remove_services,omitempty" yaml:"remove_services,omitempty"`
-	RemoveRoutes   []string  `json:"remove_routes,omitempty" yaml:"remove_routes,omitempty"`
+	Replace  bool      `json:"replace,omitempty" yaml:"replace,omitempty"`
+	Services []Service `json:"services,omitempty" yaml:"services,omitempty"`
+	Routes   []Route   `json:"routes,omitempty" yaml:"routes,omitempty"`
+	// CallerLimits stay as they are when the ticket has none, unless it replaces
+	// the whole configuration.
+	CallerLimits   *CallerLimits `json:"caller_limits,omitempty" yaml:"caller_limits,omitempty"`
+	RemoveServices []string      `json:"remove_services,omitempty" yaml:"remove_services,omitempty"`
+	RemoveRoutes   []string      `json:"remove_routes,omitempty" yaml:"remove_routes,omitempty"`
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -10,22 +10,26 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Kind tells services from routes in encoded resources.
+// Kind tells the kinds of encoded resources apart.
 type Kind uint8
 
 // Resource kinds.
 const (
-	KindService Kind = 1
-	KindRoute   Kind = 2
+	KindService      Kind = 1
+	KindRoute        Kind = 2
+	KindCallerLimits Kind = 3
 )
 
+// callerLimitsKey names the one resource of its kind.
+var callerLimitsKey = Key{KindCallerLimits, "callers"}
+
 // Key names one resource.
 type Key struct {
 	Kind Kind
 	Name string
 }
 
-// Resource is one service or route in canonical encoding. Removed marks that
+// Resource is one service, one route or the callers' limits in canonical encoding. Removed marks that
 // the resource is gone; Data is empty then.
 type Resource struct {
 	Key
@@ -48,6 +52,7 @@
 	// named holds the routes by name, routes the same in matching order.
 	named  map[string]Route
 	routes []Route
+	limits CallerLimits
 }
 
 // Empty returns the configuration before the first ticket.
@@ -85,6 +90,9 @@
 // Routes returns all routes, the most specific first.
 func (s *Snapshot) Routes() []Route { return s.routes }
 
+// CallerLimits returns the bounds for callers; one that is 0 is left to the node.
+func (s *Snapshot) CallerLimits() CallerLimits { return s.limits }
+
 // Resources returns the whole state in canonical encoding and order.
 func (s *Snapshot) Resources() []Resource {
 	resources := make([]Resource, 0, len(s.resources))
@@ -119,6 +127,7 @@
 		resources: make(map[Key][]byte, len(s.resources)),
 		services:  make(map[string]Service, len(s.services)),
 		named:     make(map[string]Route, len(s.named)),
+		limits:    s.limits,
 	}
 	maps.Copy(next.resources, s.resources)
 	maps.Copy(next.services, s.services)
@@ -150,6 +159,12 @@
 			return misnamed(change.Key, route.Name)
 		}
 		s.named[change.Name] = route
+	case KindCallerLimits:
+		limits, err := decodeResource[CallerLimits](change)
+		if err != nil {
+			return err
+		}
+		s.limits = limits
 	default:
 		return ErrUndecodable.New("resource kind %d of %q is unknown: upgrade this node", change.Kind, change.Name)
 	}
@@ -164,6 +179,8 @@
 		delete(s.services, key.Name)
 	case KindRoute:
 		delete(s.named, key.Name)
+	case KindCallerLimits:
+		s.limits = CallerLimits{}
 	}
 }
 
--- a/internal/state/ticket.go
+++ b/internal/state/ticket.go
@@ -24,6 +24,10 @@
 	MaxDestinations  = 32
 	MaxWeight        = 1_000_000
 	MaxPriority      = 100
+	MaxHeaderBytes   = 1 << 20
+	MaxBodyBytes     = 1 << 30
+	MaxHeaderTimeout = time.Minute
+	MaxIdleTimeout   = time.Hour
 )
 
 // DecodeTicket reads a ticket as it stands on the log and checks each of its
@@ -75,6 +79,13 @@
 		}
 		changes = append(changes, Resource{Key: Key{KindRoute, route.Name}, Data: data})
 	}
+	if t.CallerLimits != nil {
+		data, err := json.Marshal(t.CallerLimits)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, Resource{Key: callerLimitsKey, Data: data})
+	}
 	for _, name := range t.RemoveServices {
 		changes = append(changes, Resource{Key: Key{KindService, name}, Removed: true})
 	}
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -20,6 +20,10 @@
 		d.decodeScalar(key, node, value)
 	case value.Kind() == reflect.Struct:
 		d.decodeStruct(key, node, value)
+	case value.Kind() == reflect.Pointer:
+		// A group that may be left out.
+		value.Set(reflect.New(value.Type().Elem()))
+		d.decodeStruct(key, node, value.Elem())
 	default:
 		d.decodeList(key, node, value)
 	}
