Count suspensions where a call's right to run ages

Cause: the steady clock stands still while a machine is suspended. A gate that was suspended with a claim on a key, or with an admitted call in its queue, took it for as young as before; the other gates had meanwhile counted on, and once their retention was over the key could run a second time.

Change: the keyed machine and the start of a call read a clock that goes on (CLOCK_BOOTTIME). A call whose time ended while its machine was suspended is not started and answered so.

Ruled out: that clock for all decisions. Membership would hold every peer for silent after a suspension, and reading it costs a system call.

--- a/internal/node/calls/duty.go
+++ b/internal/node/calls/duty.go
@@ -51,6 +51,8 @@
 	Tracer trace.Tracer
 	Seed   uint64
 	Now    func() time.Time
+	// Boot is a clock that goes on while the machine is suspended.
+	Boot func() time.Time
 }
 
 // Duty is the calls part of a node.
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"storj.io/drpc/drpcmux"
 
+	"jasminegate/internal/clock"
 	"jasminegate/internal/config"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
@@ -55,6 +56,8 @@
 	// dial opens connections between nodes; nil uses TCP.
 	dial  func(ctx context.Context, address string) (net.Conn, error)
 	slots int
+	// boot is the clock that counts suspensions; nil takes the machine's.
+	boot func() time.Time
 }
 
 func testSettings() config.Calls {
@@ -72,6 +75,9 @@
 	f := &fleet{t: t, is: is.New(t)}
 	f.serving.Store(true)
 	f.publish(20, 10)
+	if options.boot == nil {
+		options.boot = clock.Boot
+	}
 	if options.slots == 0 {
 		options.slots = 8
 	}
@@ -117,7 +123,7 @@
 		Self: n.member, Settings: settings, Pool: n.pool, View: f.view.Load, Snapshot: f.snapshot.Load,
 		Serving: func(time.Time) bool { return f.serving.Load() },
 		LoadOf:  func(string) (uint32, time.Time, bool) { return 0, time.Time{}, false },
-		Logger:  logging.Discard(), Seed: uint64(i) + 1, Now: time.Now,
+		Logger:  logging.Discard(), Seed: uint64(i) + 1, Now: time.Now, Boot: options.boot,
 	})
 	n.target = httptest.NewServer(target)
 	if i == 0 && options.remoteOnly {
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -20,6 +20,8 @@
 	start    *wire.CallStart
 	id       call.ID
 	deadline time.Time
+	// lapse is the deadline on the clock that counts suspensions.
+	lapse time.Time
 	// aim is by when an answer is wanted; zero is the deadline.
 	aim time.Time
 	// held is what came of the body with the first frame; the rest of a streamed
@@ -46,6 +48,7 @@
 		start:     start,
 		id:        idOf(start.Id),
 		deadline:  d.options.Now().Add(timeout),
+		lapse:     d.options.Boot().Add(timeout),
 		held:      frame.Data,
 		streaming: !frame.Last,
 		decisions: make(chan decision, 1),
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -61,7 +61,7 @@
 func newKeyedLoop(d *Duty) *keyedLoop {
 	return &keyedLoop{
 		duty: d,
-		machine: keyed.New(d.options.Now(), keyed.Options{
+		machine: keyed.New(d.options.Boot(), keyed.Options{
 			Self:      keyed.Gate{ID: d.options.Self.ID, Incarnation: d.options.Self.Incarnation, Running: true},
 			Retention: d.options.Settings.LedgerRetention,
 			Settle:    keySettle,
@@ -91,7 +91,7 @@
 }
 
 func (l *keyedLoop) step(item keyedItem) {
-	now := l.duty.options.Now()
+	now := l.duty.options.Boot()
 	l.followView(now)
 	if admit, ok := item.event.(keyed.Admit); ok {
 		l.token++
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -39,6 +39,12 @@
 
 // exchange sends the request to the target and records the answer.
 func (d *Duty) exchange(ctx context.Context, c *gateCall) gate.Result {
+	if d.options.Boot().After(c.lapse) {
+		// The machine was suspended while the call waited: its key may be free for
+		// others by now.
+		d.recordOutcome(c, call.NotRun, call.ReasonDeadline)
+		return gate.NotSent
+	}
 	t := d.target.Load()
 	request, err := d.targetRequest(ctx, c, t)
 	if err != nil {
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"jasminegate/internal/clock"
 	"jasminegate/internal/config"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
@@ -167,6 +168,7 @@
 		Tracer:   n.telemetry.tracer,
 		Seed:     seed,
 		Now:      time.Now,
+		Boot:     clock.Boot,
 	})
 }
 
