Prove what ambiguous requests, endless heads and early answers lead to

The issue asks for smuggling attempts, oversized heads and answers before the request's end; nothing held them. Fourteen requests whose end two readers may see at different places are sent as bytes: each reaches its target as the one request that it is, or none, and the one after it is served as itself. A target that answers at the headers' end and leaves the body gets its answer through, for 10 bytes and for 900 KiB.

No fault was found: the HTTP library reads strictly, and the node frames each request anew.

--- /dev/null
+++ b/internal/node/calls/hostile_test.go
@@ -0,0 +1,167 @@
+package calls
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminegate/internal/coordination/membership"
+)
+
+// seenRequests records what a target was sent.
+type seenRequests struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (s *seenRequests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, fmt.Sprintf("%s %s %q %v", r.Method, r.URL.Path, body, err))
+	_, _ = io.WriteString(w, "answer")
+}
+
+func (s *seenRequests) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.list...)
+}
+
+// rawExchange sends the bytes to the node's callers' port, then ends its side if
+// asked to, and returns the statuses of all answers until the node ends the
+// connection.
+func (f *fleet) rawExchange(node int, request string, end bool) []int {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.nodes[node].callers.Listener.Addr().String())
+	f.is.NoErr(err)
+	defer conn.Close()
+	f.is.NoErr(conn.SetDeadline(time.Now().Add(safetyNet)))
+	go func() {
+		_, _ = io.WriteString(conn, request) // a refusal may come before all is sent
+		if end {
+			_ = conn.(*net.TCPConn).CloseWrite()
+		}
+	}()
+	var statuses []int
+	answers := bufio.NewReader(conn)
+	for {
+		response, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return statuses
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		statuses = append(statuses, response.StatusCode)
+	}
+}
+
+// TestAmbiguousRequests holds that a request whose end two readers may see at
+// different places reaches no target as two, nor with another's bytes.
+func TestAmbiguousRequests(t *testing.T) {
+	// inner is a request of its own where the one before ended; the node ends the
+	// connection after it.
+	const inner = "GET /read/inner HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n"
+	const innerSeen = `GET /read/inner "" <nil>`
+	head := func(lines ...string) string {
+		return "POST /file/outer HTTP/1.1\r\nHost: a.example\r\n" + strings.Join(lines, "\r\n") + "\r\n\r\n"
+	}
+	length := fmt.Sprintf("Content-Length: %d", len(inner)+5)
+	table := []struct {
+		name    string
+		request string
+		// seen is what targets may get; statuses are all answers.
+		seen     []string
+		statuses []int
+	}{
+		{"two lengths", head("Content-Length: 0", length) + inner, nil, []int{400}},
+		{"length and chunks", head(length, "Transfer-Encoding: chunked") + "0\r\n\r\n" + inner, []string{`POST /file/outer "" <nil>`, innerSeen}, []int{200, 200}},
+		{"unknown coding", head("Transfer-Encoding: xchunked") + "0\r\n\r\n" + inner, nil, []int{501}},
+		{"two codings", head("Transfer-Encoding: chunked, identity") + "0\r\n\r\n" + inner, nil, []int{501}},
+		{"space before the colon", head("Content-Length : 5") + "12345", nil, []int{400}},
+		{"negative length", head("Content-Length: -1") + inner, nil, []int{400}},
+		{"signed length", head("Content-Length: +5") + "12345", nil, []int{400}},
+		{"folded header", head("X-Folded: a\r\n Transfer-Encoding: chunked", "Content-Length: 5") + "12345" + inner, []string{`POST /file/outer "12345" <nil>`, innerSeen}, []int{200, 200}},
+		{"bare line feed", head("X-Split: a\nTransfer-Encoding: chunked") + "0\r\n\r\n" + inner, []string{`POST /file/outer "" <nil>`, innerSeen}, []int{200, 200}},
+		{"no host", "GET /read HTTP/1.1\r\n\r\n", nil, []int{400}},
+		{"two hosts", "GET /read HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\n\r\n", nil, []int{400}},
+		{"huge chunk length", head("Transfer-Encoding: chunked") + "fffffffffffffffff\r\n" + inner, nil, []int{400}},
+		{"cut body", head("Content-Length: 100") + "12345", nil, []int{400}},
+		{"endless head", "GET /read HTTP/1.1\r\nHost: a.example\r\nX-Long: " + strings.Repeat("x", 3<<20) + "\r\n\r\n", nil, []int{431}},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var target seenRequests
+			f := newFleet(t, fleetOptions{nodes: 1}, target.ServeHTTP)
+			statuses := f.rawExchange(0, row.request, row.name == "cut body")
+			t.Log(statuses, target.seen())
+			is.Equal(target.seen(), row.seen)
+			is.Equal(statuses, row.statuses)
+		})
+	}
+}
+
+// TestHeadersOfOneHop holds that what a caller names in Connection goes no
+// further than the node.
+func TestHeadersOfOneHop(t *testing.T) {
+	is := is.New(t)
+	var got http.Header
+	f := newFleet(t, fleetOptions{nodes: 1}, func(_ http.ResponseWriter, r *http.Request) { got = r.Header.Clone() })
+	reply := f.call(0, "GET", "/read", "", "Connection", "X-Hop", "X-Hop", "1", "Te", "trailers", "Proxy-Authorization", "secret", "X-Kept", "2")
+	is.Equal(reply.status, http.StatusOK)
+	is.Equal(got.Get("X-Kept"), "2")
+	for _, name := range []string{"X-Hop", "Connection", "Te", "Proxy-Authorization"} {
+		is.Equal(got.Get(name), "") // name
+	}
+}
+
+// TestEarlyAnswers holds that an answer which the target gives before it has the
+// whole request is the caller's answer.
+func TestEarlyAnswers(t *testing.T) {
+	const large = 900 << 10
+	for _, size := range []int{10, large} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, fleetOptions{nodes: 1}, func(http.ResponseWriter, *http.Request) {})
+			target := earlyTarget(t)
+			f.nodes[0].duty.SetTarget(Target{Service: "depot", Slots: 8, Connections: 40, Address: target, State: membership.TargetReady})
+			reply := f.call(0, "POST", "/file", strings.Repeat("x", size))
+			is.Equal(reply.status, http.StatusForbidden)
+			is.Equal(reply.body, "early")
+		})
+	}
+}
+
+// earlyTarget answers each request at its headers' end and reads the rest away.
+func earlyTarget(t *testing.T) string {
+	t.Helper()
+	listener := httptest.NewUnstartedServer(nil).Listener
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 403 Forbidden\r\nContent-Length: 5\r\nConnection: close\r\n\r\nearly")
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
