Ask a keyed log for the configuration within 50 ms of the start

On a keyed log the one request brings everything. All calls until then were refused as not-ready, with word to come back after a second, longer than the start takes.

Change: on a keyed log the first request is spread over 50 ms; not-ready calls are told 300 ms.

--- a/internal/coordination/spread/join.go
+++ b/internal/coordination/spread/join.go
@@ -23,7 +23,11 @@
 		return
 	}
 	m.join.begun = now
-	m.join.bounds.notBefore = now.Add(jitter(m.random, joinJitter))
+	spread := joinJitter
+	if m.options.Keyed {
+		spread = keyedJoinJitter
+	}
+	m.join.bounds.notBefore = now.Add(jitter(m.random, spread))
 }
 
 func (m *Machine) wantFloor(now time.Time) {
--- a/internal/coordination/spread/keyed_test.go
+++ b/internal/coordination/spread/keyed_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/state"
 )
 
@@ -92,3 +93,21 @@
 	f.run(time.Second)
 	f.requireConverged()
 }
+
+// TestKeyedJoinAsksAtOnce holds that a starting node asks a log that gives it the
+// whole configuration without the delay that spreads a herd's long reads.
+func TestKeyedJoinAsksAtOnce(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for seed := range uint64(100) {
+		machine := New(Options{Self: memberOf("a"), Readers: 2, FanOut: 8, PullsPerSecond: 20, Keyed: true, Seed: seed})
+		machine.Step(now, Tick{})
+		actions := machine.Step(now.Add(keyedJoinJitter), Tick{})
+		if len(actions) != 1 || actions[0] != (ReadNewest{Floor: true}) {
+			t.Fatalf("seed %d: after %s the node does %v", seed, keyedJoinJitter, actions)
+		}
+	}
+}
+
+func memberOf(id string) membership.Member {
+	return membership.Member{ID: id, Domain: "casa-port", Incarnation: 1, State: membership.Alive}
+}
--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -28,6 +28,8 @@
 const (
 	// joinJitter spreads the first platform requests of a starting herd.
 	joinJitter = 500 * time.Millisecond
+	// keyedJoinJitter is the same where the one request brings the configuration.
+	keyedJoinJitter = 50 * time.Millisecond
 	// joinPatience is how long a joining node that is no reader waits for a peer's
 	// state before it reads the platform; up to as much again is added.
 	joinPatience = 2 * time.Second
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -17,6 +17,10 @@
 // shortRetryAfter is when a call may try again that only this node refused.
 const shortRetryAfter = time.Second
 
+// joinRetryAfter is when a call may try again that came before the node had a
+// configuration: a start usually takes less.
+const joinRetryAfter = 300 * time.Millisecond
+
 // leavingRetryAfter is when a call that a stopping node refused may try again:
 // another node takes it at once.
 const leavingRetryAfter = 100 * time.Millisecond
@@ -30,7 +34,7 @@
 
 func notReady() *problem.Problem {
 	return notRun("not-ready", "This node has no configuration yet", http.StatusServiceUnavailable,
-		"Send the call to another node, or again after the given time.", shortRetryAfter)
+		"Send the call to another node, or again after the given time.", joinRetryAfter)
 }
 
 func fenced() *problem.Problem {
