--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -323,6 +323,7 @@
 		d.counters.ran.Add(1)
 	}
 	d.failed.event(logging.CallRefused, d.requestID(r)).
+		Str("host", r.Host).Str("path", r.URL.Path).
 		Str("type", p.Type).Str("outcome", string(p.Outcome)).Int("retry_after_ms", p.RetryAfterMS).
 		Str("version", d.options.Snapshot().AppliedVersion()).Send()
 	p.PreciseRetryAfter = d.options.Contract.PreciseRetryAfter
