Let a restarted node ask its standing target instead of waiting for it

Change: a node writes its target's service and slots into its directory record once it knows them (one write a start). Its next process, once it has the configuration, asks the target at the service's health path; 200 with the target's instance id makes it the target until it speaks itself. A target that is draining or has deregistered answers 503 there, so what a killed process had acknowledged is kept without a write before the acknowledgement.

Ruled out: the state in the record as the word on draining (a store that is down at that moment, and a kill, would make it false); slots guessed from others of the service.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -39,6 +39,7 @@
 	TargetDraining      = Event{305, log.InfoLevel, "target announced draining"}
 	TargetGone          = Event{306, log.WarnLevel, "target's announcement expired"}
 	AnnouncementRefused = Event{308, log.WarnLevel, "announcement of a target refused: the known target stays"}
+	TargetNotFound      = Event{309, log.InfoLevel, "target that the node's former process served was not found: the node waits for its announcement"}
 	MemberReplaced      = Event{307, log.ErrorLevel, "a later process holds this node's ID: calls are refused; stop this one, or give it another ID"}
 )
 
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -17,6 +17,7 @@
 	"jasminegate/internal/node/configuration"
 	"jasminegate/internal/node/members"
 	"jasminegate/internal/protocol/adminapi"
+	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/state"
 	"jasminegate/internal/transport/peer"
 )
@@ -32,8 +33,11 @@
 
 // node is one composed process.
 type node struct {
-	settings  config.Settings
-	self      membership.Member
+	settings config.Settings
+	self     membership.Member
+	// former is the process of this node before this one, empty when not known.
+	former    membership.Member
+	contract  headers.Contract
 	logger    *logging.Logger
 	listeners *listeners
 	telemetry *telemetry
@@ -70,7 +74,9 @@
 		platformTraffic: &peer.Traffic{},
 	}
 	adapter := newAdapter(AdapterOptions{Settings: settings, Client: n.platformClient(), Logger: logger})
-	n.self = n.newSelf(n.formerIncarnation(adapter))
+	n.former = n.formerSelf(adapter)
+	n.self = n.newSelf(n.former.Incarnation)
+	n.contract = adapter.Contract
 	dial := peer.DialFrom(n.settings.Node.ControlAddress)
 	n.controlPool = peer.NewPool(peer.PoolOptions{
 		Dial:          dial,
@@ -96,13 +102,13 @@
 // an answer the clock alone tells processes apart.
 const formerTimeout = 500 * time.Millisecond
 
-func (n *node) formerIncarnation(adapter Adapter) uint64 {
+func (n *node) formerSelf(adapter Adapter) membership.Member {
 	if adapter.Keyed == nil {
-		return 0
+		return membership.Member{}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), formerTimeout)
 	defer cancel()
-	former, err := members.FormerIncarnation(ctx, adapter.Keyed, n.settings.Node.ID)
+	former, err := members.Former(ctx, adapter.Keyed, n.settings.Node.ID)
 	if err != nil {
 		n.logger.Event(logging.PlatformRequestFailed).Err(err).Send()
 	}
@@ -132,6 +138,7 @@
 		Pool:      n.controlPool,
 		Log:       adapter.Log,
 		Directory: adapter.Keyed,
+		Former:    n.former,
 		Logger:    n.logger,
 		Seed:      seed,
 		Applied:   func() state.Version { return n.configuration.Applied() },
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -23,16 +23,24 @@
 	// directoryInterval is the mean time between two looks by the first node of a
 	// domain, which also drops nodes that are gone.
 	directoryInterval = time.Minute
+	// targetCheck is how often the own record is compared with the target.
+	targetCheck = 500 * time.Millisecond
 	// directoryKeep is how long the record of a node that is gone is kept.
 	directoryKeep = 5 * time.Minute
 )
 
 // directory is the members stream on a log that keeps the newest record of each
-// key: every node writes itself down once, and nothing is refreshed.
+// key: every node writes itself down once, and again when it knows its target.
+// Nothing is refreshed.
 type directory struct {
 	duty    *Duty
 	random  *rand.Rand
 	written bool
+	// service and slots are the target's in the own record, and changed is when
+	// they were last brought there.
+	service string
+	slots   uint32
+	changed time.Time
 	// gone is when each node was first seen to be gone.
 	gone map[string]time.Time
 }
@@ -41,17 +49,36 @@
 func (d *Duty) runDirectory(ctx context.Context) {
 	random := rand.New(rand.NewPCG(d.options.Seed, d.options.Self.Incarnation+1))
 	r := &directory{duty: d, random: random, gone: make(map[string]time.Time)}
-	pause := time.Duration(random.Int64N(int64(directorySpread)))
+	r.service, r.slots = d.options.Former.Service, d.options.Former.Slots
+	next := time.NewTimer(time.Duration(random.Int64N(int64(directorySpread))))
+	defer next.Stop()
+	check := time.NewTicker(targetCheck)
+	defer check.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pause):
+		case <-next.C:
+			next.Reset(r.work(ctx))
+		case <-check.C:
+			r.followTarget(ctx)
 		}
-		pause = r.work(ctx)
 	}
 }
 
+// followTarget writes down what the next process of this node needs to know of
+// the target, at the pace of the other looks.
+func (r *directory) followTarget(ctx context.Context) {
+	self := r.duty.View().Self
+	known := self.Slots == 0 || self.Slots == r.slots && self.Service == r.service
+	now := r.duty.options.Now()
+	if !r.written || known || !r.changed.IsZero() && now.Sub(r.changed) < directoryInterval {
+		return
+	}
+	r.changed = now
+	r.written = r.write(ctx)
+}
+
 // work does what is due and returns the pause after it.
 func (r *directory) work(ctx context.Context) time.Duration {
 	if !r.written {
@@ -75,7 +102,12 @@
 // write puts this node under its own key, replacing its former process.
 func (r *directory) write(ctx context.Context) bool {
 	self := r.duty.options.Self
-	record := &wire.Roster{Domain: self.Domain, Members: []*wire.Member{joinableMember(self)}}
+	member := joinableMember(self)
+	if current := r.duty.View().Self; current.Slots > 0 {
+		r.service, r.slots = current.Service, current.Slots
+	}
+	member.Service, member.Slots = r.service, r.slots
+	record := &wire.Roster{Domain: self.Domain, Members: []*wire.Member{member}}
 	data, err := proto.Marshal(record)
 	if err != nil {
 		r.duty.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
@@ -126,23 +158,23 @@
 	r.gone = gone
 }
 
-// FormerIncarnation returns the incarnation of the process that last wrote the
-// node down, 0 when there was none. A process that starts after the instance's
-// clock was set back must come after it all the same.
-func FormerIncarnation(ctx context.Context, directory platformlog.Keyed, id string) (uint64, error) {
+// Former returns what the process that last wrote the node down said of itself
+// and its target; without one it is empty. A process that starts after the
+// instance's clock was set back must come after it all the same.
+func Former(ctx context.Context, directory platformlog.Keyed, id string) (membership.Member, error) {
 	batch, err := directory.Newest(ctx, platformlog.StreamMembers)
 	if err != nil {
-		return 0, err
+		return membership.Member{}, err
 	}
-	var former uint64
+	var former membership.Member
 	for _, record := range batch.Records {
 		var roster wire.Roster
 		if proto.Unmarshal(record.Data, &roster) != nil {
 			continue // told when the directory is read to join
 		}
 		for _, m := range membersFromWire(roster.GetMembers()) {
-			if m.ID == id {
-				former = max(former, m.Incarnation)
+			if m.ID == id && m.Incarnation >= former.Incarnation {
+				former = m
 			}
 		}
 	}
--- a/internal/node/members/directory_test.go
+++ b/internal/node/members/directory_test.go
@@ -70,22 +70,40 @@
 	}
 }
 
-// TestFormerIncarnation holds that a process learns of the one before it, so that
+// TestFormer holds that a process learns of the one before it, so that
 // it comes after it although the clock was set back.
-func TestFormerIncarnation(t *testing.T) {
+func TestFormer(t *testing.T) {
 	is := is.New(t)
 	directory := &memoryDirectory{records: make(map[string][]byte)}
-	former, err := FormerIncarnation(context.Background(), directory, "a")
+	former, err := Former(context.Background(), directory, "a")
 	is.NoErr(err)
-	is.Equal(former, uint64(0))
+	is.Equal(former.Incarnation, uint64(0))
 	self := membership.Member{ID: "a", Incarnation: 77, Domain: "d", ControlAddress: "10.0.0.1:1"}
 	data, err := proto.Marshal(&wire.Roster{Domain: "d", Members: []*wire.Member{joinableMember(self)}})
 	is.NoErr(err)
 	is.NoErr(directory.Put(context.Background(), platformlog.StreamMembers, "a", data))
-	former, err = FormerIncarnation(context.Background(), directory, "a")
+	former, err = Former(context.Background(), directory, "a")
 	is.NoErr(err)
-	is.Equal(former, uint64(77))
+	is.Equal(former.Incarnation, uint64(77))
 	directory.setOut(true)
-	_, err = FormerIncarnation(context.Background(), directory, "a")
+	_, err = Former(context.Background(), directory, "a")
 	is.True(err != nil)
 }
+
+// TestDirectoryKeepsTheTarget holds that the next process of a node finds there
+// what this one knew of the target, also after the target has gone.
+func TestDirectoryKeepsTheTarget(t *testing.T) {
+	directory := &memoryDirectory{records: make(map[string][]byte)}
+	node := startDirectoryNode(t, "a", "domain-a", directory)
+	kept := func() bool {
+		former, err := Former(context.Background(), directory, "a")
+		return err == nil && former.Service == "depot" && former.Slots == 6
+	}
+	node.duty.SetTarget("depot", 6, membership.TargetReady)
+	waitFor(t, "the target is written down", kept)
+	node.duty.SetTarget("", 0, membership.TargetAbsent)
+	waitFor(t, "the node has no target", func() bool { return node.duty.View().Self.Slots == 0 })
+	if !kept() {
+		t.Error("the target is forgotten")
+	}
+}
--- a/internal/node/members/duty.go
+++ b/internal/node/members/duty.go
@@ -44,8 +44,10 @@
 	Log      platformlog.Log
 	// Directory is the log when it keeps the newest record of each key, or nil.
 	Directory platformlog.Keyed
-	Logger    *logging.Logger
-	Seed      uint64
+	// Former is the process of this node before this one, empty when not known.
+	Former membership.Member
+	Logger *logging.Logger
+	Seed   uint64
 	// Applied returns the version that this node applies.
 	Applied func() state.Version
 	// Load returns the calls running and queued at this node's gate.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -102,6 +102,7 @@
 	group.Go(func() error { return n.calls.Run(ctx) })
 	group.Go(func() error { return n.sweepPools(ctx) })
 	group.Go(func() error { return n.targets.run(ctx) })
+	group.Go(func() error { return n.findStanding(ctx) })
 }
 
 func (n *node) startServers(ctx context.Context, group *errgroup.Group) {
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -26,6 +26,8 @@
 	target    calls.Target
 	expires   time.Time
 	leaving   bool
+	// told is set once the target said something to this process.
+	told bool
 }
 
 func newTargetRegistry(n *node) *targetRegistry {
@@ -44,6 +46,7 @@
 func (r *targetRegistry) announce(target calls.Target, ttl time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.told = true
 	r.expires = now.Add(ttl)
 	if r.leaving && target.State == membership.TargetReady {
 		target.State = membership.TargetDraining
@@ -51,10 +54,29 @@
 	r.set(target)
 }
 
+// heard reports whether the target said anything to this process.
+func (r *targetRegistry) heard() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.told
+}
+
+// found takes a target that was found well, unless it has spoken itself.
+func (r *targetRegistry) found(target calls.Target, ttl time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.told || r.leaving {
+		return
+	}
+	r.expires = time.Now().Add(ttl)
+	r.set(target)
+}
+
 // remove forgets the target after it left by itself.
 func (r *targetRegistry) remove() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.told = true
 	r.set(calls.Target{})
 }
 
--- a/internal/protocol/headers/contract.go
+++ b/internal/protocol/headers/contract.go
@@ -19,6 +19,8 @@
 	CallerService string
 	// TargetInstance names the target process that a call is meant for.
 	TargetInstance string
+	// InstanceID names the target's process in its answer to a health check.
+	InstanceID string
 	// NotRun marks a target's answer to a call that it did not run.
 	NotRun string
 	// Seal marks each successful answer as the target's own.
--- a/internal/state/faults.go
+++ b/internal/state/faults.go
@@ -97,6 +97,9 @@
 	c.checkRange(path+".connections", service.Connections, 1, MaxConnections)
 	c.checkRange(path+".queue_length", service.QueueLength, 0, MaxQueueLength)
 	c.checkDuration(path+".queue_timeout", service.QueueTimeout, 0, MaxQueueTimeout)
+	if service.HealthPath != "" {
+		c.checkPathPrefix(path+".health_path", service.HealthPath)
+	}
 }
 
 func (c *checker) checkRoute(path string, route Route) {
--- a/internal/state/resource.go
+++ b/internal/state/resource.go
@@ -42,6 +42,9 @@
 	QueueLength int `json:"queue_length" yaml:"queue_length"`
 	// QueueTimeout is how long a call may wait at a gate.
 	QueueTimeout Duration `json:"queue_timeout" yaml:"queue_timeout"`
+	// HealthPath is where a target answers GET with 200 while it is well and does
+	// not leave; empty when it has no such path.
+	HealthPath string `json:"health_path,omitempty" yaml:"health_path,omitempty"`
 }
 
 // Route leads calls that match it to a service.
