Explain a request from the nodes' logs

An on-call engineer had to grep a request's id in the logs of all nodes and then guess which of their other lines matter; which gates a refused call had been offered to was told nowhere. `jasminegate explain ID FILE...` shows the lines about the request and the calls that it made by time, and what the nodes on its way believed around it: versions, members, targets, the platform. It passes over what is no event, and also reads standard input and writes JSON. The line on a refused call names its host, its path and the gates that were asked in order.

--- a/cmd/jasminegate/main.go
+++ b/cmd/jasminegate/main.go
@@ -15,6 +15,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := cli.Run(ctx, os.Args[1:], cli.Streams{
+		In:       os.Stdin,
 		Out:      os.Stdout,
 		Err:      os.Stderr,
 		Terminal: isTerminal(os.Stderr),
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -30,6 +30,8 @@
 	ErrUsage = errorx.NewType(Errors, "usage")
 	// ErrRejected says that a ticket or settings file was rejected.
 	ErrRejected = errorx.NewType(Errors, "rejected")
+	// ErrNotFound says that nothing has the asked name.
+	ErrNotFound = errorx.NewType(Errors, "not_found")
 	// ErrNotInForce says that a ticket was not in force when the time was up.
 	ErrNotInForce = errorx.NewType(Errors, "not_in_force")
 )
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -16,8 +16,10 @@
 	"jasminegate/internal/node"
 )
 
-// Streams are where a command writes: results to Out, all else to Err.
+// Streams are where a command reads and writes: results to Out, all else to Err.
 type Streams struct {
+	// In may be nil for commands that read nothing.
+	In  io.Reader
 	Out io.Writer
 	Err io.Writer
 	// Terminal says that a person watches Err, so that progress is shown there.
@@ -76,6 +78,7 @@
 			ticketCommand(streams),
 			configCommand(streams),
 			statusCommand(streams),
+			explainCommand(streams),
 			versionCommand(streams),
 		},
 	}
@@ -108,6 +111,18 @@
 // arguments returns the count arguments that are not flags. Flags may stand
 // before, between and after them.
 func arguments(flags *flag.FlagSet, args []string, count int) ([]string, error) {
+	found, err := positional(flags, args)
+	if err != nil {
+		return nil, err
+	}
+	if len(found) != count {
+		return nil, ErrUsage.New("%d arguments given instead of %d: see %s -h", len(found), count, flags.Name())
+	}
+	return found, nil
+}
+
+// positional returns the arguments that are no flags; flags may stand anywhere.
+func positional(flags *flag.FlagSet, args []string) ([]string, error) {
 	var found []string
 	for len(args) > 0 {
 		found = append(found, args[0])
@@ -116,9 +131,6 @@
 		}
 		args = flags.Args()
 	}
-	if len(found) != count {
-		return nil, ErrUsage.New("%d arguments given instead of %d: see %s -h", len(found), count, flags.Name())
-	}
 	return found, nil
 }
 
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -276,7 +276,7 @@
 	if outcome == call.NotRun && c.Key != "" && !c.Idempotent && !keyDecided(reason) {
 		outcome = call.Unknown
 	}
-	return []Action{Fail{Handle: c.Handle, Outcome: outcome, Reason: reason, RetryAfter: after}}
+	return []Action{Fail{Handle: c.Handle, Outcome: outcome, Reason: reason, RetryAfter: after, Gates: c.asked}}
 }
 
 // keyDecided reports whether a gate refused for the reason only after it had
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -149,6 +149,8 @@
 	Outcome    call.Outcome
 	Reason     call.Reason
 	RetryAfter time.Duration
+	// Gates are those that had an attempt, in order.
+	Gates []string
 }
 
 func (Send) isAction()    {}
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -52,7 +52,10 @@
 	// free counts the attempts beyond the first that took nothing from the budget.
 	free int
 	// tried lists the endpoints that had an attempt.
-	tried      []string
+	tried []string
+	// asked lists all endpoints that had an attempt, also those that may have
+	// another.
+	asked      []string
 	id         call.ID
 	at         *endpoint
 	recovering bool
@@ -176,6 +179,7 @@
 		m.retries++
 	}
 	c.tried = append(c.tried, chosen.ID)
+	c.asked = append(c.asked, chosen.ID)
 	c.id = call.ID{Entry: m.options.Node, Incarnation: m.options.Incarnation, Counter: m.counter}
 	return []Action{Send{
 		Handle: c.Handle, ID: c.id, Endpoint: chosen.Endpoint,
--- /dev/null
+++ b/internal/explain/report.go
@@ -0,0 +1,131 @@
+package explain
+
+import (
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"jasminegate/internal/logging"
+)
+
+// Report is what the logs tell of one request.
+type Report struct {
+	Request string `json:"request"`
+	// Path are the lines about the request and the calls that it made, by time.
+	Path []Line `json:"path"`
+	// Around are the lines, by time, that tell what the nodes of the path believed:
+	// before it each node's last one of its kind, and all in the window.
+	Around []Line `json:"around"`
+	// LeftOut is how many lines the nodes of the path say they did not write just
+	// before those of the path, and Skipped how many lines were no events.
+	LeftOut int `json:"left_out"`
+	Skipped int `json:"skipped"`
+}
+
+// beliefs are the events that change what a node believes.
+var beliefs = []logging.Event{
+	logging.NodeStarted, logging.NodeStopping, logging.NodeStopped, logging.NodeFenced, logging.NodeUnfenced,
+	logging.SnapshotInstalled, logging.UpdateRefused, logging.PlatformUnreachable, logging.PlatformReachable, logging.TicketUndecodable,
+	logging.MemberJoined, logging.MemberSuspect, logging.MemberDead, logging.MemberLeft,
+	logging.TargetReady, logging.TargetDraining, logging.TargetGone, logging.PathSilent,
+}
+
+// Collector takes in logs and then reports.
+type Collector struct {
+	id      string
+	window  time.Duration
+	path    []Line
+	beliefs []Line
+	skipped int
+}
+
+// New returns a collector for the request. Window is how long before and after
+// its lines others are shown.
+func New(id string, window time.Duration) *Collector {
+	return &Collector{id: id, window: window}
+}
+
+// Read takes in one log.
+func (c *Collector) Read(in io.Reader) error {
+	skipped, err := readLines(in, c.take)
+	c.skipped += skipped
+	return err
+}
+
+func (c *Collector) take(line Line) {
+	if line.about(c.id) {
+		c.path = append(c.path, line)
+		return
+	}
+	if slices.ContainsFunc(beliefs, func(e logging.Event) bool { return e.Code == line.Event }) {
+		c.beliefs = append(c.beliefs, line)
+	}
+}
+
+// Report returns what was found. Times are the nodes' own: lines of two nodes may
+// stand in the wrong order by as much as their clocks differ.
+func (c *Collector) Report() Report {
+	byTime(c.path)
+	byTime(c.beliefs)
+	r := Report{Request: c.id, Path: c.path, Skipped: c.skipped}
+	if len(c.path) == 0 {
+		return r
+	}
+	for _, line := range c.path {
+		if n, ok := line.Fields["left_out"].(float64); ok {
+			r.LeftOut += int(n)
+		}
+	}
+	r.Around = c.around(nodesOf(c.path))
+	return r
+}
+
+// nodesOf returns the nodes that wrote the lines and the gates that they name.
+func nodesOf(path []Line) map[string]bool {
+	nodes := make(map[string]bool)
+	for _, line := range path {
+		nodes[line.Node] = true
+		for gate := range strings.SplitSeq(line.text("gates"), ",") {
+			if gate != "" {
+				nodes[gate] = true
+			}
+		}
+	}
+	return nodes
+}
+
+func (c *Collector) around(nodes map[string]bool) []Line {
+	from, to := c.path[0].Time.Add(-c.window), c.path[len(c.path)-1].Time.Add(c.window)
+	type subject struct {
+		node, member string
+		event        int
+	}
+	last := make(map[subject]Line)
+	var around []Line
+	for _, line := range c.beliefs {
+		member := line.text("member")
+		if !nodes[line.Node] || member != "" && !nodes[member] || line.Time.After(to) {
+			continue
+		}
+		if line.Time.Before(from) {
+			last[subject{line.Node, member, line.Event}] = line
+			continue
+		}
+		around = append(around, line)
+	}
+	for _, line := range last {
+		around = append(around, line)
+	}
+	byTime(around)
+	return around
+}
+
+func byTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int {
+		if order := a.Time.Compare(b.Time); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Node, b.Node)
+	})
+}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -281,7 +281,7 @@
 		return
 	}
 	action.RetryAfter = c.withinPatience(d.options.Now(), action.RetryAfter)
-	d.refuse(w, r, failure(action))
+	d.refuseAfter(w, r, failure(action), action.Gates)
 }
 
 // requestID returns the caller's own name of the request, if it has one.
@@ -299,8 +299,13 @@
 	return min(after, time.Duration(float64(c.patience.Sub(now))*patienceShare))
 }
 
-// refuse writes the system's own answer and counts its outcome.
+// refuse writes the system's own answer to a call that went to no gate.
 func (d *Duty) refuse(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
+	d.refuseAfter(w, r, p, nil)
+}
+
+// refuseAfter writes the system's own answer and counts its outcome.
+func (d *Duty) refuseAfter(w http.ResponseWriter, r *http.Request, p *problem.Problem, gates []string) {
 	switch p.Outcome {
 	case problem.NotRun:
 		d.counters.notRun.Add(1)
@@ -310,7 +315,7 @@
 		d.counters.ran.Add(1)
 	}
 	d.failed.event(logging.CallRefused, d.requestID(r)).
-		Str("host", r.Host).Str("path", r.URL.Path).
+		Str("host", r.Host).Str("path", r.URL.Path).Str("gates", strings.Join(gates, ",")).
 		Str("type", p.Type).Str("outcome", string(p.Outcome)).Int("retry_after_ms", p.RetryAfterMS).
 		Str("version", d.options.Snapshot().AppliedVersion()).Send()
 	p.PreciseRetryAfter = d.options.Contract.PreciseRetryAfter
