--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -53,7 +53,9 @@
 		return Line{}, false
 	}
 	var fields map[string]any
-	if json.Unmarshal(text[start:], &fields) != nil {
+	decoder := json.NewDecoder(bytes.NewReader(text[start:]))
+	decoder.UseNumber() // incarnations do not fit a float
+	if decoder.Decode(&fields) != nil {
 		return Line{}, false
 	}
 	for _, name := range common {
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"encoding/json"
 	"io"
 	"slices"
 	"strings"
@@ -15,7 +16,8 @@
 	// Path are the lines about the request and the calls that it made, by time.
 	Path []Line `json:"path"`
 	// Around are the lines, by time, that tell what the nodes of the path believed:
-	// before it each node's last one of its kind, and all in the window.
+	// before it each node's last one of its kind, and all in the window. The first
+	// node of the fleet to install a version in the window is among them.
 	Around []Line `json:"around"`
 	// LeftOut is how many lines the nodes of the path say they did not write just
 	// before those of the path, and Skipped how many lines were no events.
@@ -73,8 +75,9 @@
 		return r
 	}
 	for _, line := range c.path {
-		if n, ok := line.Fields["left_out"].(float64); ok {
-			r.LeftOut += int(n)
+		if n, ok := line.Fields["left_out"].(json.Number); ok {
+			left, _ := n.Int64() // what is no number tells of no line
+			r.LeftOut += int(left)
 		}
 	}
 	r.Around = c.around(nodesOf(c.path))
@@ -103,8 +106,15 @@
 	}
 	last := make(map[subject]Line)
 	var around []Line
+	versions, silent := make(map[string]bool), make(map[subject]bool)
 	for _, line := range c.beliefs {
 		member := line.text("member")
+		if version := line.text("version"); line.Event == logging.SnapshotInstalled.Code && !versions[version] {
+			versions[version] = true
+			if !nodes[line.Node] && !line.Time.Before(from) && !line.Time.After(to) {
+				around = append(around, line)
+			}
+		}
 		if !nodes[line.Node] || member != "" && !nodes[member] || line.Time.After(to) {
 			continue
 		}
@@ -112,6 +122,14 @@
 			last[subject{line.Node, member, line.Event}] = line
 			continue
 		}
+		if line.Event == logging.PathSilent.Code {
+			// One for each connection; the first one of a path tells.
+			path := subject{line.Node, line.text("gate"), line.Event}
+			if silent[path] {
+				continue
+			}
+			silent[path] = true
+		}
 		around = append(around, line)
 	}
 	for _, line := range last {
--- a/internal/explain/report_test.go
+++ b/internal/explain/report_test.go
@@ -21,6 +21,10 @@
 {"time":"2026-03-14T15:00:08.500000Z","level":"info","node":"n-9","event":305,"service":"depot","message":"target announced draining"}
 {"time":"2026-03-14T15:00:08.600000Z","level":"warn","node":"n-1","event":301,"member":"n-9","message":"member suspected"}
 {"time":"2026-03-14T15:00:08.700000Z","level":"warn","node":"n-1","event":301,"member":"n-3","message":"member suspected"}
+{"time":"2026-03-14T15:00:08.800000Z","level":"info","node":"n-9","event":202,"version":"42@c","message":"snapshot installed"}
+{"time":"2026-03-14T15:00:08.900000Z","level":"info","node":"n-8","event":202,"version":"42@c","message":"snapshot installed"}
+{"time":"2026-03-14T15:00:08.950000Z","level":"warn","node":"n-1","event":401,"gate":"n-3","message":"path went silent"}
+{"time":"2026-03-14T15:00:08.960000Z","level":"warn","node":"n-1","event":401,"gate":"n-3","message":"path went silent"}
 {"time":"2026-03-14T15:00:30.000000Z","level":"info","node":"n-2","event":304,"service":"depot","message":"target announced ready"}
 `
 )
@@ -41,7 +45,7 @@
 		around = append(around, line.Node+" "+line.text("version")+line.text("member")+line.text("service"))
 	}
 	is.Equal(path, []string{"7a.1", "7a"})
-	is.Equal(around, []string{"n-1 41@b", "n-2 depot", "n-1 n-3"}) // the last version before, no other node, no other member
+	is.Equal(around, []string{"n-1 41@b", "n-2 depot", "n-1 n-3", "n-9 42@c", "n-1 "}) // the last version before, the first node with the next, no other member, one line of a silent path
 	is.Equal(r.LeftOut, 3)
 	is.Equal(r.Skipped, 2)
 }
