Serve latency histograms, refusals by reason, members by state and lost log lines

On-call engineers had counters only: neither how long calls took, waited at a gate or ran at the target, nor why the system refused, nor whether log lines were lost. The histograms have bounded label sets, and docs/metrics.md is held to what a node serves by a test that starts one.

--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/node/calls"
 	"jasminegate/internal/node/configuration"
 	"jasminegate/internal/transport/peer"
@@ -39,6 +40,14 @@
 	set.NewGauge("jasminegate_members", func() float64 {
 		return float64(len(n.members.View().Members))
 	})
+	for state, name := range memberStates {
+		set.NewGauge(fmt.Sprintf("jasminegate_members_in_state{state=%q}", name), func() float64 {
+			return float64(n.membersIn(state))
+		})
+	}
+	set.NewGauge("jasminegate_log_lines_left_out_total", func() float64 {
+		return float64(n.logger.LeftOut())
+	})
 	set.NewGauge("jasminegate_calls_in_flight", func() float64 {
 		return float64(n.calls.Stats().InFlight)
 	})
@@ -71,6 +80,16 @@
 	}
 }
 
+func (n *node) membersIn(state membership.State) int {
+	count := 0
+	for _, member := range n.members.View().Members {
+		if member.State == state {
+			count++
+		}
+	}
+	return count
+}
+
 func boolGauge(value bool) float64 {
 	if value {
 		return 1
@@ -82,6 +101,7 @@
 func (n *node) getMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	n.metrics.WritePrometheus(w)
+	n.calls.WriteMetrics(w)
 	metrics.WritePrometheus(w, true)
 }
 
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -36,6 +36,8 @@
 	key      string
 	body     *requestBody
 	template *wire.CallStart
+	// outcome is what came of the request, for metrics.
+	outcome string
 
 	mu        sync.Mutex
 	bodyError error
@@ -49,6 +51,7 @@
 }
 
 func (d *Duty) serveCaller(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
 	d.counters.requests.Add(1)
 	if d.drain.Load() {
 		w.Header().Set("Connection", "close")
@@ -58,8 +61,11 @@
 	c, refused := d.admit(ctx, w, r)
 	if refused != nil {
 		d.refuse(w, r, refused)
+		d.measures.request(noClass, string(refused.Outcome), begun)
 		return
 	}
+	c.outcome = outcomeLeft
+	defer func() { d.measures.request(string(c.route.Class), c.outcome, begun) }()
 	defer c.control.SetReadDeadline(time.Time{})
 	d.carry(w, r, c)
 }
@@ -207,6 +213,7 @@
 	}
 	action, accepted := d.entry.tryAsk(begin)
 	if !accepted {
+		c.outcome = string(problem.NotRun)
 		d.refuse(w, r, overloaded())
 		return
 	}
@@ -262,14 +269,17 @@
 func (d *Duty) deliver(w http.ResponseWriter, r *http.Request, c *callerCall, got *answer) {
 	d.entry.tell(entry.Answered{Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load)})
 	if got.deliver(w, r.Method) {
+		c.outcome = outcomeAnswered
 		d.counters.answered.Add(1)
 		return
 	}
+	c.outcome = outcomeAborted
 	d.counters.aborted.Add(1)
 	panic(http.ErrAbortHandler)
 }
 
 func (d *Duty) fail(w http.ResponseWriter, r *http.Request, c *callerCall, action entry.Fail) {
+	c.outcome = action.Outcome.String()
 	if action.Outcome == call.Unknown {
 		d.failed.event(logging.CallOutcomeUnknown, d.requestID(r)).
 			Str("route", c.route.Name).Str("reason", string(action.Reason)).Send()
@@ -314,6 +324,7 @@
 	case problem.Ran:
 		d.counters.ran.Add(1)
 	}
+	d.measures.refusal(p)
 	d.failed.event(logging.CallRefused, d.requestID(r)).
 		Str("host", r.Host).Str("path", r.URL.Path).Str("gates", strings.Join(gates, ",")).
 		Str("type", p.Type).Str("outcome", string(p.Outcome)).Int("retry_after_ms", p.RetryAfterMS).
--- a/internal/node/calls/duty.go
+++ b/internal/node/calls/duty.go
@@ -72,6 +72,7 @@
 	// serving counts calls whose answers are being sent to entries.
 	serving  atomic.Int64
 	counters counters
+	measures *measures
 	running  runningRequests
 	failed   *decisionLog
 	// life ends with Run; calls at the target end with it.
@@ -97,7 +98,7 @@
 	if options.Contract == (headers.Contract{}) {
 		options.Contract = headers.Own()
 	}
-	d := &Duty{options: options, failed: newDecisionLog(options.Logger)}
+	d := &Duty{options: options, failed: newDecisionLog(options.Logger), measures: newMeasures()}
 	d.life, d.endLife = context.WithCancel(context.Background())
 	d.recalled, d.recall = context.WithCancel(context.Background())
 	d.entry = newEntryLoop(options)
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -21,7 +21,8 @@
 	id       call.ID
 	deadline time.Time
 	// lapse is the deadline on the clock that counts suspensions.
-	lapse time.Time
+	lapse   time.Time
+	arrived time.Time
 	// aim is by when an answer is wanted; zero is the deadline.
 	aim time.Time
 	// held is what came of the body with the first frame; the rest of a streamed
@@ -48,6 +49,7 @@
 		start:     start,
 		id:        idOf(start.Id),
 		deadline:  d.options.Now().Add(timeout),
+		arrived:   d.options.Now(),
 		lapse:     d.options.Boot().Add(timeout),
 		held:      frame.Data,
 		streaming: !frame.Last,
@@ -234,6 +236,7 @@
 		return stream.Send(d.refusalFrame(refuse.Outcome, refuse.Reason, refuse.RetryAfter))
 	}
 	d.counters.started.Add(1)
+	d.measures.gateWait.UpdateDuration(c.arrived)
 	d.runs.Add(1)
 	go d.runAtTarget(ctx, c)
 	if c.streaming {
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -33,7 +33,9 @@
 	defer c.cancelRun()
 	ctx, span := d.startTargetSpan(ctx, c)
 	defer span.End()
+	begun := time.Now()
 	result := d.exchange(ctx, c)
+	d.measures.target.UpdateDuration(begun)
 	d.gate.tell(gate.Finished{ID: c.id, Result: result, KeptBytes: c.recording.kept()})
 }
 
--- /dev/null
+++ b/internal/node/metrics_test.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminegate/internal/config"
+	"jasminegate/internal/logging"
+)
+
+// TestMetricsPage holds docs/metrics.md and the code together, after one request
+// that the node had to refuse.
+func TestMetricsPage(t *testing.T) {
+	is := is.New(t)
+	settings := config.Defaults()
+	settings.Node = config.Node{ID: "n-1", Domain: "d"}
+	addresses := []*string{&settings.Node.CallersAddress, &settings.Node.AdminAddress, &settings.Node.ControlAddress, &settings.Node.CallsAddress}
+	for _, address := range addresses {
+		*address = freeAddress(t)
+	}
+	settings.Platform.URL = "http://" + freeAddress(t)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, settings, nil, logging.Discard()) }()
+	defer func() { stop(); is.NoErr(<-ended) }()
+	get := func(url string) string {
+		for begun := time.Now(); time.Since(begun) < 20*time.Second; time.Sleep(10 * time.Millisecond) {
+			response, err := http.Get(url)
+			if err != nil {
+				continue // it does not listen yet
+			}
+			defer response.Body.Close()
+			data, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			return string(data)
+		}
+		t.Fatal("the node never answered")
+		return ""
+	}
+	_ = get("http://" + settings.Node.CallersAddress + "/x")
+	text := get("http://" + settings.Node.AdminAddress + "/metrics")
+	is.True(strings.Contains(text, `jasminegate_refusals_total{reason="not-ready"} 1`))
+	is.True(strings.Contains(text, `jasminegate_request_seconds_count{class="none",outcome="not-run"} 1`))
+
+	page, err := os.ReadFile("../../docs/metrics.md")
+	is.NoErr(err)
+	written := make(map[string]bool)
+	for _, match := range regexp.MustCompile(`(?m)^(jasminegate_\w+)`).FindAllStringSubmatch(text, -1) {
+		name := match[1]
+		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+			name = strings.TrimSuffix(name, suffix)
+		}
+		written[name] = true
+	}
+	for name := range written {
+		is.True(strings.Contains(string(page), "| `"+name+"` |")) // each metric has a row
+	}
+	for _, match := range regexp.MustCompile("(?m)^\\| `(jasminegate_\\w+)`").FindAllStringSubmatch(string(page), -1) {
+		is.True(written[match[1]]) // each row has a metric
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
