Keep one page on metrics, and retry the target's record when the store refuses it

A write of the target's service and slots that the store refused counted as done, so that it was not tried again before the node was written down anew; it counts now only when it is acknowledged.

--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -67,7 +67,7 @@
 }
 
 // followTarget writes down what the next process of this node needs to know of
-// the target, at the pace of the other looks.
+// the target, and a change of it not more often than the other looks come.
 func (r *directory) followTarget(ctx context.Context) {
 	self := r.duty.View().Self
 	known := self.Slots == 0 || self.Slots == r.slots && self.Service == r.service
@@ -75,8 +75,9 @@
 	if !r.written || known || !r.changed.IsZero() && now.Sub(r.changed) < directoryInterval {
 		return
 	}
-	r.changed = now
-	r.written = r.write(ctx)
+	if r.write(ctx) {
+		r.changed = now
+	}
 }
 
 // work does what is due and returns the pause after it.
@@ -103,17 +104,21 @@
 func (r *directory) write(ctx context.Context) bool {
 	self := r.duty.options.Self
 	member := joinableMember(self)
+	member.Service, member.Slots = r.service, r.slots
 	if current := r.duty.View().Self; current.Slots > 0 {
-		r.service, r.slots = current.Service, current.Slots
+		member.Service, member.Slots = current.Service, current.Slots
 	}
-	member.Service, member.Slots = r.service, r.slots
 	record := &wire.Roster{Domain: self.Domain, Members: []*wire.Member{member}}
 	data, err := proto.Marshal(record)
 	if err != nil {
 		r.duty.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
 		return false
 	}
-	return r.put(ctx, self.ID, data)
+	if !r.put(ctx, self.ID, data) {
+		return false
+	}
+	r.service, r.slots = member.Service, member.Slots
+	return true
 }
 
 func (r *directory) put(ctx context.Context, key string, data []byte) bool {
--- a/internal/node/members/directory_test.go
+++ b/internal/node/members/directory_test.go
@@ -20,6 +20,7 @@
 type memoryDirectory struct {
 	mu      sync.Mutex
 	out     bool
+	puts    int // refused while out
 	records map[string][]byte
 }
 
@@ -29,10 +30,17 @@
 	d.out = out
 }
 
+func (d *memoryDirectory) refused() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.puts
+}
+
 func (d *memoryDirectory) Put(_ context.Context, _, key string, data []byte) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.out {
+		d.puts++
 		return platformlog.ErrUnavailable.New("out")
 	}
 	d.records[key] = data
@@ -99,7 +107,14 @@
 		former, err := Former(context.Background(), directory, "a")
 		return err == nil && former.Service == "depot" && former.Slots == 6
 	}
+	waitFor(t, "the node is written down", func() bool {
+		former, err := Former(context.Background(), directory, "a")
+		return err == nil && former.ID == "a"
+	})
+	directory.setOut(true)
 	node.duty.SetTarget("depot", 6, membership.TargetReady)
+	waitFor(t, "the target is tried and refused", func() bool { return directory.refused() > 0 })
+	directory.setOut(false)
 	waitFor(t, "the target is written down", kept)
 	node.duty.SetTarget("", 0, membership.TargetAbsent)
 	waitFor(t, "the node has no target", func() bool { return node.duty.View().Self.Slots == 0 })
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -17,7 +17,7 @@
 	"jasminegate/internal/logging"
 )
 
-// TestMetricsPage holds docs/metrics.md and the code together, after one request
+// TestMetricsPage holds docs/operators/metrics.md and the code together, after one request
 // that the node had to refuse.
 func TestMetricsPage(t *testing.T) {
 	is := is.New(t)
@@ -51,7 +51,7 @@
 	is.True(strings.Contains(text, `jasminegate_refusals_total{reason="not-ready"} 1`))
 	is.True(strings.Contains(text, `jasminegate_request_seconds_count{class="none",outcome="not-run"} 1`))
 
-	page, err := os.ReadFile("../../docs/metrics.md")
+	page, err := os.ReadFile("../../docs/operators/metrics.md")
 	is.NoErr(err)
 	written := make(map[string]bool)
 	for _, match := range regexp.MustCompile(`(?m)^(jasminegate_\w+)`).FindAllStringSubmatch(text, -1) {
