Let a full queue make room for calls that rank before its last one

Change: the last waiting background call makes room for an interactive one, as long as another is left to have its share; within a class the last call of a lower rank does. It is told at once, with when to come back. A call that would not start in time takes nobody's place.

--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -133,27 +133,35 @@
 const waitShare = 1.0 / 5
 
 // enqueue lets the call wait, or refuses it at once when it would not start in
-// time. Calls that it overtakes and that would start too late now are refused.
+// time. Calls that it overtakes and that would start too late now are refused, as
+// is the last one that it overtakes in a full queue.
 func (m *Machine) enqueue(now time.Time, e Arrive) []Action {
 	item := waiting{
 		id: e.ID, background: e.Background, idempotent: e.Idempotent,
 		rank: rankOf(now, e),
 		work: m.limit.workOf(now, e), latest: m.latestStart(now, e),
 	}
-	if m.queue.len() >= m.target.QueueLength {
+	full := m.queue.len() >= m.target.QueueLength
+	if full && !m.queue.yields(item) {
 		return []Action{m.refusal(item, call.ReasonQueueFull)}
 	}
 	wait := m.estimate(item)
 	if now.Add(wait).After(item.latest) || e.InTime && now.Add(wait+item.work).After(e.Aim) {
 		return []Action{m.refusal(item, call.ReasonTooLate)}
 	}
+	var actions []Action
+	if full {
+		last := m.queue.takeBehind(item)
+		m.leaveQueue(last.id)
+		actions = append(actions, m.refusal(last, call.ReasonQueueFull))
+	}
 	m.noteAdmitted(1)
 	m.arrivals[e.ID] = e
 	if e.Key != "" {
 		m.waitingKeys[e.Key] = e.ID
 	}
 	m.queue.push(item)
-	return m.refuseLate(now)
+	return append(actions, m.refuseLate(now)...)
 }
 
 // latestStart is until when the call may wait.
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -128,6 +128,35 @@
 	return calls, work
 }
 
+// yields reports whether a call that ranks behind the item waits, so that it can
+// make room. One background call is left to have its share.
+func (q *queue) yields(item waiting) bool {
+	return !item.background && len(q.background) > 1 || lastBehind(*q.listOf(item), item)
+}
+
+// takeBehind takes out the last call that ranks behind the item.
+func (q *queue) takeBehind(item waiting) waiting {
+	list := &q.background
+	if item.background || len(q.background) <= 1 {
+		list = q.listOf(item)
+	}
+	last := len(*list) - 1
+	taken := (*list)[last]
+	*list = (*list)[:last]
+	return taken
+}
+
+func (q *queue) listOf(item waiting) *[]waiting {
+	if item.background {
+		return &q.background
+	}
+	return &q.interactive
+}
+
+func lastBehind(list []waiting, item waiting) bool {
+	return len(list) > 0 && item.rank.before(list[len(list)-1].rank)
+}
+
 // takeLate takes out the interactive calls that, with the given slots and so much
 // time until the first of them is free, would start too late.
 func (q *queue) takeLate(now time.Time, slots int, first time.Duration) []waiting {
--- a/internal/coordination/gate/rank_test.go
+++ b/internal/coordination/gate/rank_test.go
@@ -202,3 +202,49 @@
 	waiting := 200 - len(r.started) - len(r.refused)
 	r.True(waiting <= 10) // ten slots of 100 ms, and 66 ms to wait
 }
+
+// TestFullQueueYieldsToUrgentCalls replays calls that arrive at a full queue: the
+// last call that ranks behind them makes room and is told so at once, but one
+// background call is left to have its share.
+func TestFullQueueYieldsToUrgentCalls(t *testing.T) {
+	r := newReplay(t, 1)
+	r.step(SetTarget{Slots: 1, QueueLength: 3, QueueTimeout: time.Minute, FixedLimit: true, Ready: true})
+	r.arrive(Arrive{})
+	var searches []call.ID
+	for range 3 {
+		searches = append(searches, r.arrive(Arrive{Background: true}))
+	}
+	r.Equal(len(r.refused), 0)
+	for _, victim := range []call.ID{searches[2], searches[1]} {
+		r.arrive(Arrive{Priority: 1})
+		r.Equal(r.refused[victim].Reason, call.ReasonQueueFull)
+		r.Equal(r.refused[victim].Outcome, call.NotRun)
+		r.True(r.refused[victim].RetryAfter > 0)
+	}
+	r.Equal(len(r.refused), 2)
+	like := r.arrive(Arrive{Priority: 1}) // two like it wait, and one search
+	r.Equal(r.refused[like].Reason, call.ReasonQueueFull)
+	urgent := r.arrive(Arrive{})
+	_, refused := r.refused[urgent]
+	r.True(!refused)
+	r.Equal(len(r.refused), 4) // a call of priority 1 made room
+	late := r.arrive(Arrive{Background: true})
+	r.Equal(r.refused[late].Reason, call.ReasonQueueFull)
+	_, refused = r.refused[searches[0]]
+	r.True(!refused)
+}
+
+// TestFullQueueYieldsNothingToLateCalls holds that a call which would not start
+// in time takes nobody's place.
+func TestFullQueueYieldsNothingToLateCalls(t *testing.T) {
+	r := newReplay(t, 1)
+	r.learn("r", 100*time.Millisecond)
+	r.step(SetTarget{Slots: 1, QueueLength: 3, QueueTimeout: time.Minute, FixedLimit: true, Ready: true})
+	r.arrive(Arrive{Route: "r"})
+	for range 3 {
+		r.arrive(Arrive{Route: "r", Background: true})
+	}
+	late := r.arrive(Arrive{Route: "r", Deadline: r.now.Add(110 * time.Millisecond)})
+	r.Equal(r.refused[late].Reason, call.ReasonTooLate)
+	r.Equal(len(r.refused), 1)
+}
