Split the choice of lines for explain, and give bounds of sizes with their unit

Read as a newcomer: one function chose the lines in five nested conditions; it is now a view that takes lines one by one. A ticket whose limit is too wide was told numbers without the unit that the file needs.

--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -98,45 +99,76 @@
 	return nodes
 }
 
+// around returns what the nodes of the path believed.
 func (c *Collector) around(nodes map[string]bool) []Line {
-	from, to := c.path[0].Time.Add(-c.window), c.path[len(c.path)-1].Time.Add(c.window)
-	type subject struct {
-		node, member string
-		event        int
+	v := view{
+		nodes: nodes,
+		from:  c.path[0].Time.Add(-c.window), to: c.path[len(c.path)-1].Time.Add(c.window),
+		before: make(map[subject]Line), versions: make(map[string]bool), silent: make(map[subject]bool),
 	}
-	last := make(map[subject]Line)
-	var around []Line
-	versions, silent := make(map[string]bool), make(map[subject]bool)
 	for _, line := range c.beliefs {
-		member := line.text("member")
-		if version := line.text("version"); line.Event == logging.SnapshotInstalled.Code && !versions[version] {
-			versions[version] = true
-			if !nodes[line.Node] && !line.Time.Before(from) && !line.Time.After(to) {
-				around = append(around, line)
-			}
-		}
-		if !nodes[line.Node] || member != "" && !nodes[member] || line.Time.After(to) {
-			continue
-		}
-		if line.Time.Before(from) {
-			last[subject{line.Node, member, line.Event}] = line
-			continue
-		}
-		if line.Event == logging.PathSilent.Code {
-			// One for each connection; the first one of a path tells.
-			path := subject{line.Node, line.text("gate"), line.Event}
-			if silent[path] {
-				continue
-			}
-			silent[path] = true
+		v.take(line)
+	}
+	lines := slices.AppendSeq(v.lines, maps.Values(v.before))
+	byTime(lines)
+	return lines
+}
+
+// subject is what a line is about.
+type subject struct {
+	node, about string
+	event       int
+}
+
+// view chooses the lines that tell what some nodes believed between two times.
+type view struct {
+	nodes    map[string]bool
+	from, to time.Time
+	// before holds each node's last line of its kind before that time.
+	before map[subject]Line
+	lines  []Line
+	// versions are those that some node has installed, and silent the paths of
+	// which one line was chosen.
+	versions map[string]bool
+	silent   map[subject]bool
+}
+
+// take takes in the lines by their time.
+func (v *view) take(line Line) {
+	first := v.firstOfVersion(line)
+	member := line.text("member")
+	own := v.nodes[line.Node] && (member == "" || v.nodes[member])
+	switch {
+	case line.Time.After(v.to):
+	case line.Time.Before(v.from):
+		if own {
+			v.before[subject{line.Node, member, line.Event}] = line
 		}
-		around = append(around, line)
+	case first, own && !v.repeatsSilence(line):
+		v.lines = append(v.lines, line)
+	}
+}
+
+// firstOfVersion reports whether the line is the fleet's first on a version.
+func (v *view) firstOfVersion(line Line) bool {
+	version := line.text("version")
+	if line.Event != logging.SnapshotInstalled.Code || v.versions[version] {
+		return false
 	}
-	for _, line := range last {
-		around = append(around, line)
+	v.versions[version] = true
+	return true
+}
+
+// repeatsSilence reports whether a line about the same silent path was chosen:
+// there is one for each connection.
+func (v *view) repeatsSilence(line Line) bool {
+	if line.Event != logging.PathSilent.Code {
+		return false
 	}
-	byTime(around)
-	return around
+	path := subject{line.Node, line.text("gate"), line.Event}
+	known := v.silent[path]
+	v.silent[path] = true
+	return known
 }
 
 func byTime(lines []Line) {
--- a/internal/state/faults.go
+++ b/internal/state/faults.go
@@ -124,8 +124,8 @@
 		return
 	}
 	c.seen[callerLimitsKey] = path
-	c.checkRange(path+".header_bytes", limits.HeaderBytes, 0, MaxHeaderBytes)
-	c.checkRange(path+".body_bytes", int(limits.BodyBytes), 0, MaxBodyBytes)
+	c.checkSize(path+".header_bytes", int64(limits.HeaderBytes), MaxHeaderBytes)
+	c.checkSize(path+".body_bytes", limits.BodyBytes, MaxBodyBytes)
 	c.checkDuration(path+".header_timeout", limits.HeaderTimeout, 0, MaxHeaderTimeout)
 	c.checkDuration(path+".idle_timeout", limits.IdleTimeout, 0, MaxIdleTimeout)
 }
@@ -235,6 +235,13 @@
 	}
 }
 
+// checkSize checks a number of bytes against a bound of whole KiB.
+func (c *checker) checkSize(key string, value, high int64) {
+	if value < 0 || value > high {
+		c.add(key, fmt.Sprintf("is %d bytes", value), fmt.Sprintf("use 0B to %dKiB", high>>10))
+	}
+}
+
 func (c *checker) checkDuration(key string, value Duration, low, high time.Duration) {
 	if time.Duration(value) < low || time.Duration(value) > high {
 		c.add(key, fmt.Sprintf("is %s", time.Duration(value)), fmt.Sprintf("use %s to %s", low, high))
