Let a caller that still sends read its early answer

Cause: when an answer came before the body's end, the node ended the reading of the body by a deadline in the past. The HTTP server then cannot read the rest away, closes the connection with bytes unread, and the reset takes the answer with it. A refusal of such a call was lost in the same way.

Ruled out: the target's connection (its answer was whole at the node), the server's own lingering (it does so only where the body could still be read).

Change: the answer no longer waits for the rest of the body (full duplex), is flushed, and the caller is read on for at most half a second. The upload of an attempt and its end decide by one atomic step whether the body was touched, so that nothing waits for a slow caller either.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"jasminegate/internal/coordination/call"
@@ -35,9 +35,10 @@
 	ctx     context.Context
 	// release gives the connection back, or closes it.
 	release func(reuse bool)
-	// uploads waits for the goroutine that sends the rest of the body.
-	uploads sync.WaitGroup
-	started chan struct{}
+	// uploadState is set by whoever comes first: the sending of the rest of the body, or
+	// the end of the attempt.
+	uploadState atomic.Int32
+	started     chan struct{}
 	// unfollow stops the watch for the caller's leaving, and unrecall that for this
 	// node's.
 	unfollow func() bool
@@ -148,7 +149,7 @@
 	}
 	a.unrecall = context.AfterFunc(a.duty.recalled, a.recall)
 	if !first.Last {
-		a.uploads.Add(1)
+		a.request.uploads.Add(1)
 		go a.upload()
 	}
 	start, event := a.readStart()
@@ -227,12 +228,15 @@
 
 // upload sends the rest of the body once the gate has started the call.
 func (a *attempt) upload() {
-	defer a.uploads.Done()
+	defer a.request.uploads.Done()
 	select {
 	case <-a.started:
 	case <-a.ctx.Done():
 		return
 	}
+	if !a.uploadState.CompareAndSwap(uploadWaits, uploadRuns) {
+		return
+	}
 	a.request.body.spent.Store(true)
 	for {
 		data := make([]byte, frameBytes)
@@ -249,6 +253,25 @@
 	}
 }
 
+// States of an upload.
+const (
+	uploadWaits int32 = iota
+	uploadRuns
+	uploadEnded
+)
+
+// stopUpload ends the sending of the rest of the body. One that runs ends with
+// its next read; the body cannot be sent again then.
+func (a *attempt) stopUpload() {
+	if a.request.body.rest == nil {
+		return
+	}
+	if !a.uploadState.CompareAndSwap(uploadWaits, uploadEnded) {
+		a.request.body.spent.Store(true)
+	}
+	a.cancel(nil)
+}
+
 // lost ends the attempt after its connection broke or went silent. The idle
 // connections of the same path share its fate.
 func (a *attempt) lost() entry.Event {
@@ -282,7 +305,7 @@
 	}
 	left := !a.unfollow()
 	reuse := whole && !left && a.ctx.Err() == nil && a.stream.Close() == nil
-	a.request.stopUpload(a)
+	a.stopUpload()
 	a.cancel(nil)
 	a.release(reuse)
 }
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,6 +40,9 @@
 	// outcome is what came of the request, for metrics.
 	outcome string
 
+	// uploads waits for the goroutine that sends the rest of the body.
+	uploads sync.WaitGroup
+
 	mu        sync.Mutex
 	bodyError error
 }
@@ -66,8 +70,9 @@
 	}
 	c.outcome = outcomeLeft
 	defer func() { d.measures.request(string(c.route.Class), c.outcome, begun) }()
-	defer c.control.SetReadDeadline(time.Time{})
+	defer c.cutUpload()
 	d.carry(w, r, c)
+	c.endUpload(r.Body)
 }
 
 // admit prepares the request, or says why it is refused.
@@ -100,7 +105,10 @@
 	if err != nil {
 		return nil, badBody(err)
 	}
-	if body.rest == nil {
+	if body.rest != nil {
+		// The answer does not wait for the rest of the body.
+		_ = c.control.EnableFullDuplex()
+	} else {
 		// Past the body a read deadline would look as if the caller had left.
 		_ = c.control.SetReadDeadline(time.Time{})
 	}
@@ -345,15 +353,27 @@
 	return c.bodyError
 }
 
-// stopUpload ends the sending of the rest of the body: it may wait for a slow
-// caller, whose connection is of no further use then.
-func (c *callerCall) stopUpload(a *attempt) {
+// lingerTime is how long a caller that still sends is read after its answer, as
+// net/http does on its own: a connection that is closed before is reset, and with
+// it goes an answer that the caller has not read yet.
+const lingerTime = 500 * time.Millisecond
+
+// endUpload lets a caller that got its answer early send on for a while.
+func (c *callerCall) endUpload(body io.Reader) {
 	if c.body.rest == nil {
 		return
 	}
-	a.cancel(nil)
-	if c.body.spent.Load() {
+	_ = c.control.Flush()
+	_ = c.control.SetReadDeadline(time.Now().Add(lingerTime))
+	c.uploads.Wait()
+	_, _ = io.Copy(io.Discard, body) // ends with the body or at the deadline
+}
+
+// cutUpload ends the reading of the body at once.
+func (c *callerCall) cutUpload() {
+	if c.body.rest != nil {
 		_ = c.control.SetReadDeadline(time.Now())
+		c.uploads.Wait()
 	}
-	a.uploads.Wait()
+	_ = c.control.SetReadDeadline(time.Time{})
 }
--- a/internal/node/calls/hostile_test.go
+++ b/internal/node/calls/hostile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -142,6 +143,24 @@
 	}
 }
 
+// TestEarlyAnswerToSlowCaller holds that an early answer does not wait for a
+// caller which stops in the middle of its body.
+func TestEarlyAnswerToSlowCaller(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{nodes: 1}, func(http.ResponseWriter, *http.Request) {})
+	f.nodes[0].duty.SetTarget(Target{Service: "depot", Slots: 8, Connections: 40, Address: earlyTarget(t), State: membership.TargetReady})
+	body, sender := io.Pipe()
+	defer sender.Close()
+	go func() { _, _ = sender.Write(bytes.Repeat([]byte("x"), 300<<10)) }()
+	request, err := http.NewRequest("POST", f.nodes[0].callers.URL+"/file", body)
+	is.NoErr(err)
+	client := http.Client{Timeout: safetyNet}
+	response, err := client.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusForbidden) // while the body is still open
+}
+
 // earlyTarget answers each request at its headers' end and reads the rest away.
 func earlyTarget(t *testing.T) string {
 	t.Helper()
