Keep a caller's connection alive after a body over the buffer

Ruled out: the early answers themselves (the body is read whole here).

Change: a body that was read to its end has no read deadline any more, and nothing sets one after it. A call with a large body that reaches its deadline is for the same reason no longer taken for one whose caller left.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -247,6 +247,9 @@
 			return
 		}
 		frame := &wire.CallFrame{Data: data[:n], Last: err == io.EOF}
+		if frame.Last {
+			a.request.bodyEnded()
+		}
 		if a.stream.Send(frame) != nil || frame.Last {
 			return
 		}
@@ -260,8 +263,9 @@
 	uploadEnded
 )
 
-// stopUpload ends the sending of the rest of the body. One that runs ends with
-// its next read; the body cannot be sent again then.
+// stopUpload keeps a sending of the rest of the body that waits from starting. One
+// that runs ends with its next read, as the attempt is cancelled; the body cannot
+// be sent again then.
 func (a *attempt) stopUpload() {
 	if a.request.body.rest == nil {
 		return
@@ -269,7 +273,6 @@
 	if !a.uploadState.CompareAndSwap(uploadWaits, uploadEnded) {
 		a.request.body.spent.Store(true)
 	}
-	a.cancel(nil)
 }
 
 // lost ends the attempt after its connection broke or went silent. The idle
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +43,8 @@
 
 	// uploads waits for the goroutine that sends the rest of the body.
 	uploads sync.WaitGroup
+	// ended says that the body was read to its end.
+	ended atomic.Bool
 
 	mu        sync.Mutex
 	bodyError error
@@ -364,14 +367,26 @@
 		return
 	}
 	_ = c.control.Flush()
-	_ = c.control.SetReadDeadline(time.Now().Add(lingerTime))
+	if !c.ended.Load() {
+		_ = c.control.SetReadDeadline(time.Now().Add(lingerTime))
+	}
 	c.uploads.Wait()
-	_, _ = io.Copy(io.Discard, body) // ends with the body or at the deadline
+	if _, err := io.Copy(io.Discard, body); err == nil {
+		c.bodyEnded()
+	}
+}
+
+// bodyEnded takes the read deadline away: past the body the server watches the
+// connection by a read of its own, and one that runs out looks as if the caller
+// had left, to this request and to the connection's next.
+func (c *callerCall) bodyEnded() {
+	c.ended.Store(true)
+	_ = c.control.SetReadDeadline(time.Time{})
 }
 
-// cutUpload ends the reading of the body at once.
+// cutUpload ends the reading of a body that has not ended.
 func (c *callerCall) cutUpload() {
-	if c.body.rest != nil {
+	if c.body.rest != nil && !c.ended.Load() {
 		_ = c.control.SetReadDeadline(time.Now())
 		c.uploads.Wait()
 	}
--- a/internal/node/calls/hostile_test.go
+++ b/internal/node/calls/hostile_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"testing"
@@ -184,3 +185,32 @@
 	}()
 	return listener.Addr().String()
 }
+
+// TestConnectionOutlivesAnUpload holds that a caller's connection serves further
+// requests after one whose body was over the buffer.
+func TestConnectionOutlivesAnUpload(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{nodes: 1}, func(w http.ResponseWriter, r *http.Request) {
+		size, _ := io.Copy(io.Discard, r.Body) // a cut body is told by its size
+		_, _ = fmt.Fprint(w, size)
+	})
+	const large = 900 << 10
+	var addresses []string
+	client := http.Client{Timeout: safetyNet, Transport: &http.Transport{MaxConnsPerHost: 1}}
+	for range 5 {
+		request, err := http.NewRequest("POST", f.nodes[0].callers.URL+"/file", newBody(strings.Repeat("x", large)))
+		is.NoErr(err)
+		request = request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+			GotConn: func(info httptrace.GotConnInfo) { addresses = append(addresses, info.Conn.LocalAddr().String()) },
+		}))
+		response, err := client.Do(request)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(string(body), fmt.Sprint(large))
+	}
+	for _, address := range addresses {
+		is.Equal(address, addresses[0])
+	}
+}
