Log which platform request failed, and why, when the platform is lost

Event 204 said only that the platform was unreachable. In the record, nodes logged it 1.0 s after their start while the store answered their writes, and no line told a timed-out read of the configuration from a lost connection.

204 now has the request and the reason with the time after which it failed, once per transition as before. Two counters distinguish the hypotheses in metrics: platform_failures (reads that fail) and tickets_rejected (records that the node refuses). Neither blocks: both are atomic adds.

--- a/internal/coordination/spread/actions.go
+++ b/internal/coordination/spread/actions.go
@@ -94,8 +94,13 @@
 	LogTrimmed Condition = 3
 )
 
-// ReportCondition reports that a condition began.
-type ReportCondition struct{ Condition Condition }
+// ReportCondition reports that a condition began. With PlatformUnreachable, Failed is
+// the request that failed and Reason says why.
+type ReportCondition struct {
+	Condition Condition
+	Failed    Action
+	Reason    string
+}
 
 func (ReadBounds) action()          {}
 func (ReadTickets) action()         {}
--- a/internal/coordination/spread/events.go
+++ b/internal/coordination/spread/events.go
@@ -67,8 +67,11 @@
 type CheckpointWritten struct{ Offset int64 }
 
 // PlatformFailed reports that a request to the platform failed, timed out or could
-// not be queued.
-type PlatformFailed struct{ Request Action }
+// not be queued. Reason says why, for the log.
+type PlatformFailed struct {
+	Request Action
+	Reason  string
+}
 
 // PeerVersion reports the version that a peer runs.
 type PeerVersion struct {
--- a/internal/coordination/spread/machine.go
+++ b/internal/coordination/spread/machine.go
@@ -99,7 +99,7 @@
 		m.handlePlatformResponse()
 		m.handleCheckpointWritten(now, e.Offset)
 	case PlatformFailed:
-		m.handlePlatformFailure(now, e.Request)
+		m.handlePlatformFailure(now, e)
 	case PeerVersion:
 		m.handlePeerVersion(now, e)
 	case PushReceived:
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -141,16 +141,16 @@
 	}
 }
 
-func (m *Machine) handlePlatformFailure(now time.Time, request Action) {
+func (m *Machine) handlePlatformFailure(now time.Time, e PlatformFailed) {
 	if !m.reading.platformUnreachable {
 		m.reading.platformUnreachable = true
-		m.emit(ReportCondition{Condition: PlatformUnreachable})
+		m.emit(ReportCondition{Condition: PlatformUnreachable, Failed: e.Request, Reason: e.Reason})
 	}
 	limit := maxRetryDelay
 	if m.topology.isReader(m.options.Readers) {
 		limit = maxReaderRetryDelay
 	}
-	switch r := request.(type) {
+	switch r := e.Request.(type) {
 	case ReadNewestTicket:
 		if r.ForJoin {
 			m.join.offsetRequest.failed(now, limit, m.random)
--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -121,6 +121,8 @@
 		{"updates_refused", func(s configuration.Stats) uint64 { return s.UpdatesRefused }},
 		{"platform_reads", func(s configuration.Stats) uint64 { return s.PlatformReads }},
 		{"platform_appends", func(s configuration.Stats) uint64 { return s.PlatformAppends }},
+		{"platform_failures", func(s configuration.Stats) uint64 { return s.PlatformFailures }},
+		{"tickets_rejected", func(s configuration.Stats) uint64 { return s.TicketsRejected }},
 		{"messages_dropped", func(s configuration.Stats) uint64 { return s.MessagesDropped }},
 	} {
 		name := fmt.Sprintf("jasminegate_configuration_total{event=%q}", counter.event)
--- a/internal/node/configuration/perform.go
+++ b/internal/node/configuration/perform.go
@@ -7,17 +7,20 @@
 	"jasminegate/internal/state"
 )
 
+// requestQueueFull is the reason of a platform request that could not be queued.
+const requestQueueFull = "the queue of requests to the platform is full"
+
 // perform carries out one action of the machine. If the action's queue is full,
 // it returns the event that reports the request as failed, otherwise nil.
 func (r *Runner) perform(action spread.Action, reply chan spread.Action) spread.Event {
 	switch a := action.(type) {
 	case spread.ReadTickets, spread.ReadCheckpoint, spread.ReadNewestTicket:
 		if !r.logReads.TryPush(action) {
-			return spread.PlatformFailed{Request: action}
+			return spread.PlatformFailed{Request: action, Reason: requestQueueFull}
 		}
 	case spread.ReadBounds, spread.WriteCheckpoint:
 		if !r.otherRequests.TryPush(action) {
-			return spread.PlatformFailed{Request: action}
+			return spread.PlatformFailed{Request: action, Reason: requestQueueFull}
 		}
 	case spread.PullUpdate:
 		if !r.pulls.TryPush(a) {
@@ -37,7 +40,7 @@
 		r.stats.updatesRefused.Add(1)
 		r.options.Logger.Event(logging.UpdateRefused).Err(a.Err).Send()
 	case spread.ReportCondition:
-		r.logCondition(a.Condition)
+		r.logCondition(a)
 	}
 	return nil
 }
@@ -53,18 +56,38 @@
 	event := logging.TicketAccepted
 	if !verdict.Outcome.Effective() {
 		event = logging.TicketRejected
+		r.stats.ticketsRejected.Add(1)
 	}
 	line := r.options.Logger.Event(event).Uint("number", verdict.Number).Uint("position", verdict.Position)
 	line.Str("outcome", verdict.Outcome.String()).Str("reason", verdict.Reason).Send()
 }
 
-func (r *Runner) logCondition(condition spread.Condition) {
-	switch condition {
+func (r *Runner) logCondition(report spread.ReportCondition) {
+	switch report.Condition {
 	case spread.PlatformUnreachable:
-		r.options.Logger.Event(logging.PlatformUnreachable).Send()
+		line := r.options.Logger.Event(logging.PlatformUnreachable)
+		line.Str("request", requestName(report.Failed)).Str("reason", report.Reason).Send()
 	case spread.PlatformReachable:
 		r.options.Logger.Event(logging.PlatformReachable).Send()
 	case spread.LogTrimmed:
 		r.options.Logger.Event(logging.LogTrimmed).Send()
 	}
 }
+
+// requestName names a request to the platform in the log.
+func requestName(request spread.Action) string {
+	switch request.(type) {
+	case spread.ReadTickets:
+		return "tickets"
+	case spread.ReadNewestTicket:
+		return "newest-ticket"
+	case spread.ReadBounds:
+		return "bounds"
+	case spread.ReadCheckpoint:
+		return "checkpoint"
+	case spread.WriteCheckpoint:
+		return "write-checkpoint"
+	default:
+		return "unknown"
+	}
+}
--- a/internal/node/configuration/platform.go
+++ b/internal/node/configuration/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -19,10 +20,12 @@
 
 // platformRequest performs one request to the platform's log and logs its failure.
 func (r *Runner) platformRequest(ctx context.Context, request spread.Action) spread.Event {
+	start := time.Now()
 	event, err := r.doPlatformRequest(ctx, request)
 	if err != nil {
+		r.stats.platformFailures.Add(1)
 		r.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
-		return spread.PlatformFailed{Request: request}
+		return spread.PlatformFailed{Request: request, Reason: fmt.Sprintf("after %d ms: %v", time.Since(start).Milliseconds(), err)}
 	}
 	r.options.OnPlatformContact()
 	return event
