--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -52,6 +52,9 @@
 	pulls               int
 	fullStates          int // responses to pulls with the full state
 	pushedTo            map[string]int
+	// links models transfer times; nil means that messages of any size take only
+	// the latency.
+	links *links
 }
 
 type node struct {
@@ -302,7 +305,7 @@
 	reply := func(event Event) { f.after(f.latency(), func() { f.step(n, incarnation, event) }) }
 	switch a := action.(type) {
 	case ReadBounds, ReadCheckpoint, WriteCheckpoint, ReadNewestTicket:
-		f.after(f.latency(), func() { reply(f.platformResponse(n, a)) })
+		f.after(f.latency(), func() { f.deliverRead(n, f.platformResponse(n, a), reply) })
 	case ReadTickets:
 		f.ticketReads++
 		f.poll(n, a, f.now.Add(testReadWait), reply)
@@ -360,10 +363,10 @@
 		reply(TicketsTrimmed{})
 	case read.From < int64(len(f.tickets)):
 		var records []Record
-		for i := read.From; i < min(int64(len(f.tickets)), read.From+8); i++ {
+		for i := read.From; i < min(int64(len(f.tickets)), read.From+f.recordsPerRead()); i++ {
 			records = append(records, Record{Offset: i, Data: f.tickets[i]})
 		}
-		reply(TicketsRead{records})
+		f.deliverRead(n, TicketsRead{records}, reply)
 	case !read.Wait || !f.now.Before(end):
 		reply(TicketsRead{})
 	default:
@@ -396,10 +399,12 @@
 		}
 	}
 	for range 1 + f.random.IntN(2) { // the push may be delivered twice
-		f.request(peer, func(token uint64) Event { return PushReceived{token, update} }, func(response Action) {
-			if !f.dropsMessage(peer, n) {
-				finish(PushDone{PeerID: a.Peer.ID, Version: response.(RespondToPush).Version})
-			}
+		f.sendState(n, peer, update, func() {
+			f.request(peer, func(token uint64) Event { return PushReceived{token, update} }, func(response Action) {
+				if !f.dropsMessage(peer, n) {
+					finish(PushDone{PeerID: a.Peer.ID, Version: response.(RespondToPush).Version})
+				}
+			})
 		})
 	}
 	f.after(testTimeout, func() { finish(failed) })
@@ -423,7 +428,7 @@
 			}
 			response.Update = f.maybeCorrupt(response.Update)
 			if !f.dropsMessage(peer, n) {
-				finish(PullDone{PeerID: a.Peer.ID, Response: response})
+				f.sendState(peer, n, response.Update, func() { finish(PullDone{PeerID: a.Peer.ID, Response: response}) })
 			}
 		})
 	}
--- /dev/null
+++ b/internal/coordination/spread/large_configuration_test.go
@@ -0,0 +1,110 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	// recoverTimeout is the time in which a fleet serves again after all its machines
+	// were back.
+	recoverTimeout = 15 * time.Second
+	// inForceTimeout is the time in which a confirmed ticket is in force.
+	inForceTimeout = 2500 * time.Millisecond
+	// fleetReaders is the number of readers in each domain.
+	fleetReaders = 2
+)
+
+// newSlowLinkFleet returns a converged fleet of three domains on a compacted log
+// whose tickets are large for the links.
+func newSlowLinkFleet(t *testing.T, nodes int) *fleet {
+	f := emptyFleet(11, t.Fatalf)
+	f.compactedLog = true
+	f.readers, f.fanOut, f.maxLatency = fleetReaders, 8, 2*time.Millisecond
+	f.links = newLinks(largeTicketBytes)
+	f.fill(3, nodes/3)
+	f.publish(replacingTicket(1, []string{"a", "b"}, 1))
+	f.run(20 * time.Second)
+	f.requireConverged()
+	return f
+}
+
+// restartAll restarts every node at once and returns the time until all of them have
+// installed the newest configuration, at most recoverTimeout.
+func (f *fleet) restartAll() time.Duration {
+	start := f.now
+	for _, n := range f.nodes {
+		f.crash(n)
+	}
+	f.run(time.Second)
+	back := f.now
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.run(recoverTimeout)
+	f.requireConverged()
+	last := start
+	for _, n := range f.nodes {
+		if n.installedAt.After(last) {
+			last = n.installedAt
+		}
+	}
+	return last.Sub(back)
+}
+
+// When all nodes start at once, only readers load the whole configuration from the
+// platform; the number of such reads does not grow with the fleet.
+func TestEveryRestartedNodeReadsWholeConfiguration(t *testing.T) {
+	for _, nodes := range []int{30, 99, 300} {
+		t.Run(fmt.Sprintf("nodes=%d", nodes), func(t *testing.T) {
+			f := newSlowLinkFleet(t, nodes)
+			f.links.newestReads, f.links.readBytes = 0, 0
+			took := f.restartAll()
+			t.Logf("%d nodes: %d reads of the newest ticket, %d bytes of tickets a node, installed everywhere after %v",
+				nodes, f.links.newestReads, f.links.readBytes/nodes, took)
+			if limit := 2 * 3 * fleetReaders; f.links.newestReads > limit {
+				t.Errorf("%d nodes made %d reads of the newest ticket after a restart of all, want at most %d", nodes, f.links.newestReads, limit)
+			}
+		})
+	}
+}
+
+// While nodes are stopped and started in overlapping series and a new version comes
+// with each confirmation, every node that runs has each version in time.
+func TestSeriesOfRestartsDelaysLargeConfigurations(t *testing.T) {
+	const (
+		versionInterval = 2600 * time.Millisecond
+		batchInterval   = 800 * time.Millisecond
+		batchSize       = 7
+		downtime        = 600 * time.Millisecond
+	)
+	f := newSlowLinkFleet(t, 99)
+	next := 0
+	var roll func()
+	roll = func() {
+		for range batchSize {
+			n := f.nodes[next%len(f.nodes)]
+			next++
+			f.crash(n)
+			f.after(downtime, func() { f.start(n) })
+		}
+		f.after(batchInterval, roll)
+	}
+	f.after(0, roll)
+	f.links.newestReads, f.links.readBytes = 0, 0
+	const versions = 12
+	for i := range versions {
+		f.publish(replacingTicket(uint64(i)+2, []string{"a", "b"}, i+2))
+		want := f.reference.Version()
+		f.run(inForceTimeout)
+		for _, n := range f.nodes {
+			installed := installedVersion(n)
+			if n.up && installed.Position > 0 && installed.Position < want.Position {
+				t.Errorf("version %d: %s still serves with %v after %v", i+2, n.member.ID, installed, inForceTimeout)
+			}
+		}
+		f.run(versionInterval - inForceTimeout)
+	}
+	t.Logf("%d restarts: %d reads of the newest ticket, %d bytes of tickets a restart", next, f.links.newestReads, f.links.readBytes/next)
+}
