Accept a configuration whose ticket is over 512 KiB

What callers saw: versions from 20 on (2,000 routes more, 669 kB as a ticket) were confirmed by the store and never in force on any node; after a loss of power no node had a configuration and every call was refused.

Cause: the bounds along a configuration's way contradicted each other. A ticket had at most 512 KiB, the state 2 MiB. On a platform whose operators publish the whole configuration each time, the ticket is the state, so a quarter of the allowed state could not be published. The rejection is final: no later ticket is smaller.

Fix: the bound of the state (8 MiB, 50,000 resources, for a node's memory) is the only one that is chosen; those of tickets, updates, messages, responses, files and publish requests follow from it. TestLargestConfigurationExceedsNoOtherLimit takes the largest configuration through ticket, fold, update and message.

TestLargeConfigurationIsRejectedAsOversized failed before (738,842 bytes over 524,288) and passes. The case 'oversized ticket' of TestFoldDecides takes more services, since its ticket has to be over the new bound; its check is unchanged. A fleet with nodes of both releases folds tickets over 512 KiB differently: upgrade all nodes first.

Not enough by itself: TestRestartedFleetRefusesEveryCall still fails, with the timeout of reads.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -11,7 +11,8 @@
 	"jasminegate/internal/protocol/problem"
 )
 
-// maxAdminBodyBytes bounds the body of a request to the admin address.
+// maxAdminBodyBytes bounds the body of a request to the admin address that publishes
+// no ticket.
 const maxAdminBodyBytes = 1 << 20
 
 // adminHandler returns the admin API, used by operators and the local target.
--- a/internal/node/admin_tickets.go
+++ b/internal/node/admin_tickets.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -24,9 +25,9 @@
 // postTicket appends the ticket to the platform's log. Publishing the same ticket
 // again has no further effect.
 func (n *node) postTicket(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAdminBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, state.MaxTicketBytes))
 	if err != nil {
-		writeBadRequest(w, "ticket: "+err.Error(), "send one ticket of at most 512 KiB as JSON")
+		writeBadRequest(w, "ticket: "+err.Error(), fmt.Sprintf("send one ticket of at most %d bytes as JSON", state.MaxTicketBytes))
 		return
 	}
 	ticket, err := state.DecodeTicket(body)
--- a/internal/protocol/codec/update.go
+++ b/internal/protocol/codec/update.go
@@ -12,8 +12,9 @@
 )
 
 // MaxUpdateBytes bounds an update before compression. A full update with all
-// retained verdicts stays below it, since state.MaxStateBytes bounds the state.
-const MaxUpdateBytes = 4 << 20
+// retained verdicts stays below it: state.MaxStateBytes and state.MaxResources bound
+// the state and the names in it.
+const MaxUpdateBytes = 2 * state.MaxStateBytes
 
 // Errors of encoded configuration.
 var (
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -38,11 +38,12 @@
 	Removed bool
 }
 
-// Limits of a whole configuration. They ensure that a full state fits into one
-// message and one record of the platform's log.
+// Limits of a whole configuration. They bound a node's memory. The limits of tickets,
+// updates, messages and responses follow from them, so that a configuration within
+// these limits is never refused further on.
 const (
-	MaxResources  = 10_000
-	MaxStateBytes = 2 << 20
+	MaxResources  = 50_000
+	MaxStateBytes = 8 << 20
 )
 
 // Snapshot is one immutable configuration. Its zero value is the empty
--- a/internal/state/ticket.go
+++ b/internal/state/ticket.go
@@ -12,7 +12,9 @@
 
 // Limits of tickets and resources.
 const (
-	MaxTicketBytes   = 512 << 10
+	// MaxTicketBytes has room for a ticket that replaces the configuration by the
+	// largest one, and for the ticket's own fields.
+	MaxTicketBytes   = MaxStateBytes + 256<<10
 	MaxNameBytes     = 120
 	MaxPathBytes     = 1024
 	MaxSlots         = 100_000
--- a/internal/strictyaml/document.go
+++ b/internal/strictyaml/document.go
@@ -20,7 +20,7 @@
 
 // MaxFileBytes is the size limit of a file. A larger file is reported as a
 // problem and not parsed.
-const MaxFileBytes = 1 << 20
+const MaxFileBytes = 16 << 20
 
 // Document is one decoded file, with the line of each key and the problems found.
 type Document struct {
--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -13,6 +13,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
+
+	"jasminegate/internal/protocol/codec"
 )
 
 // Errors of connections between nodes.
@@ -29,8 +31,9 @@
 // IsBusy reports whether the error is an ErrBusy.
 func IsBusy(err error) bool { return errorx.IsOfType(err, ErrBusy) }
 
-// MaxMessageBytes bounds one message received from another node.
-const MaxMessageBytes = 4 << 20
+// MaxMessageBytes bounds one message received from another node. It exceeds the
+// largest update, also if compression does not shrink it.
+const MaxMessageBytes = codec.MaxUpdateBytes + 64<<10
 
 // PoolOptions are the limits and hooks of a Pool.
 type PoolOptions struct {
--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -9,14 +9,17 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"jasminegate/internal/state"
 )
 
 // Bounds of one request to the platform.
 const (
 	// MaxReadBytes is the limit of record data that one read requests, in bytes.
 	MaxReadBytes = 1 << 20
-	// maxResponseBytes bounds a response's body after decompression.
-	maxResponseBytes = 8 << 20
+	// maxResponseBytes bounds a response's body after decompression. A read's response
+	// has up to MaxReadBytes of records and one record more, in base64.
+	maxResponseBytes = (MaxReadBytes + state.MaxTicketBytes) * 3 / 2
 	// maxErrorTextBytes bounds how much of an error response's body is read.
 	maxErrorTextBytes = 512
 )
