--- a/internal/standin/relay/link.go
+++ b/internal/standin/relay/link.go
@@ -149,10 +149,12 @@
 		l.relay.countBytes(0, len(chunk.data))
 		return true
 	}
+	// Counted before the write, so that the count includes all that a peer has received.
+	l.relay.countBytes(len(chunk.data), 0)
 	if _, err := dst.Write(chunk.data); err != nil {
+		l.relay.countBytes(-len(chunk.data), 0)
 		return l.isSilent()
 	}
-	l.relay.countBytes(len(chunk.data), 0)
 	return true
 }
 
