Limit platform requests by progress, so that slow links read large configurations

Cause: platform.request_timeout (1 s) covered a request from its first byte to the last. A configuration of 669 kB is 890 kB in base64 and takes 1.4 s on a link of 5 Mbit/s without other traffic. The read could never complete; each retry began again and kept the link full for the others.

Fix: a request fails when no byte is sent or received within the timeout, or after 30 s. A silent connection is detected as soon as before. It holds for both clients of the log and for reads of the members; the timeouts around them, which bounded the same requests a second time, are gone.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -86,7 +86,7 @@
 	// themselves. It is used only with an adapter.
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	URL       string        `yaml:"url"`
-	// RequestTimeout limits the duration of one request to the log.
+	// RequestTimeout limits the time without progress of one request to the log.
 	RequestTimeout time.Duration `yaml:"request_timeout"`
 	// ReadWait is how long one read waits for a new record (long polling). A
 	// longer wait needs fewer reads but detects a dead connection later.
--- a/internal/node/configuration/platform.go
+++ b/internal/node/configuration/platform.go
@@ -32,12 +32,6 @@
 }
 
 func (r *Runner) doPlatformRequest(ctx context.Context, request spread.Action) (spread.Event, error) {
-	timeout := r.options.Platform.RequestTimeout
-	if read, ok := request.(spread.ReadTickets); ok && read.Wait {
-		timeout += r.options.Platform.ReadWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	switch typed := request.(type) {
 	case spread.ReadBounds:
 		r.stats.platformReads.Add(1)
--- a/internal/node/configuration/tickets.go
+++ b/internal/node/configuration/tickets.go
@@ -50,8 +50,6 @@
 	if err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.options.Platform.RequestTimeout)
-	defer cancel()
 	r.stats.platformAppends.Add(1)
 	offset, err := r.options.Log.Append(ctx, platformlog.StreamTickets, data)
 	if err != nil {
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -129,8 +129,6 @@
 }
 
 func (r *directory) put(ctx context.Context, key string, data []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, membersRequestTimeout)
-	defer cancel()
 	if err := r.runner.options.Directory.Put(ctx, platformlog.StreamMembers, key, data); err != nil {
 		r.runner.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
 		return false
@@ -139,8 +137,6 @@
 }
 
 func (r *directory) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, membersRequestTimeout)
-	defer cancel()
 	sentAt := r.runner.options.Now()
 	batch, err := r.runner.options.Directory.NewestByKey(ctx, platformlog.StreamMembers)
 	if err != nil {
--- a/internal/node/members/roster.go
+++ b/internal/node/members/roster.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// membersRequestTimeout bounds one request to the members stream.
-	membersRequestTimeout = 2 * time.Second
 	// rosterJoinInterval is the mean time between two reads while the node has not
 	// joined the fleet or needs external contact.
 	rosterJoinInterval = 2 * time.Second
@@ -102,8 +100,6 @@
 // read applies the records appended since the last read. If the platform is
 // unreachable the node continues with the members it knows.
 func (r *rosterStream) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, membersRequestTimeout)
-	defer cancel()
 	sentAt := r.runner.options.Now()
 	log := r.runner.options.Log
 	bounds, err := log.Bounds(ctx, platformlog.StreamMembers)
@@ -162,8 +158,6 @@
 	if slices.Equal(data, r.appended) && now.Sub(r.appendedAt) < refresh {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, membersRequestTimeout)
-	defer cancel()
 	if _, err := r.runner.options.Log.Append(ctx, platformlog.StreamMembers, data); err != nil {
 		return
 	}
--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -1,7 +1,6 @@
 package platformlog
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -10,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"jasminegate/internal/state"
 )
 
@@ -36,8 +37,8 @@
 var _ Log = (*Client)(nil)
 
 // New returns a client of the log at url, for example
-// "http://10.0.0.5:7400". requestTimeout bounds each request; the wait of a read
-// is added to it. client makes the requests and should set no timeout of its
+// "http://10.0.0.5:7400". requestTimeout bounds the time without progress of each
+// request; the wait of a read is added to it. client makes the requests and should set no timeout of its
 // own.
 func New(url string, requestTimeout time.Duration, client *http.Client) *Client {
 	return &Client{
@@ -50,10 +51,8 @@
 // Append implements Log. After ErrTooLarge the record was not added; after
 // ErrUnavailable it may have been added.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.requestTimeout)
-	defer cancel()
 	var response appendResponse
-	err := c.do(ctx, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
+	err := c.do(ctx, 0, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
 	if err != nil {
 		return 0, err
 	}
@@ -63,15 +62,13 @@
 // Read implements Log. With ErrTrimmed it returns a batch that has only the
 // stream's bounds. Any other error is ErrUnavailable.
 func (c *Client) Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+c.requestTimeout)
-	defer cancel()
 	query := url.Values{
 		"from":      {strconv.FormatInt(from, 10)},
 		"wait_ms":   {strconv.FormatInt(wait.Milliseconds(), 10)},
 		"max_bytes": {strconv.Itoa(MaxReadBytes)},
 	}
 	var response readResponse
-	err := c.do(ctx, http.MethodGet, c.streamURL(stream)+"/records?"+query.Encode(), nil, &response)
+	err := c.do(ctx, wait, http.MethodGet, c.streamURL(stream)+"/records?"+query.Encode(), nil, &response)
 	var trimmed *trimmedError
 	if errors.As(err, &trimmed) {
 		return Batch{Bounds: trimmed.bounds}, trimmed.toErrTrimmed(stream, from)
@@ -84,10 +81,8 @@
 
 // Bounds implements Log. It fails with ErrUnavailable.
 func (c *Client) Bounds(ctx context.Context, stream string) (Bounds, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.requestTimeout)
-	defer cancel()
 	var response boundsResponse
-	if err := c.do(ctx, http.MethodGet, c.streamURL(stream), nil, &response); err != nil {
+	if err := c.do(ctx, 0, http.MethodGet, c.streamURL(stream), nil, &response); err != nil {
 		return Bounds{}, err
 	}
 	return response.bounds()
@@ -97,22 +92,25 @@
 	return c.base + "/streams/" + url.PathEscape(stream)
 }
 
-// do sends one request and decodes the body of a 200 response into result.
-func (c *Client) do(ctx context.Context, method, target string, body []byte, result any) error {
-	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+// do sends one request, whose response may take wait longer, and decodes the body of
+// a 200 response into result.
+func (c *Client) do(ctx context.Context, wait time.Duration, method, target string, body []byte, result any) error {
+	transfer := NewTransfer(ctx, wait, c.requestTimeout)
+	defer transfer.Stop()
+	request, err := transfer.NewRequest(method, target, body)
 	if err != nil {
 		return ErrUnavailable.New("platform address %q: correct platform.url in the settings: %v", c.base, err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return c.requestError(err)
+		return c.requestError(transfer.Err(err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return responseError(response)
 	}
-	if err := decodeResponse(response.Body, result); err != nil {
-		return c.requestError(err)
+	if err := decodeResponse(transfer.Reader(response.Body), result); err != nil {
+		return c.requestError(transfer.Err(err))
 	}
 	return nil
 }
@@ -132,5 +130,5 @@
 
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return errorx.IsOfType(err, ErrStalled) || errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/transport/platformlog/errors.go
+++ b/internal/transport/platformlog/errors.go
@@ -12,6 +12,9 @@
 	// error or sent a malformed response, that the caller's context ended, or that
 	// nodes cannot append to the stream on this platform.
 	ErrUnavailable = errorx.NewType(Errors, "unavailable")
+	// ErrStalled means that a request made no progress within its timeout, or was not
+	// complete after MaxTransferTime.
+	ErrStalled = errorx.NewType(Errors, "stalled", errorx.Timeout())
 	// ErrTooLarge means that a record is over the platform's size limit.
 	ErrTooLarge = errorx.NewType(Errors, "too_large")
 )
--- a/internal/transport/platformlog/log.go
+++ b/internal/transport/platformlog/log.go
@@ -37,7 +37,8 @@
 	Records []Record
 }
 
-// Log is the platform's append-only log service.
+// Log is the platform's append-only log service. Each request ends by itself when it
+// makes no progress.
 type Log interface {
 	// Append adds a record and returns its offset. After an error the record may
 	// or may not have been added.
@@ -50,7 +51,7 @@
 	Bounds(ctx context.Context, stream string) (Bounds, error)
 }
 
-// CompactedLog is a log that retains the newest record of each key without a time
+// CompactedLog is a log, with requests that end by themselves as those of Log do, that retains the newest record of each key without a time
 // limit, so that a record that must persist need not be appended again.
 type CompactedLog interface {
 	// NewestByKey returns the newest record of each key of the stream, in any order.
--- /dev/null
+++ b/internal/transport/platformlog/transfer.go
@@ -0,0 +1,98 @@
+package platformlog
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// MaxTransferTime bounds a request whose data keeps arriving or being sent.
+const MaxTransferTime = 30 * time.Second
+
+// Transfer limits one HTTP exchange by its progress in place of its duration: a large
+// body takes long on a slow link, but data arrives all the time. The exchange is
+// cancelled when no byte is sent or received within the timeout, or after
+// MaxTransferTime.
+type Transfer struct {
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	timeout time.Duration
+	stalled *time.Timer
+	limit   *time.Timer
+}
+
+// NewTransfer returns a transfer and its context. The first byte of the response may
+// take wait longer than the timeout. Stop must be called when the exchange has ended.
+func NewTransfer(parent context.Context, wait, timeout time.Duration) *Transfer {
+	ctx, cancel := context.WithCancelCause(parent)
+	t := &Transfer{ctx: ctx, cancel: cancel, timeout: timeout}
+	t.stalled = time.AfterFunc(wait+timeout, func() {
+		cancel(ErrStalled.New("no data within %v: check the network path to the platform", timeout))
+	})
+	t.limit = time.AfterFunc(wait+MaxTransferTime, func() {
+		cancel(ErrStalled.New("not complete after %v: check the bandwidth to the platform", MaxTransferTime))
+	})
+	return t
+}
+
+// Context returns the context of the exchange's request.
+func (t *Transfer) Context() context.Context { return t.ctx }
+
+// Stop releases the transfer's resources.
+func (t *Transfer) Stop() {
+	t.stalled.Stop()
+	t.limit.Stop()
+	t.cancel(nil)
+}
+
+// NewRequest returns a request in the transfer's context. Sending the body counts as
+// progress.
+func (t *Transfer) NewRequest(method, target string, body []byte) (*http.Request, error) {
+	if len(body) == 0 {
+		return http.NewRequestWithContext(t.ctx, method, target, http.NoBody)
+	}
+	request, err := http.NewRequestWithContext(t.ctx, method, target, t.Reader(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(body))
+	request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(t.Reader(bytes.NewReader(body))), nil }
+	return request, nil
+}
+
+// Reader returns a reader of r whose reads count as progress. The body of a
+// response is to be read through it once the header has arrived.
+func (t *Transfer) Reader(r io.Reader) io.Reader {
+	t.stalled.Reset(t.timeout)
+	return &progressReader{transfer: t, reader: r}
+}
+
+// Err returns ErrStalled if err is a consequence of the transfer's limits, otherwise
+// err.
+func (t *Transfer) Err(err error) error {
+	if err == nil {
+		return nil
+	}
+	if cause := context.Cause(t.ctx); errorx.IsOfType(cause, ErrStalled) {
+		return cause
+	}
+	return err
+}
+
+type progressReader struct {
+	transfer *Transfer
+	reader   io.Reader
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if n > 0 {
+		r.transfer.stalled.Reset(r.transfer.timeout)
+	}
+	return n, err
+}
