Start from the log's end and the peers' state, not from a read of the whole log record

What callers saw: while nodes restarted in series and after the return of the fleet, links were full with reads of the whole configuration, and calls on them late.

Cause: on a compacted log each node that starts read the newest ticket, the whole configuration, only to learn the end of the log. 85 nodes that start at once read 76 MB; 1,500 would read 1.3 GB, 17 s of what the store delivers to all readers, more than the 15 s in which a fleet is to recover. Peers hold the same state, eight times smaller.

Fix: the join offset is read with Bounds, as on a log that is not compacted. Peers deliver the state. A joining reader waits 0.6 s before it reads the log: nodes that start together know few others yet and would all take themselves for readers. Others wait 4 to 8 s for peers, which need the time on slow links, and up to 10 s while a peer is known to have a newer version.

--- a/internal/coordination/spread/actions.go
+++ b/internal/coordination/spread/actions.go
@@ -25,10 +25,7 @@
 
 // ReadNewestTicket reads the newest ticket and the end of a compacted log.
 // The response is NewestTicketRead.
-type ReadNewestTicket struct {
-	// ForJoin marks the read that determines the join offset.
-	ForJoin bool
-}
+type ReadNewestTicket struct{}
 
 // ReadCheckpoint reads the newest usable checkpoint. The response is
 // CheckpointRead.
--- a/internal/coordination/spread/events.go
+++ b/internal/coordination/spread/events.go
@@ -44,9 +44,9 @@
 type TicketsRead struct{ Records []Record }
 
 // NewestTicketRead is the response to ReadNewestTicket. Records holds the newest
-// record of each key: normally the newest ticket alone, or none. Next is the offset of the next record to be appended.
+// record of each key: normally the newest ticket alone, or none. Next is the offset of
+// the next record to be appended.
 type NewestTicketRead struct {
-	ForJoin bool
 	Records []Record
 	Next    int64
 }
--- a/internal/coordination/spread/join.go
+++ b/internal/coordination/spread/join.go
@@ -37,10 +37,6 @@
 		return
 	}
 	m.join.offsetRequest.inFlight = true
-	if m.options.CompactedLog {
-		m.emit(ReadNewestTicket{ForJoin: true})
-		return
-	}
 	m.emit(ReadBounds{Stream: StreamTickets})
 }
 
@@ -83,7 +79,15 @@
 		return isReader
 	case m.topology.isAlone():
 		return m.dueOrWake(now, m.join.startedAt.Add(memberTableWait))
+	case isReader:
+		return m.dueOrWake(now, m.join.startedAt.Add(readerJoinWait))
 	default:
-		return isReader || m.dueOrWake(now, m.join.peerWaitEnd)
+		return m.dueOrWake(now, m.join.peerWaitEnd) && !m.peersWillDeliver(now)
 	}
 }
+
+// peersWillDeliver reports whether a joining node goes on waiting for its peers after
+// peerWaitEnd: some have a newer version, so that they only lack the time to send it.
+func (m *Machine) peersWillDeliver(now time.Time) bool {
+	return len(m.pulling.newerPeers) > 0 && !m.dueOrWake(now, m.join.startedAt.Add(maxJoinPeerWait))
+}
--- a/internal/coordination/spread/large_configuration_test.go
+++ b/internal/coordination/spread/large_configuration_test.go
@@ -80,6 +80,7 @@
 		downtime        = 600 * time.Millisecond
 	)
 	f := newSlowLinkFleet(t, 99)
+	f.stoppedRefuse = true
 	next := 0
 	var roll func()
 	roll = func() {
--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -33,12 +33,19 @@
 	// joinJitter spreads the first platform requests of nodes that start together.
 	joinJitter = 500 * time.Millisecond
 	// compactedLogJoinJitter replaces joinJitter on a compacted log. It is shorter
-	// because a single request returns the full configuration.
+	// because a node that starts there reads little more than the stream's end.
 	compactedLogJoinJitter = 50 * time.Millisecond
 	// joinPeerWait is how long a joining node that is not a reader waits for state
 	// from its peers before it reads the log. A random time below the same value is
 	// added.
-	joinPeerWait = 2 * time.Second
+	joinPeerWait = 4 * time.Second
+	// readerJoinWait is how long after its start a joining reader waits before it reads
+	// the log. In a fleet that starts as a whole, nodes that know few others yet take
+	// themselves for readers; in one that runs, a peer delivers the state sooner.
+	readerJoinWait = 600 * time.Millisecond
+	// maxJoinPeerWait is how long after its start a joining node that is not a reader
+	// waits for peers that have a newer version.
+	maxJoinPeerWait = 10 * time.Second
 	// memberTableWait is how long a starting node that knows no other live node
 	// waits for the member table before it reads the log.
 	memberTableWait = time.Second
@@ -62,6 +69,8 @@
 	crossDomainPullDelay = 250 * time.Millisecond
 	// pullJitter spreads the pulls of nodes that learn of a version together.
 	pullJitter = 150 * time.Millisecond
+	// joinPullJitter replaces pullJitter while a node joins.
+	joinPullJitter = 30 * time.Millisecond
 	// minRequestedPullInterval is the minimum time between two pulls that are
 	// requested for unknown verdicts or after updates that could not be applied.
 	minRequestedPullInterval = time.Second
--- a/internal/coordination/spread/pulling.go
+++ b/internal/coordination/spread/pulling.go
@@ -81,8 +81,12 @@
 // schedulePull schedules a pull after delay and a jitter, unless one is scheduled
 // already.
 func (m *Machine) schedulePull(now time.Time, delay time.Duration) {
+	maxJitter := pullJitter
+	if !m.join.joined {
+		maxJitter = joinPullJitter
+	}
 	if m.pulling.scheduledAt.IsZero() {
-		m.pulling.scheduledAt = now.Add(delay + jitter(m.random, pullJitter))
+		m.pulling.scheduledAt = now.Add(delay + jitter(m.random, maxJitter))
 	}
 }
 
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -27,11 +27,11 @@
 	}
 	m.reading.request.inFlight = true
 	m.reading.requestedAt = now
-	switch {
-	case m.reading.recordsMissing && m.options.CompactedLog:
-		m.emit(ReadNewestTicket{})
-		return
-	case m.needsCheckpoint():
+	if m.needsFullState() {
+		if m.options.CompactedLog {
+			m.emit(ReadNewestTicket{})
+			return
+		}
 		m.emit(ReadCheckpoint{})
 		return
 	}
@@ -40,9 +40,10 @@
 	m.emit(ReadTickets{From: m.fold.NextOffset(), Wait: m.join.joined || m.options.CompactedLog})
 }
 
-// needsCheckpoint reports whether to read a checkpoint next: if records are missing,
-// or once before the stream would be read from its start.
-func (m *Machine) needsCheckpoint() bool {
+// needsFullState reports whether to read a checkpoint or, on a compacted log, the newest
+// ticket next: if records are missing, or once before the stream would be read from its
+// start.
+func (m *Machine) needsFullState() bool {
 	coldStart := m.fold.NextOffset() == 0 && m.join.offset > 0 && !m.reading.checkpointTried
 	return m.reading.recordsMissing || coldStart
 }
@@ -89,9 +90,7 @@
 // handleNewestTicket applies the newest ticket without the tickets before it, which
 // it replaces.
 func (m *Machine) handleNewestTicket(now time.Time, e NewestTicketRead) {
-	if !e.ForJoin {
-		m.reading.request.succeeded()
-	}
+	m.reading.request.succeeded()
 	before, next := m.position(), m.fold.NextOffset()
 	for _, record := range e.Records {
 		result, decided, err := m.fold.ApplyReplacement(record.Offset, record.Data)
@@ -107,9 +106,6 @@
 	// This also skips a ticket that could not be applied; reading continues at Next.
 	m.fold.SkipTo(e.Next)
 	m.reading.recordsMissing = false
-	if e.ForJoin {
-		m.setJoinOffset(now, e.Next)
-	}
 	if m.fold.NextOffset() > next {
 		m.installAndPush(now, before)
 	}
@@ -151,12 +147,6 @@
 		limit = maxReaderRetryDelay
 	}
 	switch r := e.Request.(type) {
-	case ReadNewestTicket:
-		if r.ForJoin {
-			m.join.offsetRequest.failed(now, limit, m.random)
-			return
-		}
-		m.reading.request.failed(now, limit, m.random)
 	case ReadBounds:
 		if r.Stream == StreamTickets {
 			m.join.offsetRequest.failed(now, limit, m.random)
--- a/internal/node/configuration/platform.go
+++ b/internal/node/configuration/platform.go
@@ -40,7 +40,7 @@
 	case spread.ReadTickets:
 		return r.readTickets(ctx, typed)
 	case spread.ReadNewestTicket:
-		return r.readNewest(ctx, typed)
+		return r.readNewest(ctx)
 	case spread.WriteCheckpoint:
 		return r.writeCheckpoint(ctx, typed.Update)
 	default:
@@ -71,13 +71,13 @@
 	return spread.TicketsRead{Records: recordsOf(batch)}, nil
 }
 
-func (r *Runner) readNewest(ctx context.Context, request spread.ReadNewestTicket) (spread.Event, error) {
+func (r *Runner) readNewest(ctx context.Context) (spread.Event, error) {
 	r.stats.platformReads.Add(1)
 	batch, err := r.options.CompactedLog.NewestByKey(ctx, platformlog.StreamTickets)
 	if err != nil {
 		return nil, err
 	}
-	return spread.NewestTicketRead{ForJoin: request.ForJoin, Records: recordsOf(batch), Next: batch.Bounds.Next}, nil
+	return spread.NewestTicketRead{Records: recordsOf(batch), Next: batch.Bounds.Next}, nil
 }
 
 func recordsOf(batch platformlog.Batch) []spread.Record {
