Let the nodes with the most bandwidth read the log

What callers saw: a large configuration may be in force late although it is accepted. A reader receives each version whole, 669 kB, which takes 1.1 s on an idle link of 5 Mbit/s and over 2.5 s beside calls that use three fifths of it.

Cause: readers and the root of the push tree were chosen by hash alone, as if all instances had the same link.

Fix: node.bandwidth_mbps, rendered from the platform's settings, travels with the member record; the order of a domain's nodes is by bandwidth, then by the hash as before. Without the setting nothing changes. Nodes of older releases leave the field out of records that they forward: while both run, orders differ and more nodes read, which is allowed.

--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -44,6 +44,7 @@
 	requiredName("node.domain", func(s *Settings) string { return s.Node.Domain }),
 	optionalName("node.service", func(s *Settings) string { return s.Node.Service }),
 	optionalName("platform.adapter", func(s *Settings) string { return s.Platform.Adapter }),
+	between("node.bandwidth_mbps", func(s *Settings) float64 { return s.Node.BandwidthMbps }, 0, 100_000),
 	between("platform.heartbeat", func(s *Settings) time.Duration { return s.Platform.Heartbeat }, 10*time.Millisecond, time.Minute),
 	{"platform.url", acceptedURL, checkPlatformURL},
 	between("platform.request_timeout", func(s *Settings) time.Duration { return s.Platform.RequestTimeout }, 10*time.Millisecond, time.Minute),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -51,6 +51,9 @@
 	// checks in the platform's own protocol. They are used only with an adapter.
 	AnnounceAddress string `yaml:"announce_address"`
 	ReadyAddress    string `yaml:"ready_address"`
+	// BandwidthMbps is the bandwidth of the instance's link in Mbit/s, 0 if unknown.
+	// The nodes of a domain with the most bandwidth read the platform's log.
+	BandwidthMbps float64 `yaml:"bandwidth_mbps"`
 	// Seeds lists nodes to join through while the platform is unreachable.
 	Seeds []Seed `yaml:"seeds"`
 	// RandomSeed seeds the node's random number generators. If 0, the seed is drawn
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -45,6 +45,8 @@
 	// Revision increases with each change that the member makes to its own record
 	// within an incarnation, including to refute a suspicion.
 	Revision uint64
+	// BandwidthKbps is the bandwidth of the instance's link in kbit/s, 0 if unknown.
+	BandwidthKbps uint32
 }
 
 // IsEndpoint reports whether calls may be sent to the member's target.
--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -129,6 +129,9 @@
 	for d := range domains {
 		for i := range perDomain {
 			member := membership.Member{ID: fmt.Sprintf("n%d-%d", d, i), Domain: fmt.Sprintf("d%d", d), State: membership.Alive}
+			if f.links != nil && i < f.links.fastPerDomain {
+				member.BandwidthKbps = fastLinkKbps
+			}
 			n := &node{member: member}
 			f.nodes = append(f.nodes, n)
 			f.byID[member.ID] = n
--- a/internal/coordination/spread/large_configuration_test.go
+++ b/internal/coordination/spread/large_configuration_test.go
@@ -17,12 +17,14 @@
 )
 
 // newSlowLinkFleet returns a converged fleet of three domains on a compacted log
-// whose tickets are large for the links.
-func newSlowLinkFleet(t *testing.T, nodes int) *fleet {
+// whose tickets are large for the links. In each domain, fastPerDomain nodes have fast
+// links.
+func newSlowLinkFleet(t *testing.T, nodes, fastPerDomain int) *fleet {
 	f := emptyFleet(11, t.Fatalf)
 	f.compactedLog = true
 	f.readers, f.fanOut, f.maxLatency = fleetReaders, 8, 2*time.Millisecond
 	f.links = newLinks(largeTicketBytes)
+	f.links.fastPerDomain = fastPerDomain
 	f.fill(3, nodes/3)
 	f.publish(replacingTicket(1, []string{"a", "b"}, 1))
 	f.run(20 * time.Second)
@@ -58,7 +60,7 @@
 func TestEveryRestartedNodeReadsWholeConfiguration(t *testing.T) {
 	for _, nodes := range []int{30, 99, 300} {
 		t.Run(fmt.Sprintf("nodes=%d", nodes), func(t *testing.T) {
-			f := newSlowLinkFleet(t, nodes)
+			f := newSlowLinkFleet(t, nodes, 0)
 			f.links.newestReads, f.links.readBytes = 0, 0
 			took := f.restartAll()
 			t.Logf("%d nodes: %d reads of the newest ticket, %d bytes of tickets a node, installed everywhere after %v",
@@ -79,7 +81,7 @@
 		batchSize       = 7
 		downtime        = 600 * time.Millisecond
 	)
-	f := newSlowLinkFleet(t, 99)
+	f := newSlowLinkFleet(t, 99, 0)
 	f.stoppedRefuse = true
 	next := 0
 	var roll func()
@@ -109,3 +111,23 @@
 	}
 	t.Logf("%d restarts: %d reads of the newest ticket, %d bytes of tickets a restart", next, f.links.newestReads, f.links.readBytes/next)
 }
+
+// Where calls leave two fifths of the slow links, a large configuration is in force in
+// time because nodes with fast links read it, and all nodes are back soon after a
+// restart of the fleet.
+func TestReaderOnBusySlowLinkDelaysLargeConfiguration(t *testing.T) {
+	f := newSlowLinkFleet(t, 99, fleetReaders)
+	f.links.slowBytesPerS = slowLinkBytesPerS * 2 / 5
+	for i := range 5 {
+		f.publish(replacingTicket(uint64(i)+2, []string{"a", "b"}, i+2))
+		published := f.now
+		f.run(3 * inForceTimeout)
+		f.requireConverged()
+		for _, n := range f.nodes {
+			if took := n.installedAt.Sub(published); took > inForceTimeout {
+				t.Errorf("version %d: %s installed it after %v, want %v at most", i+2, n.member.ID, took, inForceTimeout)
+			}
+		}
+	}
+	t.Logf("installed everywhere %v after a restart of all", f.restartAll())
+}
--- a/internal/coordination/spread/links_test.go
+++ b/internal/coordination/spread/links_test.go
@@ -12,6 +12,8 @@
 	largeTicketBytes = 670_000
 	// slowLinkBytesPerS is 5 Mbit/s.
 	slowLinkBytesPerS = 625_000
+	// fastLinkKbps is the bandwidth of the instances with the best links.
+	fastLinkKbps = 100_000
 	// storeBytesPerS is what all readers of the platform's log share.
 	storeBytesPerS = 80_000_000
 	// stateCompression is by how much the encoding between nodes is smaller than the
@@ -25,8 +27,11 @@
 // and of the platform. Each link transfers one message at a time.
 type links struct {
 	ticketBytes int
-	// bytesPerS returns the rate of a node's link in either direction.
-	bytesPerS func(n *node) int
+	// slowBytesPerS is the rate of a slow link in either direction, without the calls
+	// that use it too.
+	slowBytesPerS int
+	// fastPerDomain is the number of nodes in each domain that have a fast link.
+	fastPerDomain int
 	// inFreeAt, outFreeAt and storeFreeAt are when the link ends its last transfer.
 	inFreeAt, outFreeAt map[*node]time.Time
 	storeFreeAt         time.Time
@@ -40,13 +45,21 @@
 // has a slow link.
 func newLinks(ticketBytes int) *links {
 	return &links{
-		ticketBytes: ticketBytes,
-		bytesPerS:   func(*node) int { return slowLinkBytesPerS },
-		inFreeAt:    make(map[*node]time.Time),
-		outFreeAt:   make(map[*node]time.Time),
+		ticketBytes:   ticketBytes,
+		slowBytesPerS: slowLinkBytesPerS,
+		inFreeAt:      make(map[*node]time.Time),
+		outFreeAt:     make(map[*node]time.Time),
 	}
 }
 
+// bytesPerS returns the rate of a node's link in either direction.
+func (l *links) bytesPerS(n *node) int {
+	if n.member.BandwidthKbps > 0 {
+		return int(n.member.BandwidthKbps) * 1000 / 8
+	}
+	return l.slowBytesPerS
+}
+
 // occupy adds a transfer to a link that is free at freeAt and returns its end.
 func occupy(now, freeAt time.Time, bytes, bytesPerS int) time.Time {
 	start := now
--- a/internal/coordination/spread/topology.go
+++ b/internal/coordination/spread/topology.go
@@ -15,8 +15,8 @@
 type topology struct {
 	self membership.Member
 	// tree holds the live nodes of the local domain, including this one, ordered by
-	// rendezvous hash. It is the push tree in heap order: node i pushes to the nodes
-	// i*fanOut+1 to i*fanOut+fanOut.
+	// bandwidth, then rendezvous hash. It is the push tree in heap order: node i pushes
+	// to the nodes i*fanOut+1 to i*fanOut+fanOut.
 	tree      []membership.Member
 	treeIndex int
 	// readerRank is the number of nodes before this one in tree that are not
@@ -35,7 +35,7 @@
 func newTopology(self membership.Member, view *membership.View) topology {
 	t := topology{self: self, view: view, tree: []membership.Member{self}}
 	t.addLiveMembers()
-	slices.SortFunc(t.tree, compareRendezvousHash)
+	slices.SortFunc(t.tree, compareTreeOrder)
 	for i, member := range t.tree {
 		if member.ID == self.ID {
 			t.treeIndex = i
@@ -83,6 +83,12 @@
 	}
 }
 
+// compareTreeOrder orders nodes by bandwidth, the greatest first, then by rendezvous
+// hash. The first nodes read whole tickets and push to others.
+func compareTreeOrder(a, b membership.Member) int {
+	return cmp.Or(cmp.Compare(b.BandwidthKbps, a.BandwidthKbps), compareRendezvousHash(a, b))
+}
+
 // compareRendezvousHash orders nodes by rendezvous hash (Thaler, Ravishankar: "A
 // Name-Based Mapping Scheme for Rendezvous", 1996). A node that joins or leaves
 // does not change the order of the others. Package membership chooses relays by
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -31,6 +31,8 @@
 	platformIdleConnections   = 4
 )
 
+const kbpsPerMbps = 1000
+
 // node holds the components of one running node.
 type node struct {
 	settings config.Settings
@@ -124,6 +126,7 @@
 		ControlAddress: n.settings.Node.AdvertisedControlAddress(),
 		CallsAddress:   n.settings.Node.AdvertisedCallsAddress(),
 		State:          membership.Alive,
+		BandwidthKbps:  uint32(n.settings.Node.BandwidthMbps * kbpsPerMbps),
 	}
 }
 
--- a/internal/node/members/codec.go
+++ b/internal/node/members/codec.go
@@ -33,6 +33,7 @@
 		Slots:          m.Slots,
 		TargetState:    uint32(m.Target),
 		Revision:       m.Revision,
+		BandwidthKbps:  m.BandwidthKbps,
 	}
 }
 
@@ -65,6 +66,7 @@
 			Slots:          member.GetSlots(),
 			Target:         membership.TargetState(member.GetTargetState()),
 			Revision:       member.GetRevision(),
+			BandwidthKbps:  member.GetBandwidthKbps(),
 		})
 	}
 	return converted
