Read the directory once at a node's start

Cause: a node that starts read all member records to find its own previous record, and again within 0.3 s to find the other nodes, and each 0.25 to 0.75 s until it had joined. The records grow with the fleet: at 1,500 nodes each read has three pages.

Fix: the first read serves both. The seeds are known when membership starts, so a node also joins up to 0.3 s earlier, and a read less than half a second old is not repeated.

The size of a read still grows with the fleet; the number of reads in a restart of all nodes was not counted.

--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -40,11 +40,13 @@
 	// previousSelf is the record of this node's previous incarnation, zero if
 	// unknown.
 	previousSelf membership.Member
-	contract     headers.Contract
-	logger       *logging.Logger
-	listeners    *listeners
-	telemetry    *telemetry
-	started      time.Time
+	// registrations are the records that the platform had when the node started.
+	registrations members.Registrations
+	contract      headers.Contract
+	logger        *logging.Logger
+	listeners     *listeners
+	telemetry     *telemetry
+	started       time.Time
 
 	controlTraffic  *peer.Traffic
 	platformTraffic *peer.Traffic
@@ -77,7 +79,8 @@
 		platformTraffic: &peer.Traffic{},
 	}
 	adapter := newAdapter(AdapterOptions{Settings: settings, Client: n.platformClient(), Logger: logger})
-	n.previousSelf = n.readPreviousSelf(adapter)
+	n.registrations = n.readDirectory(adapter)
+	n.previousSelf = n.registrations.Previous(settings.Node.ID)
 	n.self = n.newSelf(n.previousSelf.Incarnation)
 	n.contract = adapter.Contract
 	dial := peer.DialFrom(n.settings.Node.ControlAddress)
@@ -101,21 +104,22 @@
 	return n
 }
 
-// previousSelfTimeout bounds the read of the previous incarnation's record.
-// Without the record, incarnations are ordered by the clock alone.
-const previousSelfTimeout = 500 * time.Millisecond
+// directoryTimeout bounds the read of the directory before the node starts. Without
+// it, incarnations are ordered by the clock alone, and the directory is read again to
+// join.
+const directoryTimeout = 500 * time.Millisecond
 
-func (n *node) readPreviousSelf(adapter Adapter) membership.Member {
+func (n *node) readDirectory(adapter Adapter) members.Registrations {
 	if adapter.CompactedLog == nil {
-		return membership.Member{}
+		return members.Registrations{}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), previousSelfTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), directoryTimeout)
 	defer cancel()
-	previous, err := members.ReadPreviousSelf(ctx, adapter.CompactedLog, n.settings.Node.ID)
+	registrations, err := members.ReadDirectory(ctx, adapter.CompactedLog, time.Now(), n.logger)
 	if err != nil {
 		n.logger.Event(logging.PlatformRequestFailed).Err(err).Send()
 	}
-	return previous
+	return registrations
 }
 
 func (n *node) newSelf(previousIncarnation uint64) membership.Member {
@@ -143,7 +147,7 @@
 		Pool:           n.controlPool,
 		Log:            adapter.Log,
 		Directory:      adapter.CompactedLog,
-		PreviousSelf:   n.previousSelf,
+		Registrations:  n.registrations,
 		Logger:         n.logger,
 		RandomSeed:     seed,
 		AppliedVersion: func() state.Version { return n.configuration.AppliedVersion() },
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -47,13 +47,16 @@
 	// departedAt is, by ID, when each dead or departed node was first seen as such,
 	// or when its record was last deleted.
 	departedAt map[string]time.Time
+	// readAt is when the directory was last read.
+	readAt time.Time
 }
 
 // runDirectory registers this node and discovers others until ctx ends.
 func (r *Runner) runDirectory(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.options.RandomSeed, r.options.Self.Incarnation+1))
-	dir := &directory{runner: r, random: random, departedAt: make(map[string]time.Time)}
-	dir.recordedService, dir.recordedSlots = r.options.PreviousSelf.Service, r.options.PreviousSelf.Slots
+	previous := r.options.Registrations.Previous(r.options.Self.ID)
+	dir := &directory{runner: r, random: random, departedAt: make(map[string]time.Time), readAt: r.options.Registrations.ReadAt}
+	dir.recordedService, dir.recordedSlots = previous.Service, previous.Slots
 	next := time.NewTimer(time.Duration(random.Int64N(int64(directoryStartSpread))))
 	defer next.Stop()
 	check := time.NewTicker(targetCheckInterval)
@@ -92,7 +95,7 @@
 		r.registered = r.register(ctx)
 	}
 	joined, firstRelay := r.runner.joinStatus()
-	if !joined || firstRelay {
+	if (!joined || firstRelay) && r.runner.options.Now().Sub(r.readAt) >= directoryRetryInterval {
 		r.read(ctx)
 	}
 	if !r.registered || !joined {
@@ -143,7 +146,8 @@
 		r.runner.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
 		return
 	}
-	r.runner.learnSeeds(batch.Records)
+	r.readAt = sentAt
+	r.runner.learnSeeds(decodeRosters(batch.Records, r.runner.options.Logger))
 	r.runner.events.TryPush(membership.PlatformContacted{SentAt: sentAt})
 }
 
@@ -168,26 +172,46 @@
 	r.departedAt = departedAt
 }
 
-// ReadPreviousSelf returns the member record, with its target, that the previous
-// incarnation of the node wrote, or a zero record if there is none. With it the
-// new incarnation number can exceed the previous one even if the instance's clock
-// was set back. The errors are those of the directory.
-func ReadPreviousSelf(ctx context.Context, directory platformlog.CompactedLog, id string) (membership.Member, error) {
+// Registrations are the records of the directory, read when a node starts.
+type Registrations struct {
+	// ReadAt is when the read began, or zero if it failed.
+	ReadAt  time.Time
+	members []membership.Member
+}
+
+// ReadDirectory reads the records of all nodes. The errors are those of the directory.
+func ReadDirectory(ctx context.Context, directory platformlog.CompactedLog, now time.Time, logger *logging.Logger) (Registrations, error) {
 	batch, err := directory.NewestByKey(ctx, platformlog.StreamMembers)
 	if err != nil {
-		return membership.Member{}, err
+		return Registrations{}, err
 	}
+	return Registrations{ReadAt: now, members: decodeRosters(batch.Records, logger)}, nil
+}
+
+// Previous returns the record, with its target, that the previous incarnation of the
+// node wrote, or a zero record if there is none. With it the new incarnation number
+// can exceed the previous one even if the instance's clock was set back.
+func (r Registrations) Previous(id string) membership.Member {
 	var previous membership.Member
-	for _, record := range batch.Records {
-		var roster wire.Roster
-		if proto.Unmarshal(record.Data, &roster) != nil {
-			continue // logged when the directory is read to join
+	for _, m := range r.members {
+		if m.ID == id && m.Incarnation >= previous.Incarnation {
+			previous = m
 		}
-		for _, m := range membersFromWire(roster.GetMembers()) {
-			if m.ID == id && m.Incarnation >= previous.Incarnation {
-				previous = m
-			}
+	}
+	return previous
+}
+
+// decodeRosters returns the members in records of the members stream. Malformed
+// records are logged and skipped.
+func decodeRosters(records []platformlog.Record, logger *logging.Logger) []membership.Member {
+	var members []membership.Member
+	for _, record := range records {
+		var roster wire.Roster
+		if err := proto.Unmarshal(record.Data, &roster); err != nil {
+			logger.Event(logging.MalformedMessage).Str("stream", platformlog.StreamMembers).Err(err).Send()
+			continue
 		}
+		members = append(members, membersFromWire(roster.GetMembers())...)
 	}
-	return previous, nil
+	return members
 }
--- a/internal/node/members/directory_test.go
+++ b/internal/node/members/directory_test.go
@@ -6,11 +6,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
 	"jasminegate/internal/coordination/membership"
+	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/transport/platformlog"
 )
@@ -79,24 +81,30 @@
 	}
 }
 
+// readPrevious returns the record of the node's previous incarnation.
+func readPrevious(directory platformlog.CompactedLog, id string) (membership.Member, error) {
+	registrations, err := ReadDirectory(context.Background(), directory, time.Now(), logging.Discard())
+	return registrations.Previous(id), err
+}
+
 // TestReadPreviousSelf checks that a node reads the record of its previous
 // incarnation, which it needs for a higher incarnation number after the clock was
 // set back.
 func TestReadPreviousSelf(t *testing.T) {
 	is := is.New(t)
 	directory := &memoryDirectory{records: make(map[string][]byte)}
-	previous, err := ReadPreviousSelf(context.Background(), directory, "a")
+	previous, err := readPrevious(directory, "a")
 	is.NoErr(err)
 	is.Equal(previous.Incarnation, uint64(0))
 	self := membership.Member{ID: "a", Incarnation: 77, Domain: "d", ControlAddress: "10.0.0.1:1"}
 	data, err := proto.Marshal(&wire.Roster{Domain: "d", Members: []*wire.Member{joinableMember(self)}})
 	is.NoErr(err)
 	is.NoErr(directory.Put(context.Background(), platformlog.StreamMembers, "a", data))
-	previous, err = ReadPreviousSelf(context.Background(), directory, "a")
+	previous, err = readPrevious(directory, "a")
 	is.NoErr(err)
 	is.Equal(previous.Incarnation, uint64(77))
 	directory.setUnavailable(true)
-	_, err = ReadPreviousSelf(context.Background(), directory, "a")
+	_, err = readPrevious(directory, "a")
 	is.True(err != nil)
 }
 
@@ -107,11 +115,11 @@
 	directory := &memoryDirectory{records: make(map[string][]byte)}
 	node := startDirectoryNode(t, "a", "domain-a", directory)
 	targetRecorded := func() bool {
-		previous, err := ReadPreviousSelf(context.Background(), directory, "a")
+		previous, err := readPrevious(directory, "a")
 		return err == nil && previous.Service == "depot" && previous.Slots == 6
 	}
 	waitFor(t, "the node is registered", func() bool {
-		previous, err := ReadPreviousSelf(context.Background(), directory, "a")
+		previous, err := readPrevious(directory, "a")
 		return err == nil && previous.ID == "a"
 	})
 	directory.setUnavailable(true)
--- a/internal/node/members/roster.go
+++ b/internal/node/members/roster.go
@@ -9,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"jasminegate/internal/coordination/membership"
-	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/transport/platformlog"
 )
@@ -121,24 +120,21 @@
 	for _, record := range records {
 		r.nextOffset = record.Offset + 1
 	}
-	r.runner.learnSeeds(records)
+	r.runner.learnSeeds(decodeRosters(records, r.runner.options.Logger))
 }
 
 // learnSeeds passes the nodes in records of the members stream to the machine as
 // seeds.
-func (r *Runner) learnSeeds(records []platformlog.Record) {
-	var seeds []membership.Seed
-	for _, record := range records {
-		var roster wire.Roster
-		if err := proto.Unmarshal(record.Data, &roster); err != nil {
-			r.options.Logger.Event(logging.MalformedMessage).Str("stream", platformlog.StreamMembers).Err(err).Send()
-			continue
-		}
-		for _, m := range membersFromWire(roster.GetMembers()) {
-			seeds = append(seeds, membership.Seed{ID: m.ID, Domain: m.Domain, ControlAddress: m.ControlAddress, Incarnation: m.Incarnation})
-		}
+func (r *Runner) learnSeeds(members []membership.Member) {
+	r.events.Push(membership.SeedsLearned{Seeds: seedsOf(members)}, r.done)
+}
+
+func seedsOf(members []membership.Member) []membership.Seed {
+	seeds := make([]membership.Seed, 0, len(members))
+	for _, m := range members {
+		seeds = append(seeds, membership.Seed{ID: m.ID, Domain: m.Domain, ControlAddress: m.ControlAddress, Incarnation: m.Incarnation})
 	}
-	r.events.Push(membership.SeedsLearned{Seeds: seeds}, r.done)
+	return seeds
 }
 
 // write appends the live members of the local domain (this node alone before it
--- a/internal/node/members/runner.go
+++ b/internal/node/members/runner.go
@@ -48,11 +48,10 @@
 	// Directory is the compacted log that nodes register in, or nil. It is used
 	// instead of Log.
 	Directory platformlog.CompactedLog
-	// PreviousSelf is the record of this node's previous incarnation, zero if
-	// unknown.
-	PreviousSelf membership.Member
-	Logger       *logging.Logger
-	RandomSeed   uint64
+	// Registrations are the records of Directory, read before the start.
+	Registrations Registrations
+	Logger        *logging.Logger
+	RandomSeed    uint64
 	// AppliedVersion returns the configuration version that this node runs.
 	AppliedVersion func() state.Version
 	// Load returns the number of calls running and queued at this node's gate.
@@ -109,6 +108,7 @@
 	defer close(r.done)
 	switch {
 	case r.options.Directory != nil:
+		r.step(ctx, membership.SeedsLearned{Seeds: seedsOf(r.options.Registrations.members)})
 		background.Go(func() { r.runDirectory(ctx) })
 	case r.options.Log != nil:
 		background.Go(func() { r.runRoster(ctx) })
