Push every change, and allow large states their time between nodes

- The history kept at most 512 KiB of changes and dropped a larger one at once, so it was pushed to nobody and each node pulled the full state after a probe.
- A push failed after 1 s and a pull after 2 s whatever the size.
The full state of the largest configuration is 1,114,682 bytes between nodes, 1.78 s on 5 Mbit/s without other traffic; every repetition had the same timeout.

Fix: the history always keeps the last change. A push's timeout grows with its size. A pull's doubles with each failure in a row, up to 16 s.

TestChangeOverHistoryLimitIsNotPushed failed before (n0-0 still at the first version 0.5 s after a change of 4,000 services) and passes.

--- a/internal/coordination/spread/actions.go
+++ b/internal/coordination/spread/actions.go
@@ -46,6 +46,9 @@
 type PullUpdate struct {
 	Peer membership.Member
 	From state.Version
+	// Failures is the number of pulls that have failed since the last response. The
+	// timeout is to grow with it, since the state may be large for the link.
+	Failures int
 }
 
 // RespondToPush responds to PushReceived with the version of this node's newest
--- a/internal/coordination/spread/history.go
+++ b/internal/coordination/spread/history.go
@@ -13,7 +13,8 @@
 	bytes    int
 }
 
-// history keeps the newest changes, up to maxHistoryEntries and maxHistoryBytes.
+// history keeps the newest changes, up to maxHistoryEntries and maxHistoryBytes, and the
+// last change whatever its size: without it, the change could not be pushed.
 type history struct {
 	// base is the position before the oldest entry.
 	base    uint64
@@ -33,7 +34,7 @@
 	}
 	h.entries = append(h.entries, historyEntry{position: position, changes: changes, bytes: size})
 	h.bytes += size
-	for len(h.entries) > maxHistoryEntries || h.bytes > maxHistoryBytes {
+	for len(h.entries) > maxHistoryEntries || h.bytes > maxHistoryBytes && len(h.entries) > 1 {
 		h.base = h.entries[0].position
 		h.bytes -= h.entries[0].bytes
 		h.entries[0] = historyEntry{}
--- a/internal/coordination/spread/large_configuration_test.go
+++ b/internal/coordination/spread/large_configuration_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"jasminegate/internal/state"
 )
 
 const (
@@ -131,3 +133,52 @@
 	}
 	t.Logf("installed everywhere %v after a restart of all", f.restartAll())
 }
+
+// A version that changes more bytes than the history keeps is still pushed to all nodes,
+// so that no node pulls the full state.
+func TestChangeOverHistoryLimitIsNotPushed(t *testing.T) {
+	f := emptyFleet(7, t.Fatalf)
+	f.compactedLog = true
+	f.maxLatency, f.pollEvery = time.Millisecond, time.Millisecond
+	f.fill(1, 20)
+	f.publish(replacingTicket(1, []string{"a"}, 1))
+	f.run(10 * time.Second)
+	f.requireConverged()
+	var names []string
+	for i := range 4000 {
+		names = append(names, fmt.Sprintf("service-%04d", i))
+	}
+	f.pulls = 0
+	f.publish(replacingTicket(2, names, 1))
+	f.run(500 * time.Millisecond)
+	f.requireConverged()
+	if f.pulls > 0 {
+		t.Errorf("%d pulls after a large change, want none", f.pulls)
+	}
+}
+
+// A pull that timed out, for example because the state is large for the link, is
+// repeated with a longer timeout.
+func TestPullOfLargeStateTimesOutForever(t *testing.T) {
+	f := newSlowLinkFleet(t, 30, 0)
+	machine := f.nodes[0].machine
+	last := 0
+	for i := range 3 {
+		machine.Step(f.now, PeerVersion{Peer: f.nodes[1].member, Version: state.Version{Position: 1000}})
+		f.now = f.now.Add(10 * time.Second)
+		var pull *PullUpdate
+		for _, action := range machine.Step(f.now, Tick{}) {
+			if a, ok := action.(PullUpdate); ok {
+				pull = &a
+			}
+		}
+		if pull == nil {
+			t.Fatalf("no pull from a peer with a newer version")
+		}
+		if i > 0 && pull.Failures <= last {
+			t.Fatalf("pull %d knows of %d failures, want more than %d", i, pull.Failures, last)
+		}
+		last = pull.Failures
+		machine.Step(f.now, PullDone{PeerID: pull.Peer.ID, Failed: true})
+	}
+}
--- a/internal/coordination/spread/pulling.go
+++ b/internal/coordination/spread/pulling.go
@@ -22,6 +22,8 @@
 type pullingState struct {
 	newerPeers map[string]newerPeer
 	request    requestState
+	// failures counts the pulls that have failed since the last response.
+	failures int
 	// scheduledAt is when the next pull may start, or zero if none is scheduled.
 	scheduledAt time.Time
 	// inFlightPeer is the peer of the pull in flight.
@@ -112,7 +114,7 @@
 	p.request.inFlight = true
 	p.inFlightPeer = peer
 	p.pullRequested = false
-	m.emit(PullUpdate{Peer: peer, From: from})
+	m.emit(PullUpdate{Peer: peer, From: from, Failures: p.failures})
 }
 
 // scheduleRequestedPull schedules a requested pull, at most once per
@@ -180,6 +182,11 @@
 
 func (m *Machine) handlePullDone(now time.Time, e PullDone) {
 	p := &m.pulling
+	if e.Failed {
+		p.failures++
+	} else {
+		p.failures = 0
+	}
 	if e.Failed || e.Response.RetryAfter > 0 {
 		m.handlePullFailure(now, e)
 		return
--- a/internal/node/configuration/limits_test.go
+++ b/internal/node/configuration/limits_test.go
@@ -59,3 +59,23 @@
 	is.NoErr(err)
 	is.NoErr(acceptance.New().ApplyUpdate(update))
 }
+
+// A push of the largest state over a link of 5 Mbit/s ends before its timeout, a pull at
+// the latest when it has been repeated.
+func TestTimeoutsOfPeersAllowLargestState(t *testing.T) {
+	const slowLinkBytesPerS = 625_000
+	is := is.New(t)
+	data, err := largestTicket(t).Encode()
+	is.NoErr(err)
+	fold := acceptance.New()
+	_, _, err = fold.Apply(0, data)
+	is.NoErr(err)
+	message, err := codec.Encode(fold.FullUpdate())
+	is.NoErr(err)
+	size := len(message.GetData())
+	transfer := time.Duration(size) * time.Second / slowLinkBytesPerS
+	t.Logf("largest state: %d bytes as a ticket, %d between nodes, %v on the link", len(data), size, transfer)
+	is.True(pushTimeoutFor(size) > transfer)
+	is.Equal(pullTimeoutAfter(0), pullTimeout)
+	is.True(pullTimeoutAfter(3) > transfer)
+}
--- a/internal/node/configuration/peers.go
+++ b/internal/node/configuration/peers.go
@@ -98,7 +98,7 @@
 		return failed
 	}
 	var ack *wire.PushAck
-	err = r.callPeer(ctx, push.Peer.ControlAddress, pushTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err = r.callPeer(ctx, push.Peer.ControlAddress, pushTimeoutFor(len(update.GetData())), func(ctx context.Context, conn drpc.Conn) (err error) {
 		ack, err = wire.NewDRPCControlClient(conn).Push(ctx, update)
 		return err
 	})
@@ -115,7 +115,7 @@
 	failed := spread.PullDone{PeerID: pull.Peer.ID, Failed: true}
 	request := &wire.PullRequest{Requester: r.options.Self.ID, From: codec.VersionToProto(pull.From)}
 	var response *wire.PullAnswer
-	err := r.callPeer(ctx, pull.Peer.ControlAddress, pullTimeout, func(ctx context.Context, conn drpc.Conn) (err error) {
+	err := r.callPeer(ctx, pull.Peer.ControlAddress, pullTimeoutAfter(pull.Failures), func(ctx context.Context, conn drpc.Conn) (err error) {
 		response, err = wire.NewDRPCControlClient(conn).Pull(ctx, request)
 		return err
 	})
@@ -135,6 +135,20 @@
 	return spread.PullDone{PeerID: pull.Peer.ID, Response: spread.PullResponse{Update: update}}
 }
 
+// pushTimeoutFor returns the timeout of a push of the given size in bytes.
+func pushTimeoutFor(size int) time.Duration {
+	return pushTimeout + time.Duration(size)*time.Second/minPeerBytesPerS
+}
+
+// pullTimeoutAfter returns the timeout of a pull after so many that failed in a row.
+func pullTimeoutAfter(failures int) time.Duration {
+	timeout := pullTimeout
+	for range failures {
+		timeout = min(2*timeout, maxPullTimeout)
+	}
+	return timeout
+}
+
 // callPeer runs one request over a pooled connection. After a failure it also
 // closes the idle connections to the address, since they share the network path.
 func (r *Runner) callPeer(ctx context.Context, address string, timeout time.Duration, run func(context.Context, drpc.Conn) error) error {
--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -30,9 +30,14 @@
 	// pushWorkers is how many pushes run at once. The queue has room for every
 	// push that the machine allows in flight.
 	pushWorkers = 8
-	// pushTimeout and pullTimeout limit one request to a peer.
-	pushTimeout = time.Second
-	pullTimeout = 2 * time.Second
+	// pushTimeout limits one push to a peer, without the time to send a large update
+	// at minPeerBytesPerS.
+	pushTimeout      = time.Second
+	minPeerBytesPerS = 100_000
+	// pullTimeout limits one pull from a peer. It doubles with each pull in a row that
+	// fails, up to maxPullTimeout.
+	pullTimeout    = 2 * time.Second
+	maxPullTimeout = 16 * time.Second
 )
 
 // Options configure a Runner. All fields are required except CompactedLog,
