Give a join's full table its time

A join's response holds the full table, but had the timeout of a probe, 150 ms on the users' platform. At 1,500 nodes the table is 151,912 bytes and takes 608 ms on a link of 5 Mbit/s that calls use to three fifths: such a node never gets it, and knows only the members that others tell it about.

A join now waits 2 s. TestFullTableOverSlowLinkTimesOut failed before with these figures and passes.

--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -202,8 +202,11 @@
 // send fills in the fields that all probes have, and sends the probe.
 func (m *Machine) send(now time.Time, to, address string, sent pendingProbe, probe Probe) {
 	timeout := m.settings.ProbeTimeout
-	if sent.kind == kindIndirect {
+	switch sent.kind {
+	case kindIndirect:
 		timeout *= 2
+	case kindJoin:
+		timeout = max(timeout, fullTableTimeout)
 	}
 	probe.From, probe.FromIncarnation = m.self.ID, m.self.Incarnation
 	if probe.To == "" {
--- a/internal/coordination/membership/settings.go
+++ b/internal/coordination/membership/settings.go
@@ -61,6 +61,9 @@
 	joinProbes = 3
 	// fullTablesPerSecond bounds the rate at which a node sends its full table.
 	fullTablesPerSecond = 10
+	// fullTableTimeout is how long a joining node waits for a full table, unless the
+	// probe timeout is longer. The table grows with the fleet.
+	fullTableTimeout = 2 * time.Second
 	// idleRelayFactor multiplies the exchange interval while there are no updates
 	// and no summaries are collected.
 	idleRelayFactor = 4
