Decode the newest ticket once

A node that reads the newest ticket of a compacted log decoded it twice, once to see that it replaces the configuration and once to decide it.

--- a/internal/coordination/acceptance/fold.go
+++ b/internal/coordination/acceptance/fold.go
@@ -68,11 +68,15 @@
 	if offset < f.next {
 		return Result{}, false, nil
 	}
+	return f.applyDecoded(offset, decodeRecord(data))
+}
+
+func (f *Fold) applyDecoded(offset int64, record decodedRecord) (result Result, decided bool, err error) {
 	if offset > f.next {
 		return Result{}, false, ErrGap.New("record %d follows record %d, records between are missing: read the newest checkpoint or, on a compacted log, the newest ticket", offset, f.next-1)
 	}
 	f.next = offset + 1
-	result = f.decide(uint64(f.next), data)
+	result = f.decide(uint64(f.next), record)
 	f.retain(result.Verdict)
 	return result, true, nil
 }
@@ -95,27 +99,40 @@
 	if offset < f.next {
 		return Result{}, false, nil
 	}
-	if ticket, err := state.DecodeTicket(data); err == nil && !ticket.Replace {
-		return Result{}, false, ErrGap.New("the newest ticket, number %d, does not replace the whole configuration: publish one with replace set", ticket.Number)
+	record := decodeRecord(data)
+	if record.err == nil && !record.ticket.Replace {
+		return Result{}, false, ErrGap.New("the newest ticket, number %d, does not replace the whole configuration: publish one with replace set", record.ticket.Number)
 	}
 	f.next = offset
-	return f.Apply(offset, data)
+	return f.applyDecoded(offset, record)
+}
+
+// decodedRecord is a record of the log and the ticket in it, unless err is set.
+type decodedRecord struct {
+	data   []byte
+	ticket state.Ticket
+	err    error
+}
+
+func decodeRecord(data []byte) decodedRecord {
+	ticket, err := state.DecodeTicket(data)
+	return decodedRecord{data: data, ticket: ticket, err: err}
 }
 
 // SkipTo advances to offset next without applying the records before it. The caller
 // has applied a ticket that replaces them, or cannot read or apply them.
 func (f *Fold) SkipTo(next int64) { f.next = max(f.next, next) }
 
-func (f *Fold) decide(position uint64, data []byte) Result {
-	verdict := Verdict{Position: position, ContentHash: xxhash.Sum64(data)}
-	if len(data) > state.MaxTicketBytes {
-		err := state.ErrTooLarge.New("ticket has %d bytes, over the bound of %d: split it", len(data), state.MaxTicketBytes)
+func (f *Fold) decide(position uint64, record decodedRecord) Result {
+	verdict := Verdict{Position: position, ContentHash: xxhash.Sum64(record.data)}
+	if len(record.data) > state.MaxTicketBytes {
+		err := state.ErrTooLarge.New("ticket has %d bytes, over the bound of %d: split it", len(record.data), state.MaxTicketBytes)
 		return Result{Verdict: verdict.rejected(err)}
 	}
-	ticket, decodeErr := state.DecodeTicket(data)
+	ticket, decodeErr := record.ticket, record.err
 	verdict.Number = ticket.Number
 	if decodeErr != nil && outcomeOf(decodeErr) == Undecodable {
-		verdict.Number = numberOf(data)
+		verdict.Number = numberOf(record.data)
 		return Result{Verdict: verdict.rejected(decodeErr)}
 	}
 	// An invalid ticket is decoded, so its verdict also has the ticket's content hash.
