Read a configuration that the store leaves out of reads as the newest record

A read returns 1 MiB of records by default. If the store leaves it out, the read has no records although the stream goes on, and the reader repeated it for ever.

Such a response is now handled like a trimmed record: the newest record of each key is read. Whether the users' store does this is not known; the largest record seen was 669 kB as a ticket.

--- a/internal/coordination/spread/events.go
+++ b/internal/coordination/spread/events.go
@@ -52,7 +52,7 @@
 }
 
 // TicketsTrimmed is the response to ReadTickets when retention has dropped the
-// record at From.
+// record at From, or reads leave it out for its size.
 type TicketsTrimmed struct{}
 
 // CheckpointRead is the response to ReadCheckpoint. Found is false if the stream
--- a/internal/node/configuration/platform.go
+++ b/internal/node/configuration/platform.go
@@ -68,6 +68,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.options.CompactedLog != nil && len(batch.Records) == 0 && batch.Bounds.Next > request.From {
+		// The platform leaves out a record over its read size, but returns it as the
+		// newest one.
+		return spread.TicketsTrimmed{}, nil
+	}
 	return spread.TicketsRead{Records: recordsOf(batch)}, nil
 }
 
