Count requests, not wake-ups, in TestTicketReachesEveryNodeOverDRPC

Trace: the test's log counted a waiting read again each time an append to any stream woke it. Over 150 runs beside load, with both counts printed, the old count was over the bound three times (13, 15, 13) while the nodes had made 6, 5 and 4 requests. The number of requests does not grow with the fleet: they are those of the two readers of each domain.

The test's log counts each request once. The bound of 12 is unchanged.

--- a/internal/node/configuration/fake_test.go
+++ b/internal/node/configuration/fake_test.go
@@ -72,6 +72,7 @@
 }
 
 func (l *fakeLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platformlog.Batch, error) {
+	l.countRead(stream)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -89,10 +90,17 @@
 	}
 }
 
-func (l *fakeLog) readNow(stream string, from int64) (platformlog.Batch, chan struct{}, error) {
+// countRead counts a request. A waiting read that an append to any stream wakes is still
+// the same request.
+func (l *fakeLog) countRead(stream string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads[stream]++
+}
+
+func (l *fakeLog) readNow(stream string, from int64) (platformlog.Batch, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.unavailable {
 		return platformlog.Batch{}, nil, platformlog.ErrUnavailable.New("down")
 	}
