Read the directory again only when it can help, while a node has not joined

Trace by reading: beside load the node had not joined within 0.5 s of its first read, and read again, although it knew the other node. A node that knows others joins through them; it now reads again only after 2 s, and after 0.5 s as before if the directory had no other node.

--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,6 +21,9 @@
 	// directoryRetryInterval is the mean time between two syncs while the node is
 	// not registered or has not joined the fleet.
 	directoryRetryInterval = 500 * time.Millisecond
+	// directoryRereadInterval is the minimum time between two reads of a node that has
+	// not joined although the directory has other nodes.
+	directoryRereadInterval = 2 * time.Second
 	// directoryInterval is the mean time between two syncs of a registered node
 	// that has joined. The first relay of a domain then reads the directory and
 	// deletes the records of departed nodes.
@@ -47,8 +51,10 @@
 	// departedAt is, by ID, when each dead or departed node was first seen as such,
 	// or when its record was last deleted.
 	departedAt map[string]time.Time
-	// readAt is when the directory was last read.
-	readAt time.Time
+	// readAt is when the directory was last read, foundOthers whether it then had other
+	// nodes.
+	readAt      time.Time
+	foundOthers bool
 }
 
 // runDirectory registers this node and discovers others until ctx ends.
@@ -57,6 +63,7 @@
 	previous := r.options.Registrations.Previous(r.options.Self.ID)
 	dir := &directory{runner: r, random: random, departedAt: make(map[string]time.Time), readAt: r.options.Registrations.ReadAt}
 	dir.recordedService, dir.recordedSlots = previous.Service, previous.Slots
+	dir.foundOthers = hasOthers(r.options.Registrations.members, r.options.Self.ID)
 	next := time.NewTimer(time.Duration(random.Int64N(int64(directoryStartSpread))))
 	defer next.Stop()
 	check := time.NewTicker(targetCheckInterval)
@@ -95,7 +102,7 @@
 		r.registered = r.register(ctx)
 	}
 	joined, firstRelay := r.runner.joinStatus()
-	if (!joined || firstRelay) && r.runner.options.Now().Sub(r.readAt) >= directoryRetryInterval {
+	if (!joined || firstRelay) && r.runner.options.Now().Sub(r.readAt) >= r.rereadInterval() {
 		r.read(ctx)
 	}
 	if !r.registered || !joined {
@@ -105,6 +112,15 @@
 	return r.jittered(directoryInterval)
 }
 
+// rereadInterval is the time until the directory may be read again: short only if the
+// last read found no other node to join through.
+func (r *directory) rereadInterval() time.Duration {
+	if r.foundOthers {
+		return directoryRereadInterval
+	}
+	return directoryRetryInterval
+}
+
 func (r *directory) jittered(mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(r.random.Int64N(int64(mean)))
 }
@@ -146,8 +162,9 @@
 		r.runner.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
 		return
 	}
-	r.readAt = sentAt
-	r.runner.learnSeeds(decodeRosters(batch.Records, r.runner.options.Logger))
+	members := decodeRosters(batch.Records, r.runner.options.Logger)
+	r.readAt, r.foundOthers = sentAt, hasOthers(members, r.runner.options.Self.ID)
+	r.runner.learnSeeds(members)
 	r.runner.events.TryPush(membership.PlatformContacted{SentAt: sentAt})
 }
 
@@ -204,6 +221,10 @@
 	return previous
 }
 
+func hasOthers(members []membership.Member, id string) bool {
+	return slices.ContainsFunc(members, func(m membership.Member) bool { return m.ID != id })
+}
+
 // decodeRosters returns the members in records of the members stream. Malformed
 // records are logged and skipped.
 func decodeRosters(records []platformlog.Record, logger *logging.Logger) []membership.Member {
