--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -38,8 +38,8 @@
 
 // New returns a client of the log at url, for example
 // "http://10.0.0.5:7400". requestTimeout bounds the time without progress of each
-// request; the wait of a read is added to it. client makes the requests and should set no timeout of its
-// own.
+// request; the wait of a read is added to it. client makes the requests and should
+// set no timeout of its own.
 func New(url string, requestTimeout time.Duration, client *http.Client) *Client {
 	return &Client{
 		base:           strings.TrimRight(url, "/"),
