Trace a call that is cut off as a drain ends, in a test that fails

Drain counts calls that have arrived, returns at once, and the node stops before it can refuse the call.

A drain that ends only after a time without arrivals would refuse such calls.

--- a/internal/node/calls/conn_test.go
+++ b/internal/node/calls/conn_test.go
@@ -103,6 +103,20 @@
 	c.silent = true
 }
 
+// delayWrites delays all writes until releaseHeld.
+func (c *faultConn) delayWrites() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holding = true
+}
+
+// hasDelayed reports whether a write is delayed.
+func (c *faultConn) hasDelayed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held) > 0
+}
+
 // releaseHeld sends the delayed writes.
 func (c *faultConn) releaseHeld() {
 	c.mu.Lock()
