Show what a target states in its responses: rate limit and leaving

The gate now reads both from the target's own responses (contract headers of the platform, and the product's own Jasminegate-Target-Rate-Limit and Jasminegate-Target-Leaving), writes events 310 to 312, at most one a second after a burst of 20, and shows the limit as a gauge. Nothing acts on them yet.

Responses to another request and by another process (421) are ignored, a malformed value changes nothing, and another process of the target starts without signals; a target that is only silent for a while keeps them.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -40,6 +40,9 @@
 	TargetExpired       = Event{306, log.WarnLevel, "target's announcement expired"}
 	AnnouncementRefused = Event{308, log.WarnLevel, "target announcement refused: the node keeps the target that it knows"}
 	TargetNotFound      = Event{309, log.InfoLevel, "target of the node's previous incarnation not found: the node waits for the target's announcement"}
+	TargetRateLimit     = Event{310, log.InfoLevel, "target changed the rate limit that it states in its responses"}
+	TargetLeaving       = Event{311, log.InfoLevel, "target stated in a response that it is leaving"}
+	TargetSignalInvalid = Event{312, log.WarnLevel, "target sent a rate limit that cannot be used: the last one stays in force"}
 	NodeSuperseded      = Event{307, log.ErrorLevel, "a later incarnation runs under this node's ID: calls are refused; stop this process or set another node.id"}
 )
 
--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -54,6 +54,12 @@
 	set.NewGauge("jasminegate_calls_queued", func() float64 {
 		return float64(n.queuedCalls())
 	})
+	set.NewGauge("jasminegate_target_rate_limited", func() float64 {
+		return boolGauge(n.calls.Stats().TargetSignals.RateLimited)
+	})
+	set.NewGauge("jasminegate_target_rate_limit", func() float64 {
+		return n.calls.Stats().TargetSignals.RateLimit
+	})
 	n.addCallMetrics(set)
 	n.addConfigurationMetrics(set)
 	return set
--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -12,4 +12,6 @@
 	errCallerLeft       = errorx.NewType(Errors, "caller-left")
 	errBodyTooLarge     = errorx.NewType(Errors, "bounds")
 	errConnectionLimit  = errorx.NewType(Errors, "connections")
+	// errSignal means that a target states something about itself that is malformed.
+	errSignal = errorx.NewType(Errors, "signal")
 )
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -76,7 +76,8 @@
 	counters        counters
 	metrics         *requestMetrics
 	runningRequests runningRequests
-	failedLog       *failedRequestLog
+	failedLog       failedRequestLog
+	signals         *targetSignals
 	// baseCtx ends with Run, and with it the calls at the target.
 	baseCtx    context.Context
 	cancelBase context.CancelFunc
@@ -101,7 +102,7 @@
 	if options.Contract == (headers.Contract{}) {
 		options.Contract = headers.DefaultContract()
 	}
-	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics()}
+	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), signals: newTargetSignals(options.Logger), metrics: newRequestMetrics()}
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.entry = newEntryLoop(options)
--- /dev/null
+++ b/internal/node/calls/signals_test.go
@@ -0,0 +1,108 @@
+package calls
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/membership"
+	"jasminegate/internal/logging"
+	"jasminegate/internal/protocol/headers"
+)
+
+// statingTarget responds with the current values of the signal headers; an empty
+// value leaves the header out.
+type statingTarget struct {
+	rateLimit atomic.Pointer[string]
+	leaving   atomic.Bool
+	arrived   atomic.Int64
+}
+
+func (s *statingTarget) state(limit string) { s.rateLimit.Store(&limit) }
+
+func (s *statingTarget) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.arrived.Add(1)
+	if limit := s.rateLimit.Load(); limit != nil && *limit != "" {
+		w.Header().Set(headers.TargetRateLimit, *limit)
+	}
+	if s.leaving.Load() {
+		w.Header().Set(headers.TargetLeaving, "1")
+	}
+}
+
+// TestSignalsFollowTarget verifies that the gate knows what its target stated last:
+// malformed values change nothing, another process starts without signals.
+func TestSignalsFollowTarget(t *testing.T) {
+	is := is.New(t)
+	target := &statingTarget{}
+	f := newFleet(t, fleetOptions{nodes: 1}, target.ServeHTTP)
+	runner := f.nodes[0].runner
+	for _, step := range []struct {
+		stated string
+		want   call.TargetSignals
+	}{
+		{"", call.TargetSignals{}},
+		{"250.5", call.TargetSignals{RateLimited: true, RateLimit: 250.5}},
+		{"many", call.TargetSignals{RateLimited: true, RateLimit: 250.5}},
+		{"-1", call.TargetSignals{RateLimited: true, RateLimit: 250.5}},
+		{"NaN", call.TargetSignals{RateLimited: true, RateLimit: 250.5}},
+		{"+Inf", call.TargetSignals{RateLimited: true, RateLimit: 250.5}},
+		{"300", call.TargetSignals{RateLimited: true, RateLimit: 300}},
+		{"", call.TargetSignals{}},
+	} {
+		target.state(step.stated)
+		is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
+		is.Equal(runner.Stats().TargetSignals, step.want) // stated step
+	}
+	target.state("400")
+	is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
+	announced := runner.target.Load().Target
+	runner.SetTarget(Target{State: membership.TargetAbsent})
+	is.Equal(runner.Stats().TargetSignals.RateLimit, 400.0) // silent for a moment, the same process
+	announced.Instance = "another"
+	runner.SetTarget(announced)
+	is.Equal(runner.Stats().TargetSignals, call.TargetSignals{})
+}
+
+// TestSignalsOfOtherResponsesAreIgnored verifies that signals count only in the
+// response of the addressed process to the request.
+func TestSignalsOfOtherResponsesAreIgnored(t *testing.T) {
+	const idHeader = "X-Request"
+	contract := headers.Contract{RequestID: idHeader, TargetRateLimit: headers.TargetRateLimit, TargetLeaving: headers.TargetLeaving, NotRun: "X-Not-Run"}
+	for name, respond := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"another request's response": func(w http.ResponseWriter, r *http.Request) { w.Header().Set(idHeader, "other") },
+		"another process": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(idHeader, r.Header.Get(idHeader))
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, fleetOptions{nodes: 1, contract: contract}, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headers.TargetRateLimit, "5")
+				w.Header().Set(headers.TargetLeaving, "1")
+				respond(w, r)
+			})
+			_ = f.call(0, "GET", "/read", "", idHeader, "a1")
+			is.Equal(f.nodes[0].runner.Stats().TargetSignals, call.TargetSignals{})
+		})
+	}
+}
+
+// TestSignalLogIsBounded verifies that a target which changes its limit with each
+// response cannot fill the log.
+func TestSignalLogIsBounded(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	signals := newTargetSignals(logging.New(&out, "info", "n-1"))
+	for i := range 1000 {
+		signals.observe(call.TargetProcess{}, call.TargetSignals{RateLimited: true, RateLimit: float64(i + 1)}, true)
+	}
+	lines := strings.Count(out.String(), "\n")
+	is.True(lines >= 1 && lines <= signalLineBurst+1)
+}
--- a/internal/node/calls/stats.go
+++ b/internal/node/calls/stats.go
@@ -1,6 +1,10 @@
 package calls
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"jasminegate/internal/coordination/call"
+)
 
 // counters are the totals since the start. started and refused count decisions
 // on calls at this node's gate; the others count what this node does as entry.
@@ -41,6 +45,8 @@
 	Refused uint64
 	// ConcurrencyLimit is how many calls may run at the target at present.
 	ConcurrencyLimit int
+	// TargetSignals are the newest ones of the local target.
+	TargetSignals call.TargetSignals
 	// InFlight is the number of callers' requests being served.
 	InFlight int
 }
@@ -59,6 +65,7 @@
 		Started:          r.counters.started.Load(),
 		Refused:          r.counters.refused.Load(),
 		ConcurrencyLimit: int(r.gate.limit.Load()),
+		TargetSignals:    r.signals.get(),
 		InFlight:         int(r.entry.inFlight.Load()),
 	}
 }
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/coordination/membership"
 )
@@ -20,9 +21,11 @@
 	Connections int
 	// Address is the host and port on which the target serves HTTP.
 	Address string
-	// Instance is the ID of the target's process, if the target reported one.
-	Instance string
-	State    membership.TargetState
+	// Instance is the ID of the target's process, if the target reported one, and
+	// StartedMS its start time in Unix milliseconds, if known.
+	Instance  string
+	StartedMS int64
+	State     membership.TargetState
 }
 
 const (
@@ -33,6 +36,11 @@
 	targetDialTimeout = time.Second
 )
 
+// process returns the identity of the target's process.
+func (t Target) process() call.TargetProcess {
+	return call.TargetProcess{Instance: t.Instance, StartedMS: t.StartedMS}
+}
+
 // target is a Target with its connections.
 type target struct {
 	Target
@@ -111,9 +119,12 @@
 // connection limit changed, idle connections are closed and new requests use new
 // ones; requests in flight continue.
 func (r *Runner) SetTarget(announced Target) {
+	if announced.State != membership.TargetAbsent {
+		r.signals.setProcess(announced.process())
+	}
 	current := r.target.Load()
 	switch {
-	case current == nil || current.Address != announced.Address || current.Instance != announced.Instance || current.Connections != announced.Connections:
+	case current == nil || current.Address != announced.Address || !current.process().Same(announced.process()) || current.Connections != announced.Connections:
 		r.replaceTarget(newTarget(announced), current)
 	case current.Target != announced:
 		// The transports still dial through the target that they were made for,
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -59,7 +59,9 @@
 		return r.recordFailure(c, t, conn.sent(), err)
 	}
 	defer response.Body.Close()
-	switch classifyResponse(r.options.Contract, request, response) {
+	class := classifyResponse(r.options.Contract, request, response)
+	r.observeSignals(t, request, response, class)
+	switch class {
 	case notRunResponse:
 		r.recordOutcome(c, call.NotRun, call.ReasonTargetShed)
 		return gate.RejectedByTarget
--- a/internal/protocol/headers/contract.go
+++ b/internal/protocol/headers/contract.go
@@ -30,6 +30,12 @@
 	NotRun string
 	// ResponseSeal is present in each successful response that the target itself sent.
 	ResponseSeal string
+	// TargetRateLimit is present in a target's responses while the target limits the
+	// calls that it takes from all callers together; it holds the calls per second, a
+	// decimal number.
+	TargetRateLimit string
+	// TargetLeaving is "1" in the responses of a target that is about to stop.
+	TargetLeaving string
 	// PreciseRetryAfter means that callers accept fractions of a second in
 	// Retry-After.
 	PreciseRetryAfter bool
@@ -37,7 +43,7 @@
 
 // DefaultContract returns the contract with the Jasminegate headers.
 func DefaultContract() Contract {
-	return Contract{Timeout: Timeout, Attempts: Attempts, CallID: CallID, IdempotencyKey: IdempotencyKey}
+	return Contract{Timeout: Timeout, Attempts: Attempts, CallID: CallID, IdempotencyKey: IdempotencyKey, TargetRateLimit: TargetRateLimit, TargetLeaving: TargetLeaving}
 }
 
 // SystemHeaders returns the headers that only the system sets on requests to
--- a/internal/protocol/headers/headers.go
+++ b/internal/protocol/headers/headers.go
@@ -15,6 +15,11 @@
 	// IdempotencyKey identifies a call that is not idempotent, so that a retry by
 	// the caller does not run it again.
 	IdempotencyKey = "Idempotency-Key"
+	// TargetRateLimit holds, in a target's responses, the calls per second that the
+	// target takes from all callers together, for as long as it sends the header.
+	TargetRateLimit = "Jasminegate-Target-Rate-Limit"
+	// TargetLeaving is "1" in the responses of a target that is about to stop.
+	TargetLeaving = "Jasminegate-Target-Leaving"
 	// RetryAfter holds the seconds after which a refused call may be sent again, as
 	// a whole number unless Contract.PreciseRetryAfter is set.
 	RetryAfter = "Retry-After"
