--- a/internal/standin/target/mode.go
+++ b/internal/standin/target/mode.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
+
+	"jasminegate/internal/protocol/headers"
 )
 
 // maxModeBytes limits the body of POST /mode.
@@ -45,6 +48,13 @@
 	// ProbeMS is the response time of the health and load endpoints in
 	// milliseconds.
 	ProbeMS int `json:"probe_ms"`
+	// RateLimit is stated in every response: the requests per second that the target
+	// takes from all callers together. It is only stated, not enforced; nil states
+	// none.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// Leaving is stated in every response: the target is about to stop. Unlike a
+	// drain, it is not announced.
+	Leaving bool `json:"leaving"`
 }
 
 func (m Mode) validate() error {
@@ -56,6 +66,18 @@
 		m.Reporting, ReportHonest, ReportLagging, ReportIdle, ReportFailed)
 }
 
+// stateSignals sets the headers of the signals that the mode states.
+func (m Mode) stateSignals(header http.Header) {
+	header.Del(headers.TargetRateLimit)
+	if m.RateLimit != nil {
+		header.Set(headers.TargetRateLimit, strconv.FormatFloat(*m.RateLimit, 'f', -1, 64))
+	}
+	header.Del(headers.TargetLeaving)
+	if m.Leaving {
+		header.Set(headers.TargetLeaving, "1")
+	}
+}
+
 func (m Mode) lag() time.Duration { return time.Duration(m.LagMS) * time.Millisecond }
 
 func (t *Target) handleMode(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -103,6 +103,7 @@
 
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.Mode().stateSignals(w.Header())
 	t.router.ServeHTTP(w, r)
 }
 
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -100,6 +100,7 @@
 		return
 	}
 	t.ledger.finish(run)
+	t.Mode().stateSignals(w.Header())
 	t.respond(w, params, echo)
 }
 
