Hold the rate limit that a target states, at its gate, over all callers

Cause: nothing in the fleet read the header.

All calls for a target pass its gate, so the limit is kept there, exactly and for all callers and entries together, without any message: a token bucket (at most 4 calls above the limit over any period) beside the slots. A call that the limit does not allow yet waits in the queue as for a slot, within the same share of its slack; otherwise it is refused at once as not run, with the new reason rate-limited, and the entry tries other gates (no token of the retry budget, as the refusal cost no target any work). Its Retry-After is the time until the limit allows it, over the admission ratio, with jitter. The load that a gate reports counts the used share of the limit. After the target has withdrawn its limit the rate starts at an eighth of its capacity and doubles each second. A limit below 0.2 a second counts as 0.2, as only responses can withdraw it. A resend of the HTTP client takes a token.

A gate that restarts does not know the limit. Entries learn it from responses and refusals and send it along with each call; the gate takes it over until it has a response of its target. Nothing is sent while no target states anything.

calls_queued now counts the queue: calls that wait for the limit leave slots free.

--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -61,6 +61,9 @@
 	// ReasonTooLate means that the call did not start in time, or was not expected
 	// to start or to be answered in time.
 	ReasonTooLate Reason = "too-late"
+	// ReasonRateLimited means that the target's rate limit does not allow the call in
+	// time.
+	ReasonRateLimited Reason = "rate-limited"
 	// ReasonLeaving means that the entry, the gate or the target is draining.
 	ReasonLeaving  Reason = "leaving"
 	ReasonNoTarget Reason = "no-target"
--- a/internal/coordination/call/signals.go
+++ b/internal/coordination/call/signals.go
@@ -1,5 +1,7 @@
 package call
 
+import "time"
+
 // TargetProcess identifies one process of a target. A target may start again under
 // the same instance ID.
 type TargetProcess struct {
@@ -28,3 +30,11 @@
 	// new work.
 	Leaving bool
 }
+
+// TargetReport is what a process of a target stated last.
+type TargetReport struct {
+	Process TargetProcess
+	Signals TargetSignals
+	// At is when the signals were received from the target.
+	At time.Time
+}
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -38,6 +38,7 @@
 	}
 	ep := c.endpoint
 	m.recordLoad(now, ep, e.Load)
+	m.recordReport(ep, e.TargetReport)
 	m.detach(c)
 	if e.Failed {
 		m.countFailure(now, c.Service, ep)
@@ -54,6 +55,7 @@
 	}
 	ep := c.endpoint
 	m.recordLoad(now, ep, e.Load)
+	m.recordReport(ep, e.TargetReport)
 	ep.suspectConnection = false
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
 	m.detach(c)
@@ -96,7 +98,7 @@
 	case call.ReasonTargetUnreachable:
 		m.countFailure(now, c.Service, ep)
 		return true
-	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetShed:
+	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonRateLimited, call.ReasonTargetShed:
 		ep.avoidUntil = now.Add(overloadAvoidTime)
 	}
 	return false
@@ -216,7 +218,11 @@
 	if c.outcomeUnknown {
 		return false
 	}
-	return c.lastRefusal.Reason == call.ReasonQueueFull || c.lastRefusal.Reason == call.ReasonTooLate
+	switch c.lastRefusal.Reason {
+	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonRateLimited:
+		return true
+	}
+	return false
 }
 
 // waitForPrimary delays a keyed call whose primary cannot take it, for example
@@ -303,7 +309,7 @@
 // ruled out that an earlier call with the same key and request ran.
 func keyChecked(reason call.Reason) bool {
 	switch reason {
-	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetUnreachable, call.ReasonTargetShed, call.ReasonCancelled, call.ReasonMalformed, call.ReasonKeyReused:
+	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonRateLimited, call.ReasonTargetUnreachable, call.ReasonTargetShed, call.ReasonCancelled, call.ReasonMalformed, call.ReasonKeyReused:
 		return true
 	default:
 		return false
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -63,6 +63,9 @@
 	// requests, such as status 502, 503 or 504.
 	Failed bool
 	Load   int
+	// TargetReport is what the gate's target states, or nil if the gate knows of
+	// nothing that it ever stated.
+	TargetReport *call.TargetReport
 }
 
 // Refused reports that the gate sent the attempt's outcome instead of a response,
@@ -73,6 +76,8 @@
 	Reason     call.Reason
 	RetryAfter time.Duration
 	Load       int
+	// TargetReport is as in ResponseReceived.
+	TargetReport *call.TargetReport
 	// BodyConsumed says that a part of the request body is consumed, so that the call
 	// cannot be sent again.
 	BodyConsumed bool
@@ -137,6 +142,9 @@
 	// RequireSoftDeadline tells the gate to refuse the call unless it expects to meet
 	// the call's soft deadline.
 	RequireSoftDeadline bool
+	// TargetReport is what this entry last learned of the gate's target, or nil if the
+	// target states nothing. A gate that has just restarted does not know it.
+	TargetReport *call.TargetReport
 }
 
 // Resolve asks the gate over a new connection for the response of an attempt whose
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -34,13 +34,16 @@
 // Machine is the state machine of all requests that callers send to one node. It
 // is not safe for concurrent use.
 type Machine struct {
-	options        Options
-	random         *rand.Rand
-	endpoints      map[string]*endpoint
-	groups         map[string]*group
-	budgets        map[string]*budget
-	requests       map[uint64]*request
-	split          trafficSplit
+	options   Options
+	random    *rand.Rand
+	endpoints map[string]*endpoint
+	groups    map[string]*group
+	budgets   map[string]*budget
+	requests  map[uint64]*request
+	split     trafficSplit
+	// targetReports holds, by endpoint ID, the newest report on its target. It outlives
+	// incarnations of the endpoint.
+	targetReports  map[string]call.TargetReport
 	counter        uint64
 	retries        uint64
 	chargedRetries uint64
@@ -89,6 +92,8 @@
 		budgets:   make(map[string]*budget),
 		requests:  make(map[uint64]*request),
 		split:     make(trafficSplit),
+
+		targetReports: make(map[string]call.TargetReport),
 	}
 }
 
@@ -147,6 +152,7 @@
 		g.endpoints = append(g.endpoints, e)
 	}
 	m.groups = groups
+	m.forgetOldReports(now)
 }
 
 func (m *Machine) budgetOf(service string) *budget {
@@ -194,6 +200,7 @@
 		Handle: c.Handle, ID: c.attemptID, Endpoint: chosen.Endpoint,
 		AttemptsLeft: max(0, c.MaxAttempts-c.sent+c.uncharged), NewConnection: chosen.suspectConnection,
 		RequireSoftDeadline: m.options.OverloadTries > 0 && !c.allowLate,
+		TargetReport:        m.reportFor(chosen),
 	}}
 }
 
--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -132,7 +132,7 @@
 }
 
 func (m *Machine) canStart() bool {
-	return m.queue.len() == 0 && m.ledger.running < m.limit.current()
+	return m.queue.len() == 0 && m.ledger.running < m.limit.current() && m.rate.allows()
 }
 
 // queueSlackShare is the share of a call's slack that it may spend in the queue. The
@@ -154,17 +154,17 @@
 	}
 	full := m.queue.len() >= m.target.QueueLength
 	if full && !m.queue.canDisplace(item) {
-		return []Action{m.refusal(item, call.ReasonQueueFull)}
+		return []Action{m.refusal(item, m.overloadReason(item, call.ReasonQueueFull))}
 	}
 	wait := m.estimateQueueTime(item)
 	if now.Add(wait).After(item.latestStart) || e.RequireSoftDeadline && now.Add(wait+item.serviceTime).After(e.SoftDeadline) {
-		return []Action{m.refusal(item, call.ReasonTooLate)}
+		return []Action{m.refusal(item, m.overloadReason(item, call.ReasonTooLate))}
 	}
 	var actions []Action
 	if full {
 		last := m.queue.displace(item)
 		m.forgetQueued(last.id)
-		actions = append(actions, m.refusal(last, call.ReasonQueueFull))
+		actions = append(actions, m.refusal(last, m.overloadReason(last, call.ReasonQueueFull)))
 	}
 	m.updateAdmissionRatio(1)
 	m.queuedArrivals[e.ID] = e
@@ -203,19 +203,48 @@
 func (m *Machine) refuseLate(now time.Time) []Action {
 	limit := max(1, m.limit.current())
 	var actions []Action
-	for _, item := range m.queue.removeLate(now, limit, m.limit.meanServiceTime(false)/time.Duration(limit)) {
+	untilFree := m.limit.meanServiceTime(false) / time.Duration(limit)
+	for _, item := range m.queue.removeLate(now, limit, untilFree, m.rate.wait) {
 		m.forgetQueued(item.id)
-		actions = append(actions, m.refusal(item, call.ReasonTooLate))
+		actions = append(actions, m.refusal(item, m.overloadReason(item, call.ReasonTooLate)))
 	}
 	return actions
 }
 
 // estimateQueueTime returns the expected queueing time of a call that arrives now
-// with the class of item and, if it is interactive, its rank: the service times of the
+// with the class and the rank of item: until a slot is free for it and until the
+// target's rate limit allows it.
+func (m *Machine) estimateQueueTime(item queuedCall) time.Duration {
+	return max(m.estimateSlotWait(item), m.estimateRateWait(item))
+}
+
+// estimateRateWait returns the time until the target's rate limit allows the calls
+// that start before the item, and the item.
+func (m *Machine) estimateRateWait(item queuedCall) time.Duration {
+	ahead := m.queue.len()
+	if !item.background {
+		calls, _ := m.queue.ahead(item.rank)
+		ahead = calls + min(len(m.queue.background), calls/m.queue.overtakeLimit)
+	}
+	return m.rate.wait(ahead + 1)
+}
+
+// overloadReason returns why the gate has no capacity for the item: the target's rate
+// limit, if that delays it more than the running and queued calls do, else the reason
+// given.
+func (m *Machine) overloadReason(item queuedCall, otherwise call.Reason) call.Reason {
+	if m.estimateRateWait(item) > m.estimateSlotWait(item) {
+		return call.ReasonRateLimited
+	}
+	return otherwise
+}
+
+// estimateSlotWait returns the expected time until a slot is free for a call that
+// arrives now with the class of item and, if it is interactive, its rank: the service times of the
 // calls that start before it, plus one mean service time until a slot is free, divided
 // by the limit. A background call counts as the last of its class. While both classes
 // are queued, one background call starts per overtakeLimit interactive ones.
-func (m *Machine) estimateQueueTime(item queuedCall) time.Duration {
+func (m *Machine) estimateSlotWait(item queuedCall) time.Duration {
 	limit := max(1, m.limit.current())
 	meanInteractive := m.limit.meanServiceTime(false)
 	meanBackground := m.limit.meanServiceTime(true)
@@ -238,6 +267,9 @@
 	// entry shortens the delay that it reports to a caller with little time left.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// maxRateLimitedRetryAfter replaces maxRetryAfter where the target's rate limit
+	// determines the delay.
+	maxRateLimitedRetryAfter = 10 * time.Second
 	// minAdmissionRatio is the lowest admission ratio used for the retry delay, so
 	// that a long overload does not extend the delay without limit.
 	minAdmissionRatio = 0.1
@@ -260,7 +292,11 @@
 // cycles through retryAfterJitterSteps steps.
 func (m *Machine) retryAfter(item queuedCall) time.Duration {
 	wait := time.Duration(float64(m.estimateQueueTime(item)) / max(minAdmissionRatio, m.admissionRatio))
-	wait = min(maxRetryAfter, max(minRetryAfter, wait))
+	longest := maxRetryAfter
+	if m.estimateRateWait(item) > m.estimateSlotWait(item) {
+		longest = maxRateLimitedRetryAfter
+	}
+	wait = min(longest, max(minRetryAfter, wait))
 	m.refusals++
 	step := float64(m.refusals%retryAfterJitterSteps) / retryAfterJitterSteps
 	return time.Duration(float64(wait) * (1 - retryAfterJitter/2 + retryAfterJitter*step))
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -121,6 +121,21 @@
 	Ready bool
 }
 
+// SetRateLimit reports the limit that the target names for the calls per second of
+// all callers together, or that it names none any more.
+type SetRateLimit struct {
+	Limited   bool
+	PerSecond float64
+}
+
+// ForgetRateLimit reports that another process of the target has started, which has
+// named no limit.
+type ForgetRateLimit struct{}
+
+// Resent reports that the call was sent to the target once more without an event of
+// the machine, after its connection broke.
+type Resent struct{ ID call.ID }
+
 // Drain refuses all queued and new calls from now on. Running calls continue.
 type Drain struct{}
 
@@ -134,6 +149,9 @@
 func (Disconnected) isEvent()      {}
 func (Resolve) isEvent()           {}
 func (SetTarget) isEvent()         {}
+func (SetRateLimit) isEvent()      {}
+func (ForgetRateLimit) isEvent()   {}
+func (Resent) isEvent()            {}
 func (Drain) isEvent()             {}
 func (Tick) isEvent()              {}
 
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 
 	"jasminegate/internal/coordination/call"
@@ -25,6 +26,7 @@
 	target   SetTarget
 	draining bool
 	limit    limiter
+	rate     rateLimiter
 	queue    queue
 	// queuedArrivals holds the Arrive event of each queued call.
 	queuedArrivals map[call.ID]Arrive
@@ -57,6 +59,16 @@
 // Load returns the number of running and queued calls.
 func (m *Machine) Load() int { return m.ledger.running + m.queue.len() }
 
+// Queued returns the number of queued calls.
+func (m *Machine) Queued() int { return m.queue.len() }
+
+// ReportedLoad returns the load for the choice between gates: that of Load, or as many
+// slots as correspond to the used share of the target's rate limit.
+func (m *Machine) ReportedLoad() int {
+	byRate := math.Round(m.rate.utilization() * float64(m.target.Slots))
+	return max(m.Load(), min(int(byRate), m.target.Slots))
+}
+
 // Running returns the number of running calls.
 func (m *Machine) Running() int { return m.ledger.running }
 
@@ -64,10 +76,20 @@
 func (m *Machine) Limit() int { return m.limit.current() }
 
 // NextWake returns when the next Tick is due, and false if none is.
-func (m *Machine) NextWake() (time.Time, bool) { return m.queue.earliestExpiry() }
+func (m *Machine) NextWake() (time.Time, bool) {
+	at, queued := m.queue.earliestExpiry()
+	if !queued || m.ledger.running >= m.limit.current() {
+		return at, queued
+	}
+	if byRate := m.rate.updated.Add(m.rate.wait(1)); byRate.Before(at) {
+		at = byRate
+	}
+	return at, true
+}
 
 // Step processes one event and returns the resulting actions in order.
 func (m *Machine) Step(now time.Time, event Event) []Action {
+	m.rate.advance(now)
 	actions := m.refuseExpired(now)
 	switch e := event.(type) {
 	case Arrive:
@@ -84,6 +106,12 @@
 		actions = append(actions, m.resolve(e)...)
 	case SetTarget:
 		actions = append(actions, m.setTarget(e)...)
+	case SetRateLimit:
+		m.setRateLimit(now, e)
+	case ForgetRateLimit:
+		m.rate.clear()
+	case Resent:
+		m.rate.take()
 	case Drain:
 		m.draining = true
 		actions = append(actions, m.refuseQueued(call.ReasonLeaving)...)
@@ -102,11 +130,21 @@
 	return m.refuseQueued(call.ReasonLeaving)
 }
 
+// setRateLimit applies the limit that the target names. A target that withdraws it
+// carries one call per mean service time in each slot.
+func (m *Machine) setRateLimit(now time.Time, e SetRateLimit) {
+	if e.Limited {
+		m.rate.set(now, e.PerSecond)
+		return
+	}
+	m.rate.withdraw(now, float64(m.limit.current())/m.limit.meanServiceTime(false).Seconds())
+}
+
 func (m *Machine) refuseExpired(now time.Time) []Action {
 	var actions []Action
 	for _, item := range m.queue.removeExpired(now) {
 		m.forgetQueued(item.id)
-		actions = append(actions, m.refusal(item, call.ReasonTooLate))
+		actions = append(actions, m.refusal(item, m.overloadReason(item, call.ReasonTooLate)))
 	}
 	return actions
 }
@@ -123,7 +161,7 @@
 func (m *Machine) startQueued(now time.Time) []Action {
 	var actions []Action
 	m.queue.setOvertakeLimit(m.limit.meanServiceTime(false), m.limit.meanServiceTime(true))
-	for m.ledger.running < m.limit.current() {
+	for m.ledger.running < m.limit.current() && m.rate.allows() {
 		item, ok := m.queue.pop()
 		if !ok {
 			break
@@ -148,6 +186,7 @@
 	if w := m.windowOf(e.ID); w != nil {
 		w.setStarted(e.ID.Counter, true)
 	}
+	m.rate.take()
 	m.ledger.start(&record{
 		id: e.ID, background: e.Background, idempotent: e.Idempotent, route: e.Route,
 		started: now, key: e.Key, fingerprint: e.Fingerprint,
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -164,13 +164,15 @@
 }
 
 // removeLate removes and returns the interactive calls that are expected to start
-// too late, given the concurrency limit and the time until a slot is free.
-func (q *queue) removeLate(now time.Time, limit int, untilFree time.Duration) []queuedCall {
+// too late, given the concurrency limit, the time until a slot is free and the time
+// rateWait(n) until the rate limit allows the n-th call.
+func (q *queue) removeLate(now time.Time, limit int, untilFree time.Duration, rateWait func(n int) time.Duration) []queuedCall {
 	var late []queuedCall
 	start := now.Add(untilFree)
 	remaining := q.interactive[:0]
 	for _, item := range q.interactive {
-		if start.After(item.latestStart) {
+		byRate := now.Add(rateWait(len(remaining) + 1))
+		if start.After(item.latestStart) || byRate.After(item.latestStart) {
 			late = append(late, item)
 			continue
 		}
--- a/internal/node/admin_status.go
+++ b/internal/node/admin_status.go
@@ -66,10 +66,9 @@
 	writeJSON(w, http.StatusOK, status)
 }
 
-// queuedCalls returns the number of calls queued at this node's gate: those
-// beyond the concurrency limit.
+// queuedCalls returns the number of calls queued at this node's gate.
 func (n *node) queuedCalls() int {
-	return max(0, int(n.calls.Load())-n.calls.Stats().ConcurrencyLimit)
+	return n.calls.Stats().Queued
 }
 
 // domainProgress returns one entry for each stored summary, so a domain has one for
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -64,6 +64,9 @@
 	start := c.callStart(action)
 	start.TimeoutMs = c.timeoutMs(r.options.Now())
 	start.AimMs = c.softDeadlineMs(r.options.Now())
+	if action.TargetReport != nil {
+		start.TargetReport = toWireReport(r.options.Now(), *action.TargetReport)
+	}
 	a, err := r.open(c, action.Endpoint, action.NewConnection, c.deadline)
 	if err != nil {
 		return nil, notSent(c.handle, err)
@@ -203,13 +206,13 @@
 		return nil, a.endLost()
 	}
 	if frame.Aborted != "" {
-		return nil, a.endRefused(call.Unknown, frame.Aborted, 0, 0)
+		return nil, a.endRefused(call.Unknown, frame.Aborted, &wire.AnswerStart{})
 	}
 	if frame.Start == nil {
 		return nil, a.endLost()
 	}
 	if outcome := call.Outcome(frame.Start.Outcome); outcome != call.Answered {
-		return nil, a.endRefused(outcome, frame.Start.Reason, frame.Start.RetryAfterMs, frame.Start.Load)
+		return nil, a.endRefused(outcome, frame.Start.Reason, frame.Start)
 	}
 	return frame, nil
 }
@@ -224,7 +227,7 @@
 			return nil, a.endLost()
 		}
 		if frame.Aborted != "" {
-			return nil, a.endRefused(abortOutcome(frame.Aborted), frame.Aborted, 0, first.Start.Load)
+			return nil, a.endRefused(abortOutcome(frame.Aborted), frame.Aborted, &wire.AnswerStart{Load: first.Start.Load, TargetReport: first.Start.TargetReport})
 		}
 		got.data = append(got.data, frame.Data...)
 		got.complete = frame.Last
@@ -303,15 +306,16 @@
 }
 
 // endRefused ends the attempt after the gate sent an outcome in place of a
-// response.
-func (a *attempt) endRefused(outcome call.Outcome, reason string, retryAfterMs, load uint32) entry.Event {
+// response. Of start it uses the delay, the load and the report.
+func (a *attempt) endRefused(outcome call.Outcome, reason string, start *wire.AnswerStart) entry.Event {
 	a.end(true)
 	return entry.Refused{
 		Handle:       a.handle,
 		Outcome:      outcome,
 		Reason:       call.Reason(reason),
-		RetryAfter:   time.Duration(retryAfterMs) * time.Millisecond,
-		Load:         int(load),
+		RetryAfter:   time.Duration(start.RetryAfterMs) * time.Millisecond,
+		Load:         int(start.Load),
+		TargetReport: fromWireReport(a.runner.options.Now(), start.TargetReport),
 		BodyConsumed: a.request.body.consumed.Load(),
 	}
 }
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -293,7 +293,10 @@
 }
 
 func (r *Runner) deliver(w http.ResponseWriter, request *http.Request, c *callerRequest, got *gateResponse) {
-	r.entry.notify(entry.ResponseReceived{Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load)})
+	r.entry.notify(entry.ResponseReceived{
+		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
+		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
+	})
 	if got.deliver(w, request.Method) {
 		c.outcome = outcomeAnswered
 		r.counters.answered.Add(1)
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -61,6 +61,8 @@
 	// boot is the clock that advances during suspension; nil means clock.BootTime.
 	boot     func() time.Time
 	contract headers.Contract
+	// incarnation is that of the added nodes; 0 means 7.
+	incarnation uint64
 }
 
 func testSettings() config.Calls {
@@ -84,6 +86,9 @@
 	if options.slots == 0 {
 		options.slots = 8
 	}
+	if options.incarnation == 0 {
+		options.incarnation = 7
+	}
 	for i := range options.nodes {
 		f.addNode(i, options, target)
 	}
@@ -120,7 +125,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	f.is.NoErr(err)
 	n := &fleetNode{member: membership.Member{
-		ID: fmt.Sprintf("node-%d", i), Incarnation: 7, Domain: "casa-port", State: membership.Alive,
+		ID: fmt.Sprintf("node-%d", i), Incarnation: options.incarnation, Domain: "casa-port", State: membership.Alive,
 		CallsAddress: listener.Addr().String(), Service: "depot", Slots: uint32(options.slots), Target: membership.TargetReady,
 	}}
 	n.pool = peer.NewPool(peer.PoolOptions{MaxPerAddress: 64, DialTimeout: time.Second, IdleTimeout: time.Minute, Dial: options.dial})
@@ -162,6 +167,17 @@
 	f.t.Cleanup(n.stop)
 }
 
+// restartNode replaces the node by its next incarnation, with another server as its
+// target.
+func (f *fleet) restartNode(i int, options fleetOptions, target http.HandlerFunc) {
+	f.nodes[i].stop()
+	options.incarnation = f.nodes[i].member.Incarnation + 1
+	f.addNode(i, options, target)
+	f.nodes[i] = f.nodes[len(f.nodes)-1]
+	f.nodes = f.nodes[:len(f.nodes)-1]
+	f.publishView()
+}
+
 // publishView gives all nodes the same view.
 func (f *fleet) publishView() {
 	view := &membership.View{Epoch: 1, Self: f.nodes[0].member}
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -120,6 +120,7 @@
 	ctx, span := r.startGateSpan(stream.Context(), frame.Start)
 	defer span.End()
 	c := r.newGateCall(frame)
+	r.adoptReport(frame.Start.TargetReport)
 	refused, err := r.admitKey(stream, c)
 	if err != nil || refused != nil {
 		c.cancelRun()
@@ -296,6 +297,7 @@
 			Reason:       string(reason),
 			RetryAfterMs: uint32(retryAfter.Milliseconds()),
 			Load:         r.Load(),
+			TargetReport: r.targetReport(),
 		},
 		Last: true,
 	}
--- a/internal/node/calls/gateloop.go
+++ b/internal/node/calls/gateloop.go
@@ -46,7 +46,10 @@
 	done    chan struct{}
 	calls   map[call.ID]*gateCall
 	load    atomic.Int64
-	limit   atomic.Int64
+	queued  atomic.Int64
+	// reportedLoad is the load that other nodes use to choose a gate.
+	reportedLoad atomic.Int64
+	limit        atomic.Int64
 	// release releases the claim of a keyed call that was not run.
 	release func(key string, serial uint64)
 }
@@ -103,6 +106,8 @@
 	}
 	actions := l.machine.Step(l.now(), item.event)
 	l.load.Store(int64(l.machine.Load()))
+	l.queued.Store(int64(l.machine.Queued()))
+	l.reportedLoad.Store(int64(l.machine.ReportedLoad()))
 	l.limit.Store(int64(l.machine.Limit()))
 	l.releaseIfNotRun(item.event)
 	for _, action := range actions {
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -102,7 +102,7 @@
 	if options.Contract == (headers.Contract{}) {
 		options.Contract = headers.DefaultContract()
 	}
-	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), signals: newTargetSignals(options.Logger), metrics: newRequestMetrics()}
+	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics()}
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.entry = newEntryLoop(options)
@@ -112,6 +112,7 @@
 		MaxRetainedBytes: options.Settings.LedgerBytes,
 		Retention:        options.Settings.LedgerRetention,
 	})
+	r.signals = newTargetSignals(options.Logger, r.gate.notify)
 	r.keyed = newKeyedLoop(r)
 	r.gate.release = r.keyed.release
 	r.handler = r.newHandler()
@@ -138,8 +139,8 @@
 // CallersHandler returns the HTTP handler for callers.
 func (r *Runner) CallersHandler() http.Handler { return r.handler }
 
-// Load returns how many calls run or are queued at this node's gate.
-func (r *Runner) Load() uint32 { return uint32(r.gate.load.Load()) }
+// Load returns the load of this node's gate, by which entries choose a gate.
+func (r *Runner) Load() uint32 { return uint32(r.gate.reportedLoad.Load()) }
 
 // currentRoutes returns the route index of the current snapshot, or nil if
 // there is none yet.
--- a/internal/node/calls/signals.go
+++ b/internal/node/calls/signals.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
 )
@@ -18,62 +20,115 @@
 	signalLineBurst      = 20
 )
 
-// targetSignals holds the newest signals of the local target.
+// signalSource is where the signals of the local target were learned.
+type signalSource string
+
+const (
+	sourceNone     signalSource = "none"
+	sourceResponse signalSource = "response"
+	// sourceEntry stands for the report of an entry. It counts only until the gate has
+	// a response of the target, for example after a restart of the gate.
+	sourceEntry signalSource = "entry"
+)
+
+// targetSignals holds the newest signals of the local target and passes changes on to
+// the gate machine.
 type targetSignals struct {
 	log *sampledLog
+	// notifyGate passes an event to the gate machine.
+	notifyGate func(gate.Event)
 
-	mu      sync.Mutex
-	process call.TargetProcess
-	current call.TargetSignals
+	mu     sync.Mutex
+	report call.TargetReport
+	source signalSource
+	// reported is set once the process had a signal that an entry may know: from then
+	// on entries are told of the present ones, also if there are none.
+	reported bool
 }
 
-func newTargetSignals(logger *logging.Logger) *targetSignals {
-	return &targetSignals{log: newSampledLog(logger, signalLinesPerSecond, signalLineBurst)}
+func newTargetSignals(logger *logging.Logger, notifyGate func(gate.Event)) *targetSignals {
+	return &targetSignals{log: newSampledLog(logger, signalLinesPerSecond, signalLineBurst), notifyGate: notifyGate, source: sourceNone}
 }
 
 // get returns the newest signals.
 func (s *targetSignals) get() call.TargetSignals {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.current
+	return s.report.Signals
+}
+
+// forEntries returns the report that entries get, or false if they need none.
+func (s *targetSignals) forEntries() (call.TargetReport, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report, s.reported
 }
 
 // setProcess drops the signals of another process than the given one.
 func (s *targetSignals) setProcess(process call.TargetProcess) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.process.Same(process) {
-		s.current = call.TargetSignals{}
+	if s.report.Process.Same(process) {
+		s.report.Process = process
+		return
 	}
-	s.process = process
+	s.report = call.TargetReport{Process: process}
+	s.source = sourceNone
+	s.reported = false
+	s.notifyGate(gate.ForgetRateLimit{})
 }
 
 // observe takes over what a response of the process states. complete says that the
 // response certainly has the target's own headers, so that the absence of one counts.
-func (s *targetSignals) observe(process call.TargetProcess, stated call.TargetSignals, complete bool) {
+func (s *targetSignals) observe(now time.Time, process call.TargetProcess, stated call.TargetSignals, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.process.Same(process) {
+	if !s.report.Process.Same(process) {
 		return
 	}
-	next := stated
+	current := s.report.Signals
 	if !complete && !stated.RateLimited {
-		next.RateLimited, next.RateLimit = s.current.RateLimited, s.current.RateLimit
+		stated.RateLimited, stated.RateLimit = current.RateLimited, current.RateLimit
+	}
+	// A response that the target sent earlier on another connection may arrive later.
+	stated.Leaving = stated.Leaving || current.Leaving
+	s.set(now, stated, sourceResponse)
+}
+
+// adopt takes over an entry's report, unless the gate has learned the signals of that
+// process from a response, or from a newer report.
+func (s *targetSignals) adopt(report call.TargetReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.report.Process.Same(report.Process) {
+		return
 	}
-	next.Leaving = s.current.Leaving || stated.Leaving
-	s.set(next)
+	if report.Signals != s.report.Signals {
+		s.reported = true
+	}
+	older := s.source == sourceEntry && !report.At.After(s.report.At)
+	if s.source == sourceResponse || older {
+		return
+	}
+	s.set(report.At, report.Signals, sourceEntry)
 }
 
-// set stores and logs changed signals. The caller holds mu.
-func (s *targetSignals) set(next call.TargetSignals) {
-	previous := s.current
-	s.current = next
+// set stores the signals, logs a change and passes it on to the gate machine. The
+// caller holds mu, so that the machine gets changes in order.
+func (s *targetSignals) set(at time.Time, next call.TargetSignals, source signalSource) {
+	previous := s.report.Signals
+	s.report.Signals, s.report.At, s.source = next, at, source
+	if next == previous {
+		return
+	}
+	s.reported = true
 	if next.RateLimited != previous.RateLimited || next.RateLimit != previous.RateLimit {
-		s.log.event(logging.TargetRateLimit).Str("instance", s.process.Instance).
-			Str("limit", formatRateLimit(next)).Str("previous", formatRateLimit(previous)).Send()
+		s.log.event(logging.TargetRateLimit).Str("instance", s.report.Process.Instance).
+			Str("limit", formatRateLimit(next)).Str("previous", formatRateLimit(previous)).Str("source", string(source)).Send()
+		s.notifyGate(gate.SetRateLimit{Limited: next.RateLimited, PerSecond: next.RateLimit})
 	}
 	if next.Leaving != previous.Leaving {
-		s.log.event(logging.TargetLeaving).Str("instance", s.process.Instance).Send()
+		s.log.event(logging.TargetLeaving).Str("instance", s.report.Process.Instance).Str("source", string(source)).Send()
 	}
 }
 
@@ -95,7 +150,7 @@
 	if err != nil {
 		r.signals.log.event(logging.TargetSignalInvalid).Err(err).Send()
 	}
-	r.signals.observe(t.process(), stated, err == nil && class != mismatchedResponse)
+	r.signals.observe(r.options.Now(), t.process(), stated, err == nil && class != mismatchedResponse)
 }
 
 // ownResponse reports whether the process that was addressed sent the response to
--- a/internal/node/calls/signals_test.go
+++ b/internal/node/calls/signals_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"jasminegate/internal/clock"
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
@@ -99,10 +103,32 @@
 func TestSignalLogIsBounded(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	signals := newTargetSignals(logging.New(&out, "info", "n-1"))
+	signals := newTargetSignals(logging.New(&out, "info", "n-1"), func(gate.Event) {})
 	for i := range 1000 {
-		signals.observe(call.TargetProcess{}, call.TargetSignals{RateLimited: true, RateLimit: float64(i + 1)}, true)
+		signals.observe(time.Time{}, call.TargetProcess{}, call.TargetSignals{RateLimited: true, RateLimit: float64(i + 1)}, true)
 	}
 	lines := strings.Count(out.String(), "\n")
 	is.True(lines >= 1 && lines <= signalLineBurst+1)
 }
+
+// TestRestartedGateForgetsRateLimit restarts the gate of a target that names a limit.
+// Calls reach the new gate before it has any response of the target: it keeps to the
+// limit that the entry has learned.
+func TestRestartedGateForgetsRateLimit(t *testing.T) {
+	is := is.New(t)
+	target := &statingTarget{}
+	target.state("1")
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true}, target.ServeHTTP)
+	is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
+	f.restartNode(1, fleetOptions{slots: 8, boot: clock.BootTime}, func(w http.ResponseWriter, r *http.Request) {
+		target.ServeHTTP(w, r)
+		time.Sleep(300 * time.Millisecond) // the header is sent with the end of the response
+	})
+	before := target.arrived.Load()
+	var calls sync.WaitGroup
+	for range 8 {
+		calls.Go(func() { f.call(0, "GET", "/read", "", headers.Timeout, "250") })
+	}
+	calls.Wait()
+	is.True(target.arrived.Load()-before <= 1)
+}
--- a/internal/node/calls/stats.go
+++ b/internal/node/calls/stats.go
@@ -43,6 +43,8 @@
 	// calls, and calls refused because an event ring was full, are in neither.
 	Started uint64
 	Refused uint64
+	// Queued is how many calls are queued at this node's gate.
+	Queued int
 	// ConcurrencyLimit is how many calls may run at the target at present.
 	ConcurrencyLimit int
 	// TargetSignals are the newest ones of the local target.
@@ -64,6 +66,7 @@
 		ConnectionsLost:  r.counters.connectionsLost.Load(),
 		Started:          r.counters.started.Load(),
 		Refused:          r.counters.refused.Load(),
+		Queued:           int(r.gate.queued.Load()),
 		ConcurrencyLimit: int(r.gate.limit.Load()),
 		TargetSignals:    r.signals.get(),
 		InFlight:         int(r.entry.inFlight.Load()),
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -54,7 +54,7 @@
 		r.recordOutcome(c, call.NotRun, call.ReasonMalformed)
 		return gate.NotSent
 	}
-	response, conn, err := t.roundTrip(request, c)
+	response, conn, err := t.roundTrip(request, c, func() { r.gate.notify(gate.Resent{ID: c.id}) })
 	if err != nil {
 		return r.recordFailure(c, t, conn.sent(), err)
 	}
@@ -120,14 +120,15 @@
 
 // roundTrip sends the request, and sends it once more if no byte of it was
 // written, its body is not streamed and its context has not ended. used tracks
-// the connection of the last try.
-func (t *target) roundTrip(request *http.Request, c *gateCall) (response *http.Response, used *writeTracker, err error) {
+// the connection of the last try. resent is called when the HTTP client sends the
+// request again by itself.
+func (t *target) roundTrip(request *http.Request, c *gateCall, resent func()) (response *http.Response, used *writeTracker, err error) {
 	transport := t.pooledTransport
 	if !c.start.Idempotent && !c.streaming && len(c.buffered) == 0 {
 		transport = t.singleUseTransport
 	}
 	for try := 0; try < maxUnsentTries; try++ {
-		used = &writeTracker{}
+		used = &writeTracker{resent: resent}
 		traced := request.WithContext(httptrace.WithClientTrace(request.Context(), used.trace()))
 		traced.Body = c.targetBody()
 		response, err = transport.RoundTrip(traced)
@@ -143,11 +144,17 @@
 type writeTracker struct {
 	conn   *targetConn
 	before int64
+	// resent is called when the request gets another connection after bytes of it
+	// were written to the last one.
+	resent func()
 }
 
 func (w *writeTracker) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*targetConn); ok {
+			if w.sent() {
+				w.resent()
+			}
 			w.conn = conn
 			w.before = conn.written.Load()
 		}
@@ -209,6 +216,7 @@
 		Headers:       toWireHeaders(response.Header),
 		Load:          r.Load(),
 		ContentLength: response.ContentLength,
+		TargetReport:  r.targetReport(),
 	}
 }
 
