Give no new calls to a target that states in a response that it is leaving

A target that says in its responses that it is leaving (Server-Leaving) went on getting calls until it also announced that it drains, which it may do late or never; callers of a target that then stops are cut off (DRAIN).

Cause: drains were taken from announcements only.

The gate now takes such a target as draining at once, whatever it announces later, and membership spreads that as any drain. It binds the process (instance and start time), so that a process which starts again under its ID, another instance, or, for targets that name no instance, another address or a new announcement after the old one ended, is ready again. A gate that restarts learns it from the entries' reports or from the headers of the health check by which it finds its target again: a healthy status with Server-Leaving is no confirmation. The health check also teaches it the rate limit.

--- a/internal/node/calls/reportwire.go
+++ b/internal/node/calls/reportwire.go
@@ -43,7 +43,11 @@
 
 // adoptReport takes over what the entry knows of the local target.
 func (r *Runner) adoptReport(report *wire.TargetReport) {
-	if known := fromWireReport(r.options.Now(), report); known != nil {
-		r.signals.adopt(*known)
+	known := fromWireReport(r.options.Now(), report)
+	if known == nil || !r.signals.adopt(*known) {
+		return
+	}
+	if t := r.target.Load(); t != nil && t.Process() == known.Process {
+		r.options.OnTargetLeaving(t.Target)
 	}
 }
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -48,7 +48,10 @@
 	// PeerLoad returns the load of a node as last received by membership, and
 	// when it was received.
 	PeerLoad func(id string) (load uint32, at time.Time, ok bool)
-	Logger   *logging.Logger
+	// OnTargetLeaving is called when the target states that it is leaving; the target
+	// then gets no new calls. Nil ignores it.
+	OnTargetLeaving func(Target)
+	Logger          *logging.Logger
 	// Tracer starts a span for each hop; nil disables tracing.
 	Tracer     trace.Tracer
 	RandomSeed uint64
@@ -102,6 +105,9 @@
 	if options.Contract == (headers.Contract{}) {
 		options.Contract = headers.DefaultContract()
 	}
+	if options.OnTargetLeaving == nil {
+		options.OnTargetLeaving = func(Target) {}
+	}
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics()}
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
--- a/internal/node/calls/signals.go
+++ b/internal/node/calls/signals.go
@@ -80,11 +80,12 @@
 
 // observe takes over what a response of the process states. complete says that the
 // response certainly has the target's own headers, so that the absence of one counts.
-func (s *targetSignals) observe(now time.Time, process call.TargetProcess, stated call.TargetSignals, complete bool) {
+// It reports whether the process states for the first time that it is leaving.
+func (s *targetSignals) observe(now time.Time, process call.TargetProcess, stated call.TargetSignals, complete bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.report.Process.Same(process) {
-		return
+		return false
 	}
 	current := s.report.Signals
 	if !complete && !stated.RateLimited {
@@ -92,34 +93,46 @@
 	}
 	// A response that the target sent earlier on another connection may arrive later.
 	stated.Leaving = stated.Leaving || current.Leaving
-	s.set(now, stated, sourceResponse)
+	return s.set(now, stated, sourceResponse)
 }
 
 // adopt takes over an entry's report, unless the gate has learned the signals of that
-// process from a response, or from a newer report.
-func (s *targetSignals) adopt(report call.TargetReport) {
+// process from a response, or from a newer report. That a process is leaving is never
+// out of date. It reports whether this is news.
+func (s *targetSignals) adopt(report call.TargetReport) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.report.Process.Same(report.Process) {
-		return
+	current := s.report
+	if !current.Process.Same(report.Process) {
+		return false
 	}
-	if report.Signals != s.report.Signals {
+	if report.Process != current.Process {
+		// With a start time unknown, it may be another process that was leaving.
+		report.Signals.Leaving = false
+	}
+	if report.Signals != current.Signals {
 		s.reported = true
 	}
-	older := s.source == sourceEntry && !report.At.After(s.report.At)
-	if s.source == sourceResponse || older {
-		return
+	if older := s.source == sourceEntry && !report.At.After(current.At); s.source == sourceResponse || older {
+		leaving := report.Signals.Leaving
+		report.Signals, report.At = current.Signals, current.At
+		report.Signals.Leaving = current.Signals.Leaving || leaving
 	}
-	s.set(report.At, report.Signals, sourceEntry)
+	source := s.source
+	if source != sourceResponse {
+		source = sourceEntry
+	}
+	return s.set(report.At, report.Signals, source)
 }
 
-// set stores the signals, logs a change and passes it on to the gate machine. The
-// caller holds mu, so that the machine gets changes in order.
-func (s *targetSignals) set(at time.Time, next call.TargetSignals, source signalSource) {
+// set stores the signals, logs a change and passes it on to the gate machine. It
+// reports whether the target is leaving and was not before. The caller holds mu, so
+// that the machine gets changes in order.
+func (s *targetSignals) set(at time.Time, next call.TargetSignals, source signalSource) bool {
 	previous := s.report.Signals
 	s.report.Signals, s.report.At, s.source = next, at, source
 	if next == previous {
-		return
+		return false
 	}
 	s.reported = true
 	if next.RateLimited != previous.RateLimited || next.RateLimit != previous.RateLimit {
@@ -127,9 +140,11 @@
 			Str("limit", formatRateLimit(next)).Str("previous", formatRateLimit(previous)).Str("source", string(source)).Send()
 		s.notifyGate(gate.SetRateLimit{Limited: next.RateLimited, PerSecond: next.RateLimit})
 	}
-	if next.Leaving != previous.Leaving {
+	if next.Leaving && !previous.Leaving {
 		s.log.event(logging.TargetLeaving).Str("instance", s.report.Process.Instance).Str("source", string(source)).Send()
+		return true
 	}
+	return false
 }
 
 // formatRateLimit formats the limit in calls per second for the log.
@@ -150,7 +165,21 @@
 	if err != nil {
 		r.signals.log.event(logging.TargetSignalInvalid).Err(err).Send()
 	}
-	r.signals.observe(r.options.Now(), t.process(), stated, err == nil && class != mismatchedResponse)
+	if r.signals.observe(r.options.Now(), t.Process(), stated, err == nil && class != mismatchedResponse) {
+		r.options.OnTargetLeaving(t.Target)
+	}
+}
+
+// ObserveHealthCheck takes over what the target states in the headers of its response
+// to a health check.
+func (r *Runner) ObserveHealthCheck(t Target, header http.Header) {
+	stated, err := readSignals(r.options.Contract, header)
+	if err != nil {
+		r.signals.log.event(logging.TargetSignalInvalid).Err(err).Send()
+	}
+	if r.signals.observe(r.options.Now(), t.Process(), stated, false) {
+		r.options.OnTargetLeaving(t)
+	}
 }
 
 // ownResponse reports whether the process that was addressed sent the response to
--- a/internal/node/calls/signals_test.go
+++ b/internal/node/calls/signals_test.go
@@ -132,3 +132,55 @@
 	calls.Wait()
 	is.True(target.arrived.Load()-before <= 1)
 }
+
+// TestReportsOfEntries verifies which reports of entries a gate takes over: the newest
+// one until the target itself has responded, and at any time that the very process is
+// leaving.
+func TestReportsOfEntries(t *testing.T) {
+	process := call.TargetProcess{Instance: "i-1", StartedMS: 5}
+	limit := func(perSecond float64) call.TargetSignals {
+		return call.TargetSignals{RateLimited: true, RateLimit: perSecond}
+	}
+	leaving := call.TargetSignals{Leaving: true}
+	base := time.Unix(1000, 0)
+	report := func(process call.TargetProcess, signals call.TargetSignals, second int) call.TargetReport {
+		return call.TargetReport{Process: process, Signals: signals, At: base.Add(time.Duration(second) * time.Second)}
+	}
+	for name, tc := range map[string]struct {
+		// observed is what the target stated to this gate, nil if it has not responded.
+		observed *call.TargetSignals
+		reports  []call.TargetReport
+		want     call.TargetSignals
+		// news is whether the last report says for the first time that it is leaving.
+		news bool
+	}{
+		"first report":         {nil, []call.TargetReport{report(process, limit(9), 1)}, limit(9), false},
+		"newer report":         {nil, []call.TargetReport{report(process, limit(9), 1), report(process, limit(4), 2)}, limit(4), false},
+		"older report":         {nil, []call.TargetReport{report(process, limit(4), 2), report(process, limit(9), 1)}, limit(4), false},
+		"another instance":     {nil, []call.TargetReport{report(call.TargetProcess{Instance: "i-2", StartedMS: 5}, limit(9), 1)}, call.TargetSignals{}, false},
+		"earlier start":        {nil, []call.TargetReport{report(call.TargetProcess{Instance: "i-1", StartedMS: 4}, leaving, 1)}, call.TargetSignals{}, false},
+		"start time unknown":   {nil, []call.TargetReport{report(call.TargetProcess{Instance: "i-1"}, leaving, 1)}, call.TargetSignals{}, false},
+		"leaving":              {nil, []call.TargetReport{report(process, leaving, 1)}, leaving, true},
+		"leaving twice":        {nil, []call.TargetReport{report(process, leaving, 1), report(process, leaving, 2)}, leaving, false},
+		"limit after response": {&call.TargetSignals{}, []call.TargetReport{report(process, limit(9), 9)}, call.TargetSignals{}, false},
+		"leaving after response": {
+			&call.TargetSignals{RateLimited: true, RateLimit: 3}, []call.TargetReport{report(process, leaving, 1)},
+			call.TargetSignals{RateLimited: true, RateLimit: 3, Leaving: true}, true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			signals := newTargetSignals(logging.Discard(), func(gate.Event) {})
+			signals.setProcess(process)
+			if tc.observed != nil {
+				signals.observe(base, process, *tc.observed, true)
+			}
+			news := false
+			for _, report := range tc.reports {
+				news = signals.adopt(report)
+			}
+			is.Equal(signals.get(), tc.want)
+			is.Equal(news, tc.news)
+		})
+	}
+}
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -36,8 +36,8 @@
 	targetDialTimeout = time.Second
 )
 
-// process returns the identity of the target's process.
-func (t Target) process() call.TargetProcess {
+// Process returns the identity of the target's process.
+func (t Target) Process() call.TargetProcess {
 	return call.TargetProcess{Instance: t.Instance, StartedMS: t.StartedMS}
 }
 
@@ -120,11 +120,11 @@
 // ones; requests in flight continue.
 func (r *Runner) SetTarget(announced Target) {
 	if announced.State != membership.TargetAbsent {
-		r.signals.setProcess(announced.process())
+		r.signals.setProcess(announced.Process())
 	}
 	current := r.target.Load()
 	switch {
-	case current == nil || current.Address != announced.Address || !current.process().Same(announced.process()) || current.Connections != announced.Connections:
+	case current == nil || current.Address != announced.Address || !current.Process().Same(announced.Process()) || current.Connections != announced.Connections:
 		r.replaceTarget(newTarget(announced), current)
 	case current.Target != announced:
 		// The transports still dial through the target that they were made for,
--- a/internal/node/rediscovery.go
+++ b/internal/node/rediscovery.go
@@ -44,9 +44,10 @@
 	for time.Now().Before(deadline) && !n.targets.hasReported() {
 		delay := configurationPollInterval
 		if service, ok := n.previousService(); ok {
-			target, health := n.checkHealth(ctx, client, service)
+			target, header, health := n.checkHealth(ctx, client, service)
 			if health == targetHealthy {
 				n.targets.addRediscovered(target, rediscoveredTargetTTL)
+				n.calls.ObserveHealthCheck(target, header)
 			}
 			if health != targetHealthUnknown {
 				return nil
@@ -79,37 +80,41 @@
 const (
 	targetHealthy targetHealth = iota
 	// targetHealthUnknown means that the target may be healthy but did not confirm
-	// it: the check timed out, or the response had another status than 200 or
-	// lacked the instance ID that the contract requires. The check is retried.
+	// it: the check timed out, or the response had another status than 200, lacked
+	// the instance ID that the contract requires or stated that the target is
+	// leaving. The check is retried.
 	targetHealthUnknown
 	// targetUnreachable means that the check failed with an error other than a
 	// timeout. The check is not retried.
 	targetUnreachable
 )
 
-func (n *node) checkHealth(ctx context.Context, client *http.Client, service state.Service) (calls.Target, targetHealth) {
+// checkHealth checks the target's health. It returns the target and the headers of its
+// response only if the target is healthy.
+func (n *node) checkHealth(ctx context.Context, client *http.Client, service state.Service) (calls.Target, http.Header, targetHealth) {
 	address := n.settings.Node.TargetAddress
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+service.HealthPath, nil)
 	if err != nil {
 		n.logger.Event(logging.TargetNotFound).Str("service", service.Name).Err(err).Send()
-		return calls.Target{}, targetUnreachable
+		return calls.Target{}, nil, targetUnreachable
 	}
 	response, err := client.Do(request)
 	if err != nil {
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() {
-			return calls.Target{}, targetHealthUnknown
+			return calls.Target{}, nil, targetHealthUnknown
 		}
 		n.logger.Event(logging.TargetNotFound).Str("service", service.Name).Err(err).Send()
-		return calls.Target{}, targetUnreachable
+		return calls.Target{}, nil, targetUnreachable
 	}
 	defer response.Body.Close()
 	instance := ""
 	if n.contract.InstanceID != "" {
 		instance = response.Header.Get(n.contract.InstanceID)
 	}
-	if response.StatusCode != http.StatusOK || instance == "" && n.contract.InstanceID != "" {
-		return calls.Target{}, targetHealthUnknown
+	leaving := n.contract.TargetLeaving != "" && response.Header.Get(n.contract.TargetLeaving) == "1"
+	if response.StatusCode != http.StatusOK || leaving || instance == "" && n.contract.InstanceID != "" {
+		return calls.Target{}, nil, targetHealthUnknown
 	}
 	return calls.Target{
 		Service:     service.Name,
@@ -118,5 +123,5 @@
 		Address:     address,
 		Instance:    instance,
 		State:       membership.TargetReady,
-	}, targetHealthy
+	}, response.Header, targetHealthy
 }
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -26,6 +26,9 @@
 	effective calls.Target
 	expires   time.Time
 	draining  bool
+	// leaving is a target that stated in a response that it is leaving, although it
+	// may announce itself as ready; nil if there is none.
+	leaving *calls.Target
 	// reported is set once the target has announced or withdrawn itself to this
 	// incarnation of the node.
 	reported bool
@@ -80,6 +83,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reported = true
+	r.end()
+}
+
+// markLeaving takes the target as draining from now on, also if it announces itself
+// as ready later.
+func (r *targetRegistry) markLeaving(target calls.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = &target
+	r.apply(r.announced)
+}
+
+// isLeaving reports whether the announced target is the one that stated that it is
+// leaving.
+func (r *targetRegistry) isLeaving(announced calls.Target) bool {
+	return r.leaving != nil && r.leaving.Address == announced.Address && r.leaving.Process().Same(announced.Process())
+}
+
+// end removes the target. A target without an instance ID that announces itself later
+// may be another process.
+func (r *targetRegistry) end() {
+	if r.leaving != nil && r.leaving.Instance == "" {
+		r.leaving = nil
+	}
 	r.apply(calls.Target{})
 }
 
@@ -126,7 +153,7 @@
 		return
 	}
 	r.node.logger.Event(logging.TargetExpired).Str("service", r.effective.Service).Send()
-	r.announced = calls.Target{}
+	r.end()
 }
 
 // apply stores an announcement and passes a changed target on: first to the gate,
@@ -135,6 +162,9 @@
 func (r *targetRegistry) apply(announced calls.Target) {
 	r.announced = announced
 	target := r.withinLimits(announced)
+	if target.State == membership.TargetReady && r.isLeaving(target) {
+		target.State = membership.TargetDraining
+	}
 	if target == r.effective {
 		return
 	}
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/node/calls"
 	"jasminegate/internal/state"
 )
@@ -29,3 +30,33 @@
 		})
 	}
 }
+
+// TestLeavingTargetIsAnnouncedReady guards against new calls to a target that stated in
+// a response that it is leaving and goes on announcing itself as ready.
+func TestLeavingTargetIsAnnouncedReady(t *testing.T) {
+	ready := calls.Target{Service: "depot", Address: "10.0.0.1:80", Instance: "i-1", StartedMS: 5, State: membership.TargetReady}
+	restarted, unknownStart, other := ready, ready, ready
+	restarted.StartedMS, unknownStart.StartedMS, other.Instance = 6, 0, "i-2"
+	unnamed := calls.Target{Service: "depot", Address: "10.0.0.1:80", State: membership.TargetReady}
+	moved := unnamed
+	moved.Address = "10.0.0.1:81"
+	for name, tc := range map[string]struct {
+		leaving   calls.Target
+		announced calls.Target
+		want      bool
+	}{
+		"same process":        {ready, ready, true},
+		"start time unknown":  {ready, unknownStart, true},
+		"restarted":           {ready, restarted, false},
+		"another instance":    {ready, other, false},
+		"no instance":         {unnamed, unnamed, true},
+		"no instance, moved":  {unnamed, moved, false},
+		"instance is unknown": {ready, unnamed, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			registry := &targetRegistry{leaving: &tc.leaving}
+			is.Equal(registry.isLeaving(tc.announced), tc.want)
+		})
+	}
+}
