Spill calls over a rate limit to targets that have room, and do not fail others

Causes, by a trace of the simulation's refusals: - After a refusal for the limit the entry's last try, for a late response, went to the same gate again, which refuses it for the same reason (gates [1 1]). Gates that refused for the limit are now left out of it; if all of them did, the call fails at once. - retryOverloaded picked twice, to see whether a gate is left and to send. The picks are random: a nil second pick failed the call at once without the late try (gates [1]). This was so for every overload, not only for limits. It now picks once. - Of the remote gates two were drawn and then checked for spare capacity. Now two of those with spare capacity are drawn.

No target gets more than its limit.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -98,7 +98,10 @@
 	case call.ReasonTargetUnreachable:
 		m.countFailure(now, c.Service, ep)
 		return true
-	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonRateLimited, call.ReasonTargetShed:
+	case call.ReasonRateLimited:
+		ep.avoidUntil = now.Add(overloadAvoidTime)
+		c.rateLimited = append(c.rateLimited, ep.ID)
+	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetShed:
 		ep.avoidUntil = now.Add(overloadAvoidTime)
 	}
 	return false
@@ -196,20 +199,26 @@
 // retryOverloaded sends a call that a gate refused for overload to another gate
 // without delay. After Options.OverloadTries such retries, or when no gate is left to
 // try, one gate, preferably of the local domain, may accept the call for a late
-// response; if that gate refuses too, the request fails. The refusals cost no target
-// any work, so these retries take no token of the retry budget.
+// response; if that gate refuses too, the request fails. A gate that refused because of
+// its target's rate limit would do so again. The refusals cost no target any work, so
+// these retries take no token of the retry budget.
 func (m *Machine) retryOverloaded(now time.Time, c *request) []Action {
 	c.overloadRetries++
 	if c.allowLate {
 		return m.fail(c, "")
 	}
-	if c.overloadRetries > m.options.OverloadTries || m.pick(now, c) == nil {
+	var next *endpoint
+	if c.overloadRetries <= m.options.OverloadTries {
+		next = m.pick(now, c)
+	}
+	if next == nil {
 		c.allowLate = true
-		c.excluded = c.excluded[:0]
+		c.excluded = append(c.excluded[:0], c.rateLimited...)
 		c.overloadRetries = 0 // pick may now return a remote gate without capacity
+		next = m.pick(now, c)
 	}
 	c.uncharged++
-	return m.send(now, c)
+	return m.sendTo(c, next)
 }
 
 // refusedForOverload reports whether a gate refused the last attempt because it
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -62,8 +62,10 @@
 	allowLate       bool
 	// uncharged counts the retries that took no token of the retry budget.
 	uncharged int
-	// excluded lists the IDs of the endpoints that must not get a further attempt.
-	excluded []string
+	// excluded lists the IDs of the endpoints that must not get a further attempt, and
+	// rateLimited those that refused because of their target's rate limit.
+	excluded    []string
+	rateLimited []string
 	// attempted lists the IDs of the endpoints of all attempts, in order.
 	attempted       []string
 	attemptID       call.ID
@@ -182,7 +184,11 @@
 }
 
 func (m *Machine) send(now time.Time, c *request) []Action {
-	chosen := m.pick(now, c)
+	return m.sendTo(c, m.pick(now, c))
+}
+
+// sendTo sends the call to the endpoint; nil fails the request.
+func (m *Machine) sendTo(c *request, chosen *endpoint) []Action {
 	if chosen == nil {
 		return m.fail(c, call.ReasonNoEndpoint)
 	}
--- a/internal/coordination/entry/pick.go
+++ b/internal/coordination/entry/pick.go
@@ -27,9 +27,6 @@
 		return local
 	}
 	remote := m.betterOfTwo(now, g, c, false)
-	if local == nil && c.overloadRetries > 0 && remote != nil && !remote.hasCapacity(now) {
-		return nil // a remote gate without capacity would refuse the call too
-	}
 	if local == nil {
 		return remote
 	}
@@ -44,6 +41,9 @@
 func (m *Machine) betterOfTwo(now time.Time, g *group, c *request, local bool) *endpoint {
 	eligible := m.pickBuffer[:0]
 	for _, e := range g.endpoints {
+		if !local && c.overloadRetries > 0 && !e.hasCapacity(now) {
+			continue // a remote gate without capacity would refuse the call too
+		}
 		if (e.Domain == m.options.Domain) == local && e.usable(now) && !c.isExcluded(e) {
 			eligible = append(eligible, e)
 		}
