Pass on the retry delay that a target states when it declines a call

A caller whose call the target declined (429 or 503 with the header that says that it was not run) was told to come back after 1 ms, whatever Retry-After the target had sent: an invitation to a retry storm on a target that says it is full.

Cause: the gate dropped the target's Retry-After, and the entry turned the missing delay into the least one.

The gate now passes the delay on, between 100 ms, which also holds where the target states none, and 10 s; the entry still shortens it to a third of the time that the caller has left.

Failed before: TestRetryAfterOfTargetIsDropped, all nine cases.

--- a/internal/node/calls/signals_test.go
+++ b/internal/node/calls/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -184,3 +185,41 @@
 		})
 	}
 }
+
+// TestRetryAfterOfTargetIsDropped verifies that a caller whose call a target declined
+// is told to come back when the target says, not at once.
+func TestRetryAfterOfTargetIsDropped(t *testing.T) {
+	const notRun = "X-Not-Run"
+	for name, tc := range map[string]struct {
+		stated   string
+		least    time.Duration
+		greatest time.Duration
+	}{
+		"seconds":       {"2", 2 * time.Second, 2 * time.Second},
+		"fraction":      {"1.5", 1500 * time.Millisecond, 1500 * time.Millisecond},
+		"date":          {time.Now().Add(5 * time.Second).UTC().Format(http.TimeFormat), 2 * time.Second, 5 * time.Second},
+		"date passed":   {time.Now().Add(-time.Hour).UTC().Format(http.TimeFormat), shedRetryAfter, shedRetryAfter},
+		"too long":      {"86400", maxTargetRetryAfter, maxTargetRetryAfter},
+		"malformed":     {"soon", shedRetryAfter, shedRetryAfter},
+		"not a number":  {"NaN", shedRetryAfter, shedRetryAfter},
+		"not stated":    {"", shedRetryAfter, shedRetryAfter},
+		"below default": {"0", shedRetryAfter, shedRetryAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, fleetOptions{nodes: 1, contract: headers.Contract{NotRun: notRun, PreciseRetryAfter: true}}, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(notRun, "1")
+				if tc.stated != "" {
+					w.Header().Set(headers.RetryAfter, tc.stated)
+				}
+				w.WriteHeader(http.StatusTooManyRequests)
+			})
+			got := f.call(0, "POST", "/file", "x")
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			seconds, err := strconv.ParseFloat(got.header.Get(headers.RetryAfter), 64)
+			is.NoErr(err)
+			delay := time.Duration(seconds * float64(time.Second))
+			is.True(delay >= tc.least && delay <= tc.greatest)
+		})
+	}
+}
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -63,7 +63,8 @@
 	r.observeSignals(t, request, response, class)
 	switch class {
 	case notRunResponse:
-		r.recordOutcome(c, call.NotRun, call.ReasonTargetShed)
+		delay := targetRetryAfter(r.options.Now(), response.Header)
+		_ = c.response.add(r.baseCtx, r.refusalFrame(call.NotRun, call.ReasonTargetShed, delay))
 		return gate.RejectedByTarget
 	case mismatchedResponse:
 		conn.discard()
