--- a/internal/coordination/entry/limited_fleet_test.go
+++ b/internal/coordination/entry/limited_fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,8 +12,8 @@
 	"jasminegate/internal/coordination/gate"
 )
 
-// limitedFleet simulates one service in virtual time: failure domains with one target
-// and one entry each, whose callers retry as the refusals tell them.
+// limitedFleet simulates one service in virtual time: failure domains with one entry
+// and some targets each, whose callers retry as the refusals tell them.
 type limitedFleet struct {
 	now     time.Time
 	random  *rand.Rand
@@ -27,6 +28,8 @@
 	served int
 	inTime int
 	failed int
+	// refusalTimes holds the times from the arrival of a refused try to its refusal.
+	refusalTimes []time.Duration
 	// starts counts the calls that each target started.
 	starts []int
 }
@@ -37,6 +40,8 @@
 	handle uint64
 	begun  time.Time
 	tries  int
+	// triedAt is when the last try began.
+	triedAt time.Time
 }
 
 const (
@@ -69,20 +74,23 @@
 	return last
 }
 
-func newLimitedFleet(domains int) *limitedFleet {
+func newLimitedFleet(domains, targetsPerDomain int) *limitedFleet {
+	targets := domains * targetsPerDomain
 	f := &limitedFleet{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)),
-		attempts: make(map[call.ID]*fleetRequest), starts: make([]int, domains),
+		attempts: make(map[call.ID]*fleetRequest), starts: make([]int, targets),
 	}
 	var endpoints []Endpoint
-	for i := range domains {
-		endpoints = append(endpoints, Endpoint{ID: fmt.Sprint(i), Incarnation: 1, Service: "rider-view", Domain: fmt.Sprint("d", i), Slots: fleetSlots})
+	for i := range targets {
+		endpoints = append(endpoints, Endpoint{ID: fmt.Sprint(i), Incarnation: 1, Service: "rider-view", Domain: fmt.Sprint("d", i%domains), Slots: fleetSlots})
 		f.gates = append(f.gates, gate.New(gate.Options{Incarnation: 1, MaxRecords: 1000, MaxRetainedBytes: 1 << 20, Retention: time.Minute}))
 	}
 	for i := range domains {
 		entry := New(Options{Node: fmt.Sprint("e", i), Incarnation: 1, Domain: fmt.Sprint("d", i), RetryRatio: 0.15, OverloadTries: 3, Seed: uint64(i)})
 		entry.Step(f.now, SetEndpoints{Endpoints: endpoints})
 		f.entries = append(f.entries, entry)
+	}
+	for i := range targets {
 		f.gateStep(i, gate.SetTarget{Slots: fleetSlots, QueueLength: 1000, QueueTimeout: time.Minute, FixedLimit: true, Ready: true})
 	}
 	f.now = f.now.Add(time.Minute) // past the slow start
@@ -138,6 +146,7 @@
 	f.handles++
 	r.handle = f.handles
 	r.tries++
+	r.triedAt = f.now
 	f.entryStep(r, Begin{Handle: r.handle, Service: "rider-view", Idempotent: true, Deadline: r.begun.Add(fleetTimeout), MaxAttempts: 2})
 }
 
@@ -156,6 +165,7 @@
 }
 
 func (f *limitedFleet) retryOrGiveUp(r *fleetRequest, fail Fail) {
+	f.refusalTimes = append(f.refusalTimes, f.now.Sub(r.triedAt))
 	left := r.begun.Add(fleetTimeout).Sub(f.now)
 	after := min(fail.RetryAfter, left/fleetRetryDivisor)
 	if r.tries >= fleetCallerTries || left <= 0 {
@@ -213,7 +223,7 @@
 	const measured = 40 * time.Second
 	limits := []float64{9.3, 4.5}
 	for rate, least := range map[float64]float64{12: 0.995, 16: 0.98} { // of 37 per target
-		f := newLimitedFleet(4)
+		f := newLimitedFleet(4, 1)
 		rates := []float64{rate, rate, rate, rate}
 		f.run(10*time.Second, rates)
 		for i, limit := range limits {
@@ -233,3 +243,40 @@
 		}
 	}
 }
+
+// TestEveryTargetOfServiceNamesRateLimit limits all targets of a fleet far below the
+// load. The callers over the limit are refused within the time that a call may queue,
+// most of them at once, and every target gets what it takes: no more, hardly less.
+func TestEveryTargetOfServiceNamesRateLimit(t *testing.T) {
+	const domains, perDomain = 5, 6
+	const limit, load = 5.0, 2.0
+	const measured = 30 * time.Second
+	f := newLimitedFleet(domains, perDomain)
+	rates := make([]float64, domains)
+	for i := range rates {
+		rates[i] = load * limit * perDomain
+	}
+	for i := range domains * perDomain {
+		f.gateStep(i, gate.SetRateLimit{Limited: true, PerSecond: limit})
+	}
+	f.run(10*time.Second, rates)
+	f.starts, f.refusalTimes = make([]int, domains*perDomain), nil
+	f.run(measured, rates)
+	period := (measured - fleetTimeout).Seconds() // no calls arrive in the last seconds
+	for i, started := range f.starts {
+		if allowed := limit*measured.Seconds() + 5; float64(started) > allowed {
+			t.Errorf("target %d started %d calls, allowed %v", i, started, allowed)
+		}
+		if least := 0.85 * limit * period; float64(started) < least {
+			t.Errorf("target %d started %d calls, at least %v expected", i, started, least)
+		}
+	}
+	slices.Sort(f.refusalTimes)
+	median, last := f.refusalTimes[len(f.refusalTimes)/2], f.refusalTimes[len(f.refusalTimes)-1]
+	t.Logf("%d refusals, after %v (median), %v (latest); started %v", len(f.refusalTimes), median, last, f.starts)
+	// A gate queues a call for at most a fifth of its slack: four of them up to the
+	// target latency, the last one up to the deadline.
+	if queued := (4*fleetTargetLatency + fleetTimeout) / 5; median > 20*time.Millisecond || last > queued {
+		t.Errorf("refused after %v (median), %v (latest); allowed %v", median, last, queued)
+	}
+}
