--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -109,7 +109,10 @@
 		return stream.Send(r.refusalFrame(call.NotRun, call.ReasonMalformed, 0))
 	}
 	r.activeStreams.Add(1)
-	defer r.activeStreams.Add(-1)
+	defer func() {
+		r.streamsServed.Add(1)
+		r.activeStreams.Add(-1)
+	}()
 	if frame.Start.Fetch {
 		return r.serveFetch(stream, frame.Start)
 	}
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -75,7 +75,9 @@
 	keepAlivesDisabled atomic.Bool
 	draining           atomic.Bool
 	// activeStreams counts the streams of entries that are being served.
-	activeStreams   atomic.Int64
+	activeStreams atomic.Int64
+	// streamsServed counts the streams that ended since Drain last looked.
+	streamsServed   atomic.Int64
 	counters        counters
 	metrics         *requestMetrics
 	runningRequests runningRequests
