Trace TestSilentConnections: its barrier needs the slots that the adaptive limit takes

Trace (trial with logs): a call of the barrier is refused as too-late after the service's queue timeout of 10 s, the other three, which wait for it at the target, time out at their caller after 20 s, and no later group is complete; connections of callers that left are closed, which is the assertion of line 155 that failed then. The call was queued because the adaptive limit had fallen below four slots: latencies of about a millisecond double on a busy machine. Nothing was silent that should not be, and nothing was lost.

--- a/internal/node/calls/faults_test.go
+++ b/internal/node/calls/faults_test.go
@@ -115,7 +115,13 @@
 	running := make(chan struct{}, 10)
 	proceed := make(chan struct{})
 	allArrived := newBarrier(parallelCalls)
-	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, func(w http.ResponseWriter, r *http.Request) {
+	settings := func(settings *config.Calls) {
+		shortSilenceTimeout(settings)
+		// The barrier needs parallelCalls slots; on a busy machine latencies vary, and
+		// the adaptive limit would lower their number.
+		settings.FixedLimit = true
+	}
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: settings}, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/file/slow":
 			runs.Add(1)
