Fetch the response of a call whose gate was only slow, instead of giving it up

Cause: after a lost connection the entry retries an idempotent call elsewhere, and fails it at once where no retry is allowed (attempts or retry budget used up). Closing the connection makes the gate cancel the run.

- Where no retry is allowed and time is left, the entry now resolves the attempt at its gate over a new connection, as it does for calls that are not idempotent, up to the deadline.
Where a retry is allowed nothing changes, so that a dead gate is noticed as early as before.
- A gate keeps an idempotent run going for 300 ms after its connection was lost, and its complete response as long, so that the entry can ask for it.
Nobody who asks, or a cancel, ends it: the 300 ms stay within the half second in which a caller's leaving has to reach the target.
- A cancel on a connection that fetches a response is now heeded.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -144,7 +144,7 @@
 	if c.resolving {
 		return m.resolveAgain(now, c)
 	}
-	if c.Idempotent && c.Key == "" {
+	if c.Idempotent && c.Key == "" && !m.shouldFetch(now, c) {
 		c.outcomeUnknown = true
 		m.detach(c)
 		return m.retryOrFail(now, c, false)
@@ -152,6 +152,19 @@
 	return m.resolve(c)
 }
 
+// shouldFetch reports whether the gate of an idempotent call's lost attempt is asked for
+// the response: if no retry is allowed and there is time left. The gate may only be
+// slow, and then still runs the call, unless the rest of its body is missing.
+func (m *Machine) shouldFetch(now time.Time, c *request) bool {
+	return !c.bodyConsumed && now.Before(c.Deadline) && !m.mayRetry(c)
+}
+
+// mayRetry reports whether another attempt that takes a token of the retry budget is
+// allowed.
+func (m *Machine) mayRetry(c *request) bool {
+	return c.sent-c.uncharged < c.MaxAttempts && m.budgetOf(c.Service).available()
+}
+
 // resolve asks the gate for the outcome of the lost attempt.
 func (m *Machine) resolve(c *request) []Action {
 	c.resolving = true
--- a/internal/coordination/entry/endpoint.go
+++ b/internal/coordination/entry/endpoint.go
@@ -148,8 +148,10 @@
 
 func (b *budget) refill(ratio float64) { b.tokens = min(maxRetryTokens, b.tokens+ratio) }
 
+func (b *budget) available() bool { return b.tokens >= 1 }
+
 func (b *budget) take() bool {
-	if b.tokens < 1 {
+	if !b.available() {
 		return false
 	}
 	b.tokens--
--- a/internal/coordination/entry/machine_test.go
+++ b/internal/coordination/entry/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -183,6 +184,7 @@
 		}, "entry.Wait"},
 		{"lost, not idempotent", false, func(h uint64) Event { return ConnectionLost{Handle: h} }, "entry.Resolve"},
 		{"lost, idempotent", true, func(h uint64) Event { return ConnectionLost{Handle: h} }, "entry.Wait"},
+		{"lost, idempotent, no attempt left", true, func(h uint64) Event { return ConnectionLost{Handle: h} }, "entry.Resolve"},
 		{"lost, body consumed", true, func(h uint64) Event { return ConnectionLost{Handle: h, BodyConsumed: true} }, "entry.Fail"},
 		{"unknown, not idempotent", false, func(h uint64) Event {
 			return Refused{Handle: h, Outcome: call.Unknown, Reason: call.ReasonTargetConnectionLost}
@@ -199,6 +201,9 @@
 			is := is.New(t)
 			d := newDriver(endpoints("near", 0, 3))
 			d.begin(row.idempotent)
+			if strings.HasSuffix(row.name, "no attempt left") {
+				d.machine.requests[d.handle].MaxAttempts = 1
+			}
 			got := d.machine.Step(d.now, row.event(d.handle))[0]
 			is.Equal(fmt.Sprintf("%T", got), row.want)
 		})
--- a/internal/coordination/gate/ledger.go
+++ b/internal/coordination/gate/ledger.go
@@ -23,14 +23,15 @@
 }
 
 // ledger records the running calls and, up to limits on age, number and response
-// bytes, the finished non-idempotent calls. Beyond the limits it evicts the oldest
-// first.
+// bytes, the finished calls. Beyond the limits it evicts the oldest first.
 type ledger struct {
 	records map[call.ID]*record
 	// keys finds the record of an idempotency key.
 	keys map[string]*record
-	// finished lists the finished records in order of completion.
+	// finished lists the finished records of non-idempotent calls in order of
+	// completion, recent those of idempotent calls.
 	finished []*record
+	recent   []*record
 	running  int
 	// retainedBytes is the total size of the retained responses.
 	retainedBytes int64
@@ -48,7 +49,8 @@
 	}
 }
 
-// finish marks the call as finished and retains its record if keep is true.
+// finish marks the call as finished and retains its record if keep is true: for
+// Options.Retention, or for orphanGrace if the call is idempotent.
 func (l *ledger) finish(now time.Time, r *record, keep bool, bytes int64) {
 	l.running--
 	if !keep {
@@ -59,6 +61,10 @@
 	r.finished = now
 	r.retainedBytes = bytes
 	l.retainedBytes += max(0, bytes)
+	if r.idempotent {
+		l.recent = append(l.recent, r)
+		return
+	}
 	l.finished = append(l.finished, r)
 }
 
@@ -71,15 +77,20 @@
 
 // evict drops the oldest finished records beyond the limits.
 func (l *ledger) evict(now time.Time, o Options) []Action {
+	actions := l.evictFrom(&l.recent, now, orphanGrace, o)
+	return append(actions, l.evictFrom(&l.finished, now, o.Retention, o)...)
+}
+
+func (l *ledger) evictFrom(list *[]*record, now time.Time, retention time.Duration, o Options) []Action {
 	var actions []Action
-	for len(l.finished) > 0 {
-		oldest := l.finished[0]
-		old := now.Sub(oldest.finished) > o.Retention
-		if !old && len(l.finished) <= o.MaxRecords && l.retainedBytes <= o.MaxRetainedBytes {
+	for len(*list) > 0 {
+		oldest := (*list)[0]
+		old := now.Sub(oldest.finished) > retention
+		if !old && len(*list) <= o.MaxRecords && l.retainedBytes <= o.MaxRetainedBytes {
 			break
 		}
-		l.finished[0] = nil
-		l.finished = l.finished[1:]
+		(*list)[0] = nil
+		*list = (*list)[1:]
 		l.retainedBytes -= max(0, oldest.retainedBytes)
 		l.forget(oldest)
 		actions = append(actions, Evict{ID: oldest.id})
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -33,6 +33,9 @@
 	// queuedKeys maps each idempotency key to its queued call.
 	queuedKeys map[string]call.ID
 	ledger     ledger
+	// orphans holds, for each running idempotent call without a connection, until when
+	// it continues.
+	orphans map[call.ID]time.Time
 	// windows holds the ID window of each entry.
 	windows map[string]*window
 	// refusals counts refusals to step through the jitter of retryAfter.
@@ -49,6 +52,7 @@
 		queuedArrivals: make(map[call.ID]Arrive),
 		queuedKeys:     make(map[string]call.ID),
 		ledger:         newLedger(),
+		orphans:        make(map[call.ID]time.Time),
 		windows:        make(map[string]*window),
 		admissionRatio: 1,
 	}
@@ -77,11 +81,15 @@
 
 // NextWake returns when the next Tick is due, and false if none is.
 func (m *Machine) NextWake() (time.Time, bool) {
-	at, queued := m.queue.earliestExpiry()
-	if !queued || m.ledger.running >= m.limit.current() {
-		return at, queued
+	at, wake := m.nextOrphan()
+	expiry, queued := m.queue.earliestExpiry()
+	if !queued {
+		return at, wake
 	}
-	if byRate := m.rate.updated.Add(m.rate.wait(1)); byRate.Before(at) {
+	if !wake || expiry.Before(at) {
+		at = expiry
+	}
+	if byRate := m.rate.updated.Add(m.rate.wait(1)); m.ledger.running < m.limit.current() && byRate.Before(at) {
 		at = byRate
 	}
 	return at, true
@@ -91,6 +99,7 @@
 func (m *Machine) Step(now time.Time, event Event) []Action {
 	m.rate.advance(now)
 	actions := m.refuseExpired(now)
+	actions = append(actions, m.cancelOrphans(now)...)
 	switch e := event.(type) {
 	case Arrive:
 		actions = append(actions, m.arrive(now, e)...)
@@ -101,7 +110,7 @@
 	case CancelledIfQueued:
 		actions = append(actions, m.cancelledIfQueued(e.ID)...)
 	case Disconnected:
-		actions = append(actions, m.disconnected(e.ID)...)
+		actions = append(actions, m.disconnected(now, e.ID)...)
 	case Resolve:
 		actions = append(actions, m.resolve(e)...)
 	case SetTarget:
--- a/internal/coordination/gate/machine_test.go
+++ b/internal/coordination/gate/machine_test.go
@@ -424,3 +424,55 @@
 		})
 	}
 }
+
+// TestRunIsBrokenOffWhileItsEntryIsSlow loses the connection of a running idempotent
+// call: the run ends only if no entry asks for its response in time, or if the caller
+// has left.
+func TestRunIsBrokenOffWhileItsEntryIsSlow(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// then follows half of the grace after the loss.
+		then Event
+		// cancelledAfter is when the run is cancelled after that, 0 at once, negative
+		// never.
+		cancelledAfter time.Duration
+	}{
+		"nobody asks":        {Tick{}, orphanGrace / 2},
+		"an entry asks":      {Resolve{GateIncarnation: 3}, -1},
+		"the caller leaves":  {Cancelled{}, 0},
+		"the run ends first": {Finished{Result: Completed}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newSimulation(t, 1)
+			id := r.arrive(Arrive{Idempotent: true})
+			cancelled := func(event Event) bool {
+				for _, action := range r.machine.Step(r.now, event) {
+					if action == (Cancel{ID: id}) {
+						return true
+					}
+				}
+				return false
+			}
+			r.True(!cancelled(Disconnected{ID: id}))
+			wake, ok := r.machine.NextWake()
+			r.True(ok)
+			r.Equal(wake, r.now.Add(orphanGrace))
+			r.now = r.now.Add(orphanGrace / 2)
+			switch e := tc.then.(type) {
+			case Resolve:
+				e.ID = id
+				tc.then = e
+			case Cancelled:
+				tc.then = Cancelled{ID: id}
+			case Finished:
+				e.ID = id
+				tc.then = e
+			}
+			r.Equal(cancelled(tc.then), tc.cancelledAfter == 0)
+			if tc.cancelledAfter == 0 {
+				return
+			}
+			r.now = r.now.Add(orphanGrace)
+			r.Equal(cancelled(Tick{}), tc.cancelledAfter > 0)
+		})
+	}
+}
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -6,20 +6,21 @@
 	"jasminegate/internal/coordination/call"
 )
 
-// finished ends a started call. The record of an idempotent call is dropped, and so
-// is that of a call that did not run, which may be sent again.
+// finished ends a started call. The record of a call that did not run is dropped, as it
+// may be sent again, and so is that of an idempotent call without a complete response.
 func (m *Machine) finished(now time.Time, e Finished) []Action {
 	r := m.ledger.records[e.ID]
 	if r == nil || r.done {
 		return nil
 	}
+	delete(m.orphans, e.ID)
 	m.limit.observe(now, r, e.Result, m.ledger.running)
 	if e.Result == NotSent || e.Result == RejectedByTarget {
 		m.clearStarted(e.ID)
 		m.ledger.finish(now, r, false, 0)
 		return []Action{Evict{ID: e.ID}}
 	}
-	keep := !r.idempotent
+	keep := !r.idempotent || e.RetainedBytes >= 0
 	m.ledger.finish(now, r, keep, e.RetainedBytes)
 	if !keep {
 		return []Action{Evict{ID: e.ID}}
@@ -54,13 +55,49 @@
 	return []Action{Refuse{ID: id, Outcome: call.NotRun, Reason: call.ReasonLeaving, RetryAfter: unavailableRetryAfter}}
 }
 
-// disconnected treats a call whose connection was lost as cancelled, unless it is
-// running and not idempotent: that response is retained and can still be fetched.
-func (m *Machine) disconnected(id call.ID) []Action {
-	if r := m.ledger.records[id]; r != nil && !r.idempotent {
-		return nil
+// orphanGrace is how long a running idempotent call continues after its connection was
+// lost, and how long its response is retained. An entry that takes the gate for lost, although it is only slow or the connection
+// is silent, asks for the response over a new connection. An entry whose caller left
+// cancels the call instead.
+const orphanGrace = 300 * time.Millisecond
+
+// disconnected treats a queued call whose connection was lost as cancelled. A running
+// one that is not idempotent continues: its response is retained and can still be
+// fetched. An idempotent one continues for orphanGrace.
+func (m *Machine) disconnected(now time.Time, id call.ID) []Action {
+	r := m.ledger.records[id]
+	if r == nil || r.done {
+		return m.cancelled(id)
+	}
+	if r.idempotent {
+		m.orphans[id] = now.Add(orphanGrace)
+	}
+	return nil
+}
+
+// cancelOrphans cancels the running calls that no entry has asked for in time.
+func (m *Machine) cancelOrphans(now time.Time) []Action {
+	var actions []Action
+	for id, until := range m.orphans {
+		if now.Before(until) {
+			continue
+		}
+		delete(m.orphans, id)
+		actions = append(actions, m.cancelled(id)...)
+	}
+	return actions
+}
+
+// nextOrphan returns when the next orphaned call is cancelled, and false if there is
+// none.
+func (m *Machine) nextOrphan() (time.Time, bool) {
+	var next time.Time
+	for _, until := range m.orphans {
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
 	}
-	return m.cancelled(id)
+	return next, !next.IsZero()
 }
 
 // removeQueued removes the call from the queue and reports whether it was queued.
@@ -80,6 +117,7 @@
 	if e.GateIncarnation != m.options.Incarnation {
 		return []Action{resolved}
 	}
+	delete(m.orphans, e.ID)
 	var actions []Action
 	if m.removeQueued(e.ID) {
 		actions = append(actions, Refuse{ID: e.ID, Outcome: call.NotRun, Reason: call.ReasonCancelled})
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -18,7 +18,8 @@
 	// gateGracePeriod is how long past the deadline an entry waits for the gate
 	// to report the call's outcome.
 	gateGracePeriod = 100 * time.Millisecond
-	// minResolveTimeout is the least time allowed for resolving a lost attempt.
+	// minResolveTimeout is the least time allowed for resolving a lost attempt of a
+	// call that is not idempotent.
 	minResolveTimeout = 500 * time.Millisecond
 )
 
@@ -80,7 +81,7 @@
 func (r *Runner) resolveAttempt(c *callerRequest, action entry.Resolve) (*gateResponse, entry.Event) {
 	now := r.options.Now()
 	deadline := c.deadline
-	if earliest := now.Add(minResolveTimeout); deadline.Before(earliest) {
+	if earliest := now.Add(minResolveTimeout); deadline.Before(earliest) && !c.route.Idempotent {
 		deadline = earliest
 	}
 	start := &wire.CallStart{
--- a/internal/node/calls/faults_test.go
+++ b/internal/node/calls/faults_test.go
@@ -480,3 +480,48 @@
 	f.waitFor("the first call", func() bool { return f.nodes[0].runner.Stats().Started == 1 })
 	f.is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
 }
+
+// TestSlowGateIsTakenForDead silences the connection of a running idempotent call that
+// may not be retried. The gate still runs it: the caller gets that run's response over
+// a new connection, and the run is not broken off. A caller that leaves meanwhile still
+// ends it.
+func TestSlowGateIsTakenForDead(t *testing.T) {
+	for name, callerLeaves := range map[string]bool{"caller waits": false, "caller leaves": true} {
+		t.Run(name, func(t *testing.T) {
+			dialer := &faultDialer{}
+			var runs, cancelled atomic.Int64
+			running := make(chan struct{}, 10)
+			proceed := make(chan struct{})
+			f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				running <- struct{}{}
+				select {
+				case <-proceed:
+					_, _ = w.Write([]byte("done"))
+				case <-r.Context().Done():
+					cancelled.Add(1)
+				}
+			})
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			replies := make(chan callResult, 1)
+			go func() { replies <- f.callWithContext(ctx, 0, "GET", "/read/slow", "", headers.Attempts, "1") }()
+			<-running
+			dialer.each((*faultConn).goSilent)
+			f.waitFor("the silent connection is detected", func() bool { return f.nodes[0].runner.Stats().ConnectionsLost > 0 })
+			time.Sleep(600 * time.Millisecond) // longer than a gate keeps a call without a connection
+			if callerLeaves {
+				leave()
+				f.waitFor("the run ends", func() bool { return cancelled.Load() == 1 })
+				return
+			}
+			close(proceed)
+			got := <-replies
+			f.is.NoErr(got.err)
+			f.is.Equal(got.status, http.StatusOK)
+			f.is.Equal(got.body, "done")
+			f.is.Equal(runs.Load(), int64(1))
+			f.is.Equal(cancelled.Load(), int64(0))
+		})
+	}
+}
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -198,10 +198,14 @@
 }
 
 func (f *fleet) call(node int, method, path, body string, header ...string) callResult {
-	request, err := http.NewRequest(method, f.nodes[node].callers.URL+path, nil)
+	return f.callWithContext(context.Background(), node, method, path, body, header...)
+}
+
+func (f *fleet) callWithContext(ctx context.Context, node int, method, path, body string, header ...string) callResult {
+	request, err := http.NewRequestWithContext(ctx, method, f.nodes[node].callers.URL+path, nil)
 	f.is.NoErr(err)
 	if body != "" {
-		request, err = http.NewRequest(method, f.nodes[node].callers.URL+path, newBody(body))
+		request, err = http.NewRequestWithContext(ctx, method, f.nodes[node].callers.URL+path, newBody(body))
 		f.is.NoErr(err)
 	}
 	for i := 0; i+1 < len(header); i += 2 {
--- a/internal/node/calls/resolve.go
+++ b/internal/node/calls/resolve.go
@@ -37,7 +37,23 @@
 	if found.response == nil || (found.outcome != call.Running && found.outcome != call.Done) {
 		return stream.Send(r.refusalFrame(found.outcome, call.ReasonConnectionLost, 0))
 	}
+	go r.watchFetch(stream, fromWireID(start.Id))
 	heartbeat := time.NewTicker(r.options.Settings.SilenceTimeout / heartbeatsPerSilence)
 	defer heartbeat.Stop()
 	return r.sendResponse(stream, found.response, heartbeat)
 }
+
+// watchFetch reports to the gate machine that the entry which fetches the response has
+// cancelled the call or lost its connection.
+func (r *Runner) watchFetch(stream serverStream, id call.ID) {
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			r.gate.notify(gate.Disconnected{ID: id})
+			return
+		}
+		if frame.Cancel {
+			r.gate.notify(gate.Cancelled{ID: id})
+		}
+	}
+}
--- a/internal/processtest/signals_test.go
+++ b/internal/processtest/signals_test.go
@@ -40,9 +40,14 @@
 // answer try up to three times at once.
 func (h *harness) sendReads(duration time.Duration, entries ...string) *load.Report {
 	h.runs.Add(1)
+	return h.sendCalls(duration, 3, reads(fmt.Sprintf("run%d", h.runs.Load())), entries...)
+}
+
+// sendCalls sends calls at loadRate through the entries, each up to attempts times
+// until it is answered.
+func (h *harness) sendCalls(duration time.Duration, attempts int, next func(int) load.Call, entries ...string) *load.Report {
 	return load.Run(context.Background(), load.NewClient(), load.Plan{
-		Rate: loadRate, Duration: duration, Entries: entries, MaxInFlight: maxInFlight, MaxAttempts: 3,
-		Next: reads(fmt.Sprintf("run%d", h.runs.Load())),
+		Rate: loadRate, Duration: duration, Entries: entries, MaxInFlight: maxInFlight, MaxAttempts: attempts, Next: next,
 	})
 }
 
