Report a call that is still being resolved at shutdown as of unknown outcome

Cause: giveUp took every request without a known outcome as not run.

TestResolvingCallIsSaidNotToHaveRun failed before: not-run for outcome-unknown.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -279,16 +279,16 @@
 	return m.send(now, c)
 }
 
-// giveUp fails the request with the outcome of the attempts made so far. A retry
-// that was only scheduled counts as not run, and so does an attempt that is still
-// being resolved, although it may have run; failWith changes the latter to unknown
-// for a keyed call that is not idempotent.
+// giveUp fails the request with the outcome of the attempts made so far. A retry that
+// was only scheduled counts as not run; an attempt that is still being resolved may have
+// run.
 func (m *Machine) giveUp(e GiveUp) []Action {
 	c := m.requests[e.Handle]
 	if c == nil {
 		return nil
 	}
 	m.detach(c)
+	c.outcomeUnknown = c.outcomeUnknown || c.resolving
 	if !c.outcomeUnknown {
 		c.lastRefusal = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: shutdownRetryAfter}
 	}
--- a/internal/coordination/entry/machine_test.go
+++ b/internal/coordination/entry/machine_test.go
@@ -317,3 +317,16 @@
 		})
 	}
 }
+
+// TestResolvingCallIsSaidNotToHaveRun shuts the node down while a call waits for its
+// next Resolve: its lost attempt may have run, so that it must not be reported as not
+// run.
+func TestResolvingCallIsSaidNotToHaveRun(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(endpoints("near", 0, 1))
+	_ = d.begin(false).(Send)
+	_ = d.machine.Step(d.now, ConnectionLost{Handle: d.handle})[0].(Resolve)
+	_ = d.machine.Step(d.now, NotSent{Handle: d.handle})[0].(Wait)
+	fail := d.machine.Step(d.now, GiveUp{Handle: d.handle, Reason: call.ReasonLeaving})[0].(Fail)
+	is.Equal(fail.Outcome, call.Unknown)
+}
