Start no call with an idempotency key that has no claim

- If the keyed loop ended before its decision, admitKey returned neither a refusal nor an error, and the call went to the gate machine unchecked.
It is now refused, with an unknown outcome, as an earlier call with the key may have run.
- A call that arrives while the gate is expected to refuse calls is admitted without a claim.
If the gate became ready in between, it ran the call unclaimed.
Such a call now carries the refusal.

--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -38,6 +38,9 @@
 	// replayOnly is set if an earlier call made the claim.
 	claimSerial uint64
 	replayOnly  bool
+	// unclaimed is set for a call with a key that was admitted without a claim, for the
+	// gate machine to refuse; see keyed.Admit.RefusesCalls.
+	unclaimed bool
 	// runCtx ends at the deadline or when the call is cancelled.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -158,11 +161,20 @@
 		Key:                 c.start.Key,
 		Fingerprint:         c.start.Fingerprint,
 		ReplayOnly:          c.replayOnly,
-		RefuseReason:        r.refuseReason(c.start),
+		RefuseReason:        r.refuseReasonOf(c),
 	}
 }
 
-// refuseReason returns why this node must not run the call, or an empty reason.
+// refuseReasonOf returns why this node must not run the call, or an empty reason.
+func (r *Runner) refuseReasonOf(c *gateCall) call.Reason {
+	reason := r.refuseReason(c.start)
+	if reason == "" && c.unclaimed {
+		return call.ReasonLeaving
+	}
+	return reason
+}
+
+// refuseReason returns why this node takes no calls like this one, or an empty reason.
 func (r *Runner) refuseReason(start *wire.CallStart) call.Reason {
 	if !r.options.Serving(r.options.Now()) {
 		return call.ReasonFenced
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -237,9 +237,7 @@
 
 // admitKey waits until a non-idempotent call with a key may be passed to the
 // gate machine, and sends heartbeats meanwhile. It returns the refusal of a
-// call that is not admitted. If the keyed loop ends first, it returns the
-// stream's error; while the stream is open that is nil, and the call is passed to
-// the gate machine although its key was not checked.
+// call that is not admitted, also if the keyed loop ends first.
 func (r *Runner) admitKey(stream serverStream, c *gateCall) (*wire.AnswerFrame, error) {
 	if c.start.Key == "" || c.start.Idempotent {
 		return nil, nil
@@ -260,7 +258,7 @@
 		case <-heartbeat.C:
 			_ = stream.Send(&wire.AnswerFrame{})
 		case <-r.keyed.done:
-			return nil, stream.Context().Err()
+			return r.refusalFrame(call.Unknown, call.ReasonKeyUncertain, keyRetryAfter), nil
 		}
 	}
 }
@@ -271,6 +269,7 @@
 	switch v := decided.(type) {
 	case keyed.Admitted:
 		c.replayOnly = v.ReplayOnly
+		c.unclaimed = !v.ReplayOnly && v.Serial == 0
 		if !v.ReplayOnly {
 			c.claimSerial = v.Serial
 		}
