Restore a lowered limit when the limit becomes fixed

A target whose limit overload had lowered kept slots unused after calls.fixed_limit was set, as long as its slots stayed the same.

TestFixedLimitKeepsLoweredLimit failed before.

--- a/internal/coordination/gate/limit.go
+++ b/internal/coordination/gate/limit.go
@@ -84,8 +84,11 @@
 
 func (l *latency) slow() bool { return l.recent > l.baseline+slowLogRatio }
 
-func (l *limiter) setSlots(slots int) {
-	if slots != l.slots {
+// setSlots sets the announced slots. A fixed limit equals the slots and is not
+// decreased.
+func (l *limiter) setSlots(slots int, fixed bool) {
+	l.fixed = fixed
+	if slots != l.slots || fixed {
 		l.slots = slots
 		l.limit = float64(slots)
 	}
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -131,8 +131,7 @@
 
 func (m *Machine) setTarget(e SetTarget) []Action {
 	m.target = e
-	m.limit.setSlots(e.Slots)
-	m.limit.fixed = e.FixedLimit
+	m.limit.setSlots(e.Slots, e.FixedLimit)
 	if e.Ready {
 		return nil
 	}
--- a/internal/coordination/gate/machine_test.go
+++ b/internal/coordination/gate/machine_test.go
@@ -476,3 +476,17 @@
 		})
 	}
 }
+
+// TestFixedLimitKeepsLoweredLimit fixes the limit after overload has lowered it: all
+// slots must be used again.
+func TestFixedLimitKeepsLoweredLimit(t *testing.T) {
+	r := newSimulation(t, 8)
+	target := SetTarget{Slots: 8, QueueLength: 100, QueueTimeout: time.Minute, Ready: true}
+	r.step(target) // adaptive
+	id := r.arrive(Arrive{})
+	r.step(Finished{ID: id, Result: Shed})
+	r.True(r.machine.Limit() < 8)
+	target.FixedLimit = true
+	r.step(target)
+	r.Equal(r.machine.Limit(), 8)
+}
