--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -36,7 +36,8 @@
 	logging.NodeStarted, logging.NodeStopping, logging.NodeStopped, logging.NodeFenced, logging.NodeUnfenced,
 	logging.SnapshotInstalled, logging.UpdateRefused, logging.PlatformUnreachable, logging.PlatformReachable, logging.TicketUndecodable,
 	logging.MemberJoined, logging.MemberSuspect, logging.MemberDead, logging.MemberLeft,
-	logging.TargetReady, logging.TargetDraining, logging.TargetExpired, logging.PeerConnectionsDropped,
+	logging.TargetReady, logging.TargetDraining, logging.TargetExpired, logging.TargetRateLimit, logging.TargetLeaving,
+	logging.PeerConnectionsDropped,
 }
 
 // Collector reads logs and makes a report on one request.
--- a/internal/explain/report_test.go
+++ b/internal/explain/report_test.go
@@ -18,6 +18,7 @@
 {"time":"2026-03-14T15:00:09.100000Z","event":404,"request":"7a","cut
 `
 	gateLog = `{"time":"2026-03-14T15:00:08.000000Z","level":"info","node":"n-2","event":305,"service":"depot","message":"target announced draining"}
+{"time":"2026-03-14T15:00:08.100000Z","level":"info","node":"n-2","event":310,"limit":"9.3","message":"target changed the rate limit"}
 {"time":"2026-03-14T15:00:08.500000Z","level":"info","node":"n-9","event":305,"service":"depot","message":"target announced draining"}
 {"time":"2026-03-14T15:00:08.600000Z","level":"warn","node":"n-1","event":301,"member":"n-9","message":"member suspected"}
 {"time":"2026-03-14T15:00:08.700000Z","level":"warn","node":"n-1","event":301,"member":"n-3","message":"member suspected"}
@@ -43,10 +44,10 @@
 		requests = append(requests, line.request())
 	}
 	for _, line := range r.ContextLines {
-		context = append(context, line.Node+" "+line.text("version")+line.text("member")+line.text("service"))
+		context = append(context, line.Node+" "+line.text("version")+line.text("member")+line.text("service")+line.text("limit"))
 	}
 	is.Equal(requests, []string{"7a.1", "7a"})
-	is.Equal(context, []string{"n-1 41@b", "n-2 depot", "n-1 n-3", "n-9 42@c", "n-1 "}) // want the last version before the window, the first node to install the next one, only members involved, and one line per gate whose connections were lost
+	is.Equal(context, []string{"n-1 41@b", "n-2 depot", "n-2 9.3", "n-1 n-3", "n-9 42@c", "n-1 "}) // want the last version before the window, the first node to install the next one, only members involved, and one line per gate whose connections were lost
 	is.Equal(r.DroppedLines, 3)
 	is.Equal(r.SkippedLines, 2)
 }
