Remember that a request was sent before the HTTP client sent it again

Found while counting resends for the rate limit. The HTTP client sends an idempotent request without a body again by itself when a reused connection breaks.

TestResentRequestIsSaidNotToHaveRun failed before.

--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -145,6 +145,8 @@
 type writeTracker struct {
 	conn   *targetConn
 	before int64
+	// sentBefore is set once bytes were written to a connection before conn.
+	sentBefore bool
 	// resent is called when the request gets another connection after bytes of it
 	// were written to the last one.
 	resent func()
@@ -154,6 +156,7 @@
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*targetConn); ok {
 			if w.sent() {
+				w.sentBefore = true
 				w.resent()
 			}
 			w.conn = conn
@@ -163,7 +166,7 @@
 }
 
 func (w *writeTracker) sent() bool {
-	return w.conn != nil && w.conn.written.Load() > w.before
+	return w.sentBefore || w.conn != nil && w.conn.written.Load() > w.before
 }
 
 // discard closes a connection on which bytes arrived that belong to no request.
