Do not take a replaced target without an instance ID for leaving

Found on reading the change: a target that announces no instance ID and stated that it is leaving left that mark behind. A process that replaced it at the same address would have been drained by an entry's old report, or would not have been heeded when it left itself.

Announcements get an optional instance; the stand-in announces one. For a target without one the mark ends with its announcement, and entries' reports of it are ignored. TestReplacedTargetIsTakenForLeaving and the case "unnamed process" of TestReportsOfEntries failed before.

admitKey returns no error any more, as it had none.

--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -240,10 +240,10 @@
 }
 
 // estimateSlotWait returns the expected time until a slot is free for a call that
-// arrives now with the class of item and, if it is interactive, its rank: the service times of the
-// calls that start before it, plus one mean service time until a slot is free, divided
-// by the limit. A background call counts as the last of its class. While both classes
-// are queued, one background call starts per overtakeLimit interactive ones.
+// arrives now with the class of item and, if it is interactive, its rank: the service
+// times of the calls that start before it, plus one mean service time until a slot is
+// free, divided by the limit. A background call counts as the last of its class. While
+// both classes are queued, one background call starts per overtakeLimit interactive ones.
 func (m *Machine) estimateSlotWait(item queuedCall) time.Duration {
 	limit := max(1, m.limit.current())
 	meanInteractive := m.limit.meanServiceTime(false)
--- a/internal/node/admin_target.go
+++ b/internal/node/admin_target.go
@@ -38,6 +38,7 @@
 		Slots:       int(announcement.Slots),
 		Connections: int(announcement.Connections),
 		Address:     announcement.Address,
+		Instance:    announcement.Instance,
 		State:       targetStates[announcement.State],
 	}
 }
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -127,10 +127,9 @@
 	defer span.End()
 	c := r.newGateCall(frame)
 	r.adoptReport(frame.Start.TargetReport)
-	refused, err := r.admitKey(stream, c)
-	if err != nil || refused != nil {
+	if refused := r.admitKey(stream, c); refused != nil {
 		c.cancelRun()
-		return sendRefusal(stream, refused, err)
+		return stream.Send(refused)
 	}
 	if !r.gate.arrive(r.arrival(c), c) {
 		c.cancelRun()
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -238,27 +238,27 @@
 // admitKey waits until a non-idempotent call with a key may be passed to the
 // gate machine, and sends heartbeats meanwhile. It returns the refusal of a
 // call that is not admitted, also if the keyed loop ends first.
-func (r *Runner) admitKey(stream serverStream, c *gateCall) (*wire.AnswerFrame, error) {
+func (r *Runner) admitKey(stream serverStream, c *gateCall) *wire.AnswerFrame {
 	if c.start.Key == "" || c.start.Idempotent {
-		return nil, nil
+		return nil
 	}
 	decision := make(chan keyed.Action, 1)
 	event := keyed.Admit{Key: c.start.Key, RefusesCalls: r.refusesCalls(c.start)}
 	if !r.keyed.ring.TryPush(keyedItem{event: event, decision: decision}) {
 		// This call is not run. An earlier call with the key may have run, as the
 		// key was not looked up; for this reason the entry reports an unknown outcome.
-		return r.refusalFrame(call.NotRun, call.ReasonKeyUncertain, fullRingRetryAfter), nil
+		return r.refusalFrame(call.NotRun, call.ReasonKeyUncertain, fullRingRetryAfter)
 	}
 	heartbeat := time.NewTicker(r.options.Settings.SilenceTimeout / heartbeatsPerSilence)
 	defer heartbeat.Stop()
 	for {
 		select {
 		case action := <-decision:
-			return r.applyKeyDecision(c, action), nil
+			return r.applyKeyDecision(c, action)
 		case <-heartbeat.C:
 			_ = stream.Send(&wire.AnswerFrame{})
 		case <-r.keyed.done:
-			return r.refusalFrame(call.Unknown, call.ReasonKeyUncertain, keyRetryAfter), nil
+			return r.refusalFrame(call.Unknown, call.ReasonKeyUncertain, keyRetryAfter)
 		}
 	}
 }
@@ -313,10 +313,3 @@
 	}
 	return r.target.Load().State != membership.TargetReady
 }
-
-func sendRefusal(stream serverStream, refused *wire.AnswerFrame, err error) error {
-	if err != nil {
-		return err
-	}
-	return stream.Send(refused)
-}
--- a/internal/node/calls/signals.go
+++ b/internal/node/calls/signals.go
@@ -78,6 +78,16 @@
 	s.notifyGate(gate.ForgetRateLimit{})
 }
 
+// endAnnouncement notes that the target announces itself no longer. Without an instance
+// ID, the next one at its address may be another process, which is not leaving.
+func (s *targetSignals) endAnnouncement() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.report.Process.Instance == "" {
+		s.report.Signals.Leaving = false
+	}
+}
+
 // observe takes over what a response of the process states. complete says that the
 // response certainly has the target's own headers, so that the absence of one counts.
 // It reports whether the process states for the first time that it is leaving.
@@ -106,8 +116,8 @@
 	if !current.Process.Same(report.Process) {
 		return false
 	}
-	if report.Process != current.Process {
-		// With a start time unknown, it may be another process that was leaving.
+	if report.Process != current.Process || report.Process.Instance == "" {
+		// Without an instance ID or start time, it may be another process that was leaving.
 		report.Signals.Leaving = false
 	}
 	if report.Signals != current.Signals {
--- a/internal/node/calls/signals_test.go
+++ b/internal/node/calls/signals_test.go
@@ -74,6 +74,27 @@
 	is.Equal(runner.Stats().TargetSignals, call.TargetSignals{})
 }
 
+// TestReplacedTargetIsTakenForLeaving lets a target that has no instance ID state that it
+// is leaving and end its announcement. The next one at the address may be another
+// process: it is not leaving until it says so.
+func TestReplacedTargetIsTakenForLeaving(t *testing.T) {
+	is := is.New(t)
+	target := &statingTarget{}
+	f := newFleet(t, fleetOptions{nodes: 1}, target.ServeHTTP)
+	runner := f.nodes[0].runner
+	left := 0
+	runner.options.OnTargetLeaving = func(Target) { left++ }
+	announced := runner.target.Load().Target
+	for round := range 2 {
+		target.leaving.Store(true)
+		is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
+		is.Equal(left, round+1)
+		runner.SetTarget(Target{State: membership.TargetAbsent})
+		is.True(!runner.Stats().TargetSignals.Leaving)
+		runner.SetTarget(announced)
+	}
+}
+
 // TestSignalsOfOtherResponsesAreIgnored verifies that signals count only in the
 // response of the addressed process to the request.
 func TestSignalsOfOtherResponsesAreIgnored(t *testing.T) {
@@ -161,6 +182,7 @@
 		"another instance":     {nil, []call.TargetReport{report(call.TargetProcess{Instance: "i-2", StartedMS: 5}, limit(9), 1)}, call.TargetSignals{}, false},
 		"earlier start":        {nil, []call.TargetReport{report(call.TargetProcess{Instance: "i-1", StartedMS: 4}, leaving, 1)}, call.TargetSignals{}, false},
 		"start time unknown":   {nil, []call.TargetReport{report(call.TargetProcess{Instance: "i-1"}, leaving, 1)}, call.TargetSignals{}, false},
+		"unnamed process":      {nil, []call.TargetReport{report(call.TargetProcess{}, leaving, 1)}, call.TargetSignals{}, false},
 		"leaving":              {nil, []call.TargetReport{report(process, leaving, 1)}, leaving, true},
 		"leaving twice":        {nil, []call.TargetReport{report(process, leaving, 1), report(process, leaving, 2)}, leaving, false},
 		"limit after response": {&call.TargetSignals{}, []call.TargetReport{report(process, limit(9), 9)}, call.TargetSignals{}, false},
@@ -172,7 +194,11 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			signals := newTargetSignals(logging.Discard(), func(gate.Event) {})
-			signals.setProcess(process)
+			local := process
+			if name == "unnamed process" {
+				local = call.TargetProcess{}
+			}
+			signals.setProcess(local)
 			if tc.observed != nil {
 				signals.observe(base, process, *tc.observed, true)
 			}
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -119,7 +119,9 @@
 // connection limit changed, idle connections are closed and new requests use new
 // ones; requests in flight continue.
 func (r *Runner) SetTarget(announced Target) {
-	if announced.State != membership.TargetAbsent {
+	if announced.State == membership.TargetAbsent {
+		r.signals.endAnnouncement()
+	} else {
 		r.signals.setProcess(announced.Process())
 	}
 	current := r.target.Load()
--- a/internal/node/calls/unclaimed_test.go
+++ b/internal/node/calls/unclaimed_test.go
@@ -37,8 +37,7 @@
 	f.nodes[0].stop()
 	undecided := runner.newGateCall(&wire.CallFrame{Start: start, Last: true})
 	defer undecided.cancelRun()
-	refused, err := runner.admitKey(silentStream{context.Background()}, undecided)
-	is.NoErr(err)
+	refused := runner.admitKey(silentStream{context.Background()}, undecided)
 	is.True(refused != nil)
 	is.Equal(call.Outcome(refused.Start.Outcome), call.Unknown)
 }
--- a/internal/protocol/adminapi/target.go
+++ b/internal/protocol/adminapi/target.go
@@ -48,8 +48,10 @@
 	// Connections is how many connections the target accepts at once.
 	Connections uint32 `json:"connections"`
 	// Address is the target's IP address and port.
-	Address string      `json:"address"`
-	State   TargetState `json:"state"`
+	Address string `json:"address"`
+	// Instance identifies the process of the target; it is optional.
+	Instance string      `json:"instance,omitempty"`
+	State    TargetState `json:"state"`
 	// TTLMS is how long the announcement is valid, in milliseconds.
 	TTLMS int64 `json:"ttl_ms"`
 }
@@ -84,6 +86,11 @@
 	if a.Connections < 1 || a.Connections > state.MaxConnections {
 		return ErrAnnouncement.New("connections is %d: use 1 to %d", a.Connections, state.MaxConnections)
 	}
+	if a.Instance != "" {
+		if text, remedy := state.CheckName(a.Instance, state.MaxNameBytes); text != "" {
+			return ErrAnnouncement.New("instance %s: %s", text, remedy)
+		}
+	}
 	address, err := netip.ParseAddrPort(a.Address)
 	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
 		return ErrAnnouncement.New("address is %q: give the target's IP address and port", a.Address)
--- a/internal/standin/target/announce.go
+++ b/internal/standin/target/announce.go
@@ -25,6 +25,7 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Address     string `json:"address"`
+	Instance    string `json:"instance"`
 	State       State  `json:"state"`
 	TTLMS       int64  `json:"ttl_ms"`
 }
@@ -83,6 +84,7 @@
 		Slots:       a.target.options.AnnouncedSlots,
 		Connections: a.target.options.Connections,
 		Address:     a.address,
+		Instance:    a.target.Instance(),
 		State:       state,
 		TTLMS:       a.ttl.Milliseconds(),
 	})
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -107,6 +108,11 @@
 	t.router.ServeHTTP(w, r)
 }
 
+// Instance returns the ID that the target announces, which differs for each start.
+func (t *Target) Instance() string {
+	return "started-" + strconv.FormatInt(t.started.UnixNano(), 10)
+}
+
 // Mode returns the current mode.
 func (t *Target) Mode() Mode {
 	t.mu.Lock()
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -333,7 +333,7 @@
 	f.NoErr(<-callResult)
 	f.Equal(f.Ledger().Totals.Finished, int64(1))
 	f.Equal(n.last, target.Announcement{
-		Service: "rider-view", Slots: 2, Connections: 120, Address: f.Address(), State: target.StateDraining, TTLMS: 30,
+		Service: "rider-view", Slots: 2, Connections: 120, Address: f.Address(), Instance: f.Instance(), State: target.StateDraining, TTLMS: 30,
 	})
 	f.Equal(n.requests[len(n.requests)-1], "DELETE /target")
 	_, err := net.Dial("tcp", f.Address())
