Do not break off a run whose response is fetched when the first connection is noted as lost

A gate that continues after a pause has both to handle at once.

The gate now counts the connections on which an entry waits for the response; the 300 ms start when the last one is lost. Orphaned calls are kept in order, so that the actions of a step do not depend on the order of a map.

TestFetchedRunIsBrokenOffByItsLostConnection.

--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -87,14 +87,13 @@
 // New returns a machine without endpoints.
 func New(options Options) *Machine {
 	return &Machine{
-		options:   options,
-		random:    rand.New(rand.NewPCG(options.Seed, options.Incarnation)),
-		endpoints: make(map[string]*endpoint),
-		groups:    make(map[string]*group),
-		budgets:   make(map[string]*budget),
-		requests:  make(map[uint64]*request),
-		split:     make(trafficSplit),
-
+		options:       options,
+		random:        rand.New(rand.NewPCG(options.Seed, options.Incarnation)),
+		endpoints:     make(map[string]*endpoint),
+		groups:        make(map[string]*group),
+		budgets:       make(map[string]*budget),
+		requests:      make(map[uint64]*request),
+		split:         make(trafficSplit),
 		targetReports: make(map[string]call.TargetReport),
 	}
 }
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -93,7 +93,8 @@
 // is queued. A running call continues.
 type CancelledIfQueued struct{ ID call.ID }
 
-// Disconnected reports that the connection over which the call arrived was lost.
+// Disconnected reports that the connection over which the call arrived, or over which
+// its response is fetched, was lost.
 type Disconnected struct{ ID call.ID }
 
 // Resolve asks for the outcome of a call. A call that is unknown or queued is
@@ -102,6 +103,9 @@
 	ID call.ID
 	// GateIncarnation is the gate incarnation that the call was sent to.
 	GateIncarnation uint64
+	// Fetch means that the entry then waits for the response of a started call, until
+	// Disconnected.
+	Fetch bool
 	// Token is returned in Resolved.
 	Token uint64
 }
--- a/internal/coordination/gate/ledger.go
+++ b/internal/coordination/gate/ledger.go
@@ -20,6 +20,8 @@
 	retainedBytes int64
 	key           string
 	fingerprint   uint64
+	// connections counts the connections to entries that wait for the response.
+	connections int
 }
 
 // ledger records the running calls and, up to limits on age, number and response
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -33,9 +33,9 @@
 	// queuedKeys maps each idempotency key to its queued call.
 	queuedKeys map[string]call.ID
 	ledger     ledger
-	// orphans holds, for each running idempotent call without a connection, until when
-	// it continues.
-	orphans map[call.ID]time.Time
+	// orphans lists the running idempotent calls without a connection, in the order in
+	// which they lost it.
+	orphans []orphan
 	// windows holds the ID window of each entry.
 	windows map[string]*window
 	// refusals counts refusals to step through the jitter of retryAfter.
@@ -52,7 +52,6 @@
 		queuedArrivals: make(map[call.ID]Arrive),
 		queuedKeys:     make(map[string]call.ID),
 		ledger:         newLedger(),
-		orphans:        make(map[call.ID]time.Time),
 		windows:        make(map[string]*window),
 		admissionRatio: 1,
 	}
@@ -197,7 +196,7 @@
 	m.rate.take()
 	m.ledger.start(&record{
 		id: e.ID, background: e.Background, idempotent: e.Idempotent, route: e.Route,
-		started: now, key: e.Key, fingerprint: e.Fingerprint,
+		started: now, key: e.Key, fingerprint: e.Fingerprint, connections: 1,
 	})
 	return Start{ID: e.ID}
 }
--- a/internal/coordination/gate/machine_test.go
+++ b/internal/coordination/gate/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -437,7 +438,8 @@
 		cancelledAfter time.Duration
 	}{
 		"nobody asks":        {Tick{}, orphanGrace / 2},
-		"an entry asks":      {Resolve{GateIncarnation: 3}, -1},
+		"an entry asks":      {Resolve{GateIncarnation: 3, Fetch: true}, -1},
+		"a health check":     {Resolve{GateIncarnation: 3}, orphanGrace / 2},
 		"the caller leaves":  {Cancelled{}, 0},
 		"the run ends first": {Finished{Result: Completed}, -1},
 	} {
@@ -490,3 +492,21 @@
 	r.step(target)
 	r.Equal(r.machine.Limit(), 8)
 }
+
+// TestFetchedRunIsBrokenOffByItsLostConnection lets an entry fetch the response of a run
+// before the gate notices that the entry's first connection is lost: the run continues
+// until the connection of the fetch is lost too.
+func TestFetchedRunIsBrokenOffByItsLostConnection(t *testing.T) {
+	r := newSimulation(t, 1)
+	id := r.arrive(Arrive{Idempotent: true})
+	cancelled := func(event Event) bool {
+		return slices.Contains(r.machine.Step(r.now, event), Action(Cancel{ID: id}))
+	}
+	r.True(!cancelled(Resolve{ID: id, GateIncarnation: 3, Fetch: true}))
+	r.True(!cancelled(Disconnected{ID: id}))
+	r.now = r.now.Add(2 * orphanGrace)
+	r.True(!cancelled(Tick{}))
+	r.True(!cancelled(Disconnected{ID: id}))
+	r.now = r.now.Add(orphanGrace)
+	r.True(cancelled(Tick{}))
+}
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"jasminegate/internal/coordination/call"
@@ -13,7 +14,7 @@
 	if r == nil || r.done {
 		return nil
 	}
-	delete(m.orphans, e.ID)
+	m.removeOrphan(e.ID)
 	m.limit.observe(now, r, e.Result, m.ledger.running)
 	if e.Result == NotSent || e.Result == RejectedByTarget {
 		m.clearStarted(e.ID)
@@ -56,11 +57,18 @@
 }
 
 // orphanGrace is how long a running idempotent call continues after its connection was
-// lost, and how long its response is retained. An entry that takes the gate for lost, although it is only slow or the connection
-// is silent, asks for the response over a new connection. An entry whose caller left
-// cancels the call instead.
+// lost, and how long its response is retained. An entry that takes the gate for lost,
+// although it is only slow or the connection is silent, asks for the response over a new
+// connection. An entry whose caller left cancels the call instead.
 const orphanGrace = 300 * time.Millisecond
 
+// orphan is a running idempotent call for whose response no entry waits.
+type orphan struct {
+	id call.ID
+	// until is when the call is cancelled.
+	until time.Time
+}
+
 // disconnected treats a queued call whose connection was lost as cancelled. A running
 // one that is not idempotent continues: its response is retained and can still be
 // fetched. An idempotent one continues for orphanGrace.
@@ -69,20 +77,31 @@
 	if r == nil || r.done {
 		return m.cancelled(id)
 	}
-	if r.idempotent {
-		m.orphans[id] = now.Add(orphanGrace)
+	r.connections--
+	if r.idempotent && r.connections <= 0 {
+		m.orphans = append(m.orphans, orphan{id: id, until: now.Add(orphanGrace)})
 	}
 	return nil
 }
 
+// fetched notes that an entry waits for the response of a started call.
+func (m *Machine) fetched(id call.ID) {
+	if r := m.ledger.records[id]; r != nil {
+		r.connections++
+		m.removeOrphan(id)
+	}
+}
+
+func (m *Machine) removeOrphan(id call.ID) {
+	m.orphans = slices.DeleteFunc(m.orphans, func(o orphan) bool { return o.id == id })
+}
+
 // cancelOrphans cancels the running calls that no entry has asked for in time.
 func (m *Machine) cancelOrphans(now time.Time) []Action {
 	var actions []Action
-	for id, until := range m.orphans {
-		if now.Before(until) {
-			continue
-		}
-		delete(m.orphans, id)
+	for len(m.orphans) > 0 && !now.Before(m.orphans[0].until) {
+		id := m.orphans[0].id
+		m.orphans = m.orphans[1:]
 		actions = append(actions, m.cancelled(id)...)
 	}
 	return actions
@@ -91,13 +110,10 @@
 // nextOrphan returns when the next orphaned call is cancelled, and false if there is
 // none.
 func (m *Machine) nextOrphan() (time.Time, bool) {
-	var next time.Time
-	for _, until := range m.orphans {
-		if next.IsZero() || until.Before(next) {
-			next = until
-		}
+	if len(m.orphans) == 0 {
+		return time.Time{}, false
 	}
-	return next, !next.IsZero()
+	return m.orphans[0].until, true
 }
 
 // removeQueued removes the call from the queue and reports whether it was queued.
@@ -117,11 +133,13 @@
 	if e.GateIncarnation != m.options.Incarnation {
 		return []Action{resolved}
 	}
-	delete(m.orphans, e.ID)
 	var actions []Action
 	if m.removeQueued(e.ID) {
 		actions = append(actions, Refuse{ID: e.ID, Outcome: call.NotRun, Reason: call.ReasonCancelled})
 	}
+	if e.Fetch {
+		m.fetched(e.ID)
+	}
 	resolved.Outcome = m.outcomeOf(e.ID)
 	return append(actions, resolved)
 }
--- a/internal/node/calls/gateloop.go
+++ b/internal/node/calls/gateloop.go
@@ -195,6 +195,9 @@
 	case found := <-resolved:
 		return found
 	case <-ctx.Done():
+		if event.Fetch {
+			l.notify(gate.Disconnected{ID: event.ID})
+		}
 		return resolution{outcome: call.Unknown}
 	case <-l.done:
 		return resolution{outcome: call.Unknown}
--- a/internal/node/calls/resolve.go
+++ b/internal/node/calls/resolve.go
@@ -16,7 +16,7 @@
 	if request.Id == nil {
 		return &wire.ResolveAnswer{}, nil
 	}
-	found := r.resolveAtGate(ctx, request.Id, request.GateIncarnation)
+	found := r.gate.resolve(ctx, gate.Resolve{ID: fromWireID(request.Id), GateIncarnation: request.GateIncarnation})
 	return &wire.ResolveAnswer{Outcome: uint32(found.outcome)}, nil
 }
 
@@ -25,19 +25,15 @@
 	return r.keyed.serve(ctx, request)
 }
 
-// resolveAtGate asks this node's gate what became of a call.
-func (r *Runner) resolveAtGate(ctx context.Context, id *wire.CallID, incarnation uint64) resolution {
-	return r.gate.resolve(ctx, gate.Resolve{ID: fromWireID(id), GateIncarnation: incarnation})
-}
-
 // serveFetch sends the response of an earlier call, or its outcome if there is
 // no response.
 func (r *Runner) serveFetch(stream serverStream, start *wire.CallStart) error {
-	found := r.resolveAtGate(stream.Context(), start.Id, start.GateIncarnation)
+	id := fromWireID(start.Id)
+	found := r.gate.resolve(stream.Context(), gate.Resolve{ID: id, GateIncarnation: start.GateIncarnation, Fetch: true})
 	if found.response == nil || (found.outcome != call.Running && found.outcome != call.Done) {
 		return stream.Send(r.refusalFrame(found.outcome, call.ReasonConnectionLost, 0))
 	}
-	go r.watchFetch(stream, fromWireID(start.Id))
+	go r.watchFetch(stream, id)
 	heartbeat := time.NewTicker(r.options.Settings.SilenceTimeout / heartbeatsPerSilence)
 	defer heartbeat.Stop()
 	return r.sendResponse(stream, found.response, heartbeat)
