Tell a target's late second response from that to the next call by the call's ID

On the users' platform the request's ID is checked; in the default contract nothing was.

The target gets Jasminegate-Call-Id with each request. A response that carries another one is now taken as not belonging to the call: unknown outcome, connection closed, and its signals are ignored. Targets are asked to echo the header; without it the case stays undetectable. The contract of the users' platform has no such header: nothing changes there.

--- a/internal/node/calls/classify.go
+++ b/internal/node/calls/classify.go
@@ -22,7 +22,7 @@
 // classifyResponse classifies a response by its status and the headers of the
 // contract.
 func classifyResponse(contract headers.Contract, request *http.Request, response *http.Response) responseClass {
-	if responseID := response.Header.Get(contract.RequestID); responseID != "" && responseID != request.Header.Get(contract.RequestID) {
+	if echoesOther(contract.RequestID, request, response) || echoesOther(contract.CallID, request, response) {
 		return mismatchedResponse
 	}
 	if contract.NotRun == "" {
@@ -46,6 +46,16 @@
 	return validResponse
 }
 
+// echoesOther reports whether the response has another ID in the header than the
+// request. A target may repeat a response late, on a connection that is in use again.
+func echoesOther(name string, request *http.Request, response *http.Response) bool {
+	if name == "" {
+		return false
+	}
+	echoed := response.Header.Get(name)
+	return echoed != "" && echoed != request.Header.Get(name)
+}
+
 // impliesNotRun reports whether callers take the status to mean that the call
 // was not run.
 func impliesNotRun(status int) bool {
--- a/internal/node/calls/signals.go
+++ b/internal/node/calls/signals.go
@@ -195,7 +195,7 @@
 // ownResponse reports whether the process that was addressed sent the response to
 // this request.
 func ownResponse(contract headers.Contract, request *http.Request, response *http.Response) bool {
-	if response.StatusCode == http.StatusMisdirectedRequest {
+	if response.StatusCode == http.StatusMisdirectedRequest || echoesOther(contract.CallID, request, response) {
 		return false
 	}
 	return contract.RequestID == "" || response.Header.Get(contract.RequestID) == request.Header.Get(contract.RequestID)
--- a/internal/protocol/headers/headers.go
+++ b/internal/protocol/headers/headers.go
@@ -8,7 +8,8 @@
 	// Outcome holds the outcome of a call to which the system itself responds, a
 	// problem.Outcome.
 	Outcome = "Jasminegate-Outcome"
-	// CallID holds the ID of the call in logs and traces.
+	// CallID holds the ID of the call in logs and traces. A target that echoes it in its
+	// response lets the node tell the response from one to another call.
 	CallID = "Jasminegate-Call-Id"
 	// Attempts holds how many more attempts the whole chain of calls may make.
 	Attempts = "Jasminegate-Attempts"
