End a lost run at once where its entry retries the call elsewhere

Most of those calls are retried elsewhere at the same moment, so that nobody ever asks for the first run's response. The entry now says with each call whether it will most likely retry it (attempts left, and half of the retry budget): the gate then ends the run with the connection, as before. Only for the others it waits for the entry.

TestRetriedRunKeepsItsSlot.

--- a/internal/coordination/entry/endpoint.go
+++ b/internal/coordination/entry/endpoint.go
@@ -150,6 +150,10 @@
 
 func (b *budget) available() bool { return b.tokens >= 1 }
 
+// ample reports whether a retry will most likely be allowed when a call that is sent now
+// is lost.
+func (b *budget) ample() bool { return b.tokens >= maxRetryTokens/2 }
+
 func (b *budget) take() bool {
 	if !b.available() {
 		return false
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -142,6 +142,9 @@
 	// RequireSoftDeadline tells the gate to refuse the call unless it expects to meet
 	// the call's soft deadline.
 	RequireSoftDeadline bool
+	// RetriedIfLost says that the call will most likely be sent to another gate if the
+	// connection is lost, so that this gate need not continue the run.
+	RetriedIfLost bool
 	// TargetReport is what this entry last learned of the gate's target, or nil if the
 	// target states nothing. A gate that has just restarted does not know it.
 	TargetReport *call.TargetReport
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -205,6 +205,7 @@
 		Handle: c.Handle, ID: c.attemptID, Endpoint: chosen.Endpoint,
 		AttemptsLeft: max(0, c.MaxAttempts-c.sent+c.uncharged), NewConnection: chosen.suspectConnection,
 		RequireSoftDeadline: m.options.OverloadTries > 0 && !c.allowLate,
+		RetriedIfLost:       c.Idempotent && c.Key == "" && c.sent-c.uncharged < c.MaxAttempts && m.budgetOf(c.Service).ample(),
 		TargetReport:        m.reportFor(chosen),
 	}}
 }
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -45,6 +45,9 @@
 	// keyed.Admitted. This call gets the earlier call's response or none, and is never
 	// started.
 	ReplayOnly bool
+	// RetriedIfLost means that the entry sends an idempotent call to another gate if its
+	// connection is lost.
+	RetriedIfLost bool
 	// RefuseReason, if not empty, refuses the call for a reason outside the machine.
 	RefuseReason call.Reason
 }
--- a/internal/coordination/gate/ledger.go
+++ b/internal/coordination/gate/ledger.go
@@ -20,6 +20,7 @@
 	retainedBytes int64
 	key           string
 	fingerprint   uint64
+	retriedIfLost bool
 	// connections counts the connections to entries that wait for the response.
 	connections int
 }
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -196,7 +196,7 @@
 	m.rate.take()
 	m.ledger.start(&record{
 		id: e.ID, background: e.Background, idempotent: e.Idempotent, route: e.Route,
-		started: now, key: e.Key, fingerprint: e.Fingerprint, connections: 1,
+		started: now, key: e.Key, fingerprint: e.Fingerprint, connections: 1, retriedIfLost: e.RetriedIfLost,
 	})
 	return Start{ID: e.ID}
 }
--- a/internal/coordination/gate/machine_test.go
+++ b/internal/coordination/gate/machine_test.go
@@ -510,3 +510,11 @@
 	r.now = r.now.Add(orphanGrace)
 	r.True(cancelled(Tick{}))
 }
+
+// TestRetriedRunKeepsItsSlot loses the connection of a call that its entry retries
+// elsewhere: the run is cancelled at once, and its slot is free for other calls.
+func TestRetriedRunKeepsItsSlot(t *testing.T) {
+	r := newSimulation(t, 1)
+	id := r.arrive(Arrive{Idempotent: true, RetriedIfLost: true})
+	r.True(slices.Contains(r.machine.Step(r.now, Disconnected{ID: id}), Action(Cancel{ID: id})))
+}
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -71,16 +71,21 @@
 
 // disconnected treats a queued call whose connection was lost as cancelled. A running
 // one that is not idempotent continues: its response is retained and can still be
-// fetched. An idempotent one continues for orphanGrace.
+// fetched. An idempotent one continues for orphanGrace, unless its entry retries it
+// elsewhere: the slot is then better used for other calls.
 func (m *Machine) disconnected(now time.Time, id call.ID) []Action {
 	r := m.ledger.records[id]
 	if r == nil || r.done {
 		return m.cancelled(id)
 	}
 	r.connections--
-	if r.idempotent && r.connections <= 0 {
-		m.orphans = append(m.orphans, orphan{id: id, until: now.Add(orphanGrace)})
+	if !r.idempotent || r.connections > 0 {
+		return nil
+	}
+	if r.retriedIfLost {
+		return m.cancelled(id)
 	}
+	m.orphans = append(m.orphans, orphan{id: id, until: now.Add(orphanGrace)})
 	return nil
 }
 
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -215,7 +215,7 @@
 		Route: t.Route, Service: action.Endpoint.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
 		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
-		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength,
+		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength, RetriedIfLost: action.RetriedIfLost,
 	}
 }
 
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -160,6 +160,7 @@
 		Key:                 c.start.Key,
 		Fingerprint:         c.start.Fingerprint,
 		ReplayOnly:          c.replayOnly,
+		RetriedIfLost:       c.start.RetriedIfLost,
 		RefuseReason:        r.refuseReasonOf(c),
 	}
 }
