Record how a caller's connection ends while its request is under way

Change: callers' connections are wrapped (package callerconn) and record their first cause of ending, their age, how long they waited for the request and the bytes written; event 406 and jasminegate_callers_cut_off_total give them with the request's ID and the limits in force. No decision changes.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -55,5 +55,6 @@
 	// KeyHistoryIncomplete is logged only after a claim attempt, not for a call that
 	// is refused before the history sync is complete.
 	KeyHistoryIncomplete = Event{405, log.InfoLevel, "gate refused a call with an idempotency key: too few of the gates that may have recorded an earlier claim on the key could confirm that there is none"}
+	CallerCutOff         = Event{406, log.InfoLevel, "caller's connection ended without the whole response to its request"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminegate/internal/state"
+	"jasminegate/internal/transport/callerconn"
 )
 
 // callerConns enforces the configured idle and header timeouts on callers'
@@ -23,6 +24,7 @@
 
 // onStateChange is a callback for http.Server.ConnState.
 func (c *callerConns) onStateChange(conn net.Conn, state http.ConnState) {
+	callerconn.OnStateChange(conn, state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if timer := c.timers[conn]; timer != nil {
@@ -62,6 +64,7 @@
 		return
 	}
 	c.timers[conn] = time.AfterFunc(wait, func() {
+		callerconn.NoteCause(conn, callerconn.RequestTimeout)
 		_ = conn.Close() // the server's read fails, which ends the connection
 	})
 }
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -62,6 +62,7 @@
 func (r *Runner) send(c *callerRequest, action entry.Send) (*gateResponse, entry.Event) {
 	_, span := r.startAttemptSpan(c.ctx, action.Endpoint.ID, action.ID)
 	defer span.End()
+	c.gates = append(c.gates, action.Endpoint.ID)
 	start := c.callStart(action)
 	start.TimeoutMs = c.timeoutMs(r.options.Now())
 	start.AimMs = c.softDeadlineMs(r.options.Now())
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -29,6 +29,7 @@
 	controller *http.ResponseController
 	handle     uint64
 	route      state.Route
+	receivedAt time.Time
 	deadline   time.Time
 	// softDeadline is the instant by which a response is wanted; zero means the
 	// deadline.
@@ -37,9 +38,11 @@
 	// not say.
 	callerDeadline time.Time
 	attempts       int
-	key            string
-	body           *requestBody
-	template       *wire.CallStart
+	// gates are the gates to which the request was sent, in order.
+	gates    []string
+	key      string
+	body     *requestBody
+	template *wire.CallStart
 	// outcome is the result of the request as counted in metrics: caller-left
 	// until another one is known.
 	outcome string
@@ -104,7 +107,7 @@
 	if !ok {
 		return nil, noRoute()
 	}
-	c := &callerRequest{ctx: ctx, controller: http.NewResponseController(w), route: route}
+	c := &callerRequest{ctx: ctx, receivedAt: now, controller: http.NewResponseController(w), route: route}
 	if refused := c.readContractHeaders(now, request, r.options.Contract); refused != nil {
 		return nil, refused
 	}
@@ -269,6 +272,7 @@
 			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: call.ReasonLeaving})
 		}
 	}
+	r.noteCutOff(request, c, "")
 	panic(http.ErrAbortHandler) // the caller disconnected: abort the connection without a response
 }
 
@@ -304,6 +308,7 @@
 	}
 	c.outcome = outcomeAborted
 	r.counters.aborted.Add(1)
+	r.noteCutOff(request, c, causeResponseAborted)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/node/calls/metrics.go
+++ b/internal/node/calls/metrics.go
@@ -10,6 +10,7 @@
 
 	"jasminegate/internal/protocol/problem"
 	"jasminegate/internal/state"
+	"jasminegate/internal/transport/callerconn"
 )
 
 // latencyBounds are the upper bounds of the histograms' buckets, in seconds.
@@ -32,6 +33,7 @@
 type requestMetrics struct {
 	set      *metrics.Set
 	requests map[[2]string]*metrics.PrometheusHistogram
+	cutOff   map[callerconn.Cause]*metrics.Counter
 	gateWait *metrics.PrometheusHistogram
 	target   *metrics.PrometheusHistogram
 }
@@ -41,6 +43,7 @@
 	m := &requestMetrics{
 		set:      set,
 		requests: make(map[[2]string]*metrics.PrometheusHistogram),
+		cutOff:   make(map[callerconn.Cause]*metrics.Counter),
 		gateWait: set.NewPrometheusHistogramExt("jasminegate_gate_wait_seconds", latencyBounds),
 		target:   set.NewPrometheusHistogramExt("jasminegate_target_seconds", latencyBounds),
 	}
@@ -55,6 +58,9 @@
 			m.requests[[2]string{class, outcome}] = set.NewPrometheusHistogramExt(name, latencyBounds)
 		}
 	}
+	for _, cause := range append(callerconn.Causes(), causeResponseAborted, causeNone) {
+		m.cutOff[cause] = set.NewCounter(fmt.Sprintf("jasminegate_callers_cut_off_total{cause=%q}", string(cause)))
+	}
 	return m
 }
 
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -19,6 +19,7 @@
 	"jasminegate/internal/protocol/adminapi"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/state"
+	"jasminegate/internal/transport/callerconn"
 	"jasminegate/internal/transport/peer"
 )
 
@@ -195,6 +196,7 @@
 	n.callersServer.ReadHeaderTimeout, n.callersServer.IdleTimeout = state.MaxHeaderTimeout, state.MaxIdleTimeout
 	n.callersServer.MaxHeaderBytes = state.MaxHeaderBytes
 	n.callersServer.ConnState = newCallerConns(n.callerLimits).onStateChange
+	n.callersServer.ConnContext = callerconn.Context
 	n.adminServer = newServer(n.adminHandler())
 	if adapter.NewAnnouncementHandler != nil {
 		n.announceServer = newServer(adapter.NewAnnouncementHandler(n.targets))
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -6,6 +6,7 @@
 	"github.com/joomcode/errorx"
 
 	"jasminegate/internal/config"
+	"jasminegate/internal/transport/callerconn"
 )
 
 // Errors of the startup of a node.
@@ -54,6 +55,9 @@
 		}
 		*port.into = listener
 	}
+	if opened.callers != nil {
+		opened.callers = callerconn.Listener{Listener: opened.callers}
+	}
 	return opened, nil
 }
 
