Let the reader of an idle caller's connection decide that it ends

Cause: the limits on idle connections were enforced by a timer that closed the connection from its own goroutine. Once it had fired, the next request could still be read from the buffer and served; the closed connection then ended its context, which cut the run. A process without processor time for some 60 ms makes the timer and the bytes ready at once. Also: a limit that was raised while a connection was idle did not count, and a request that had arrived in time was dropped if the process was late. Change: package callerconn sets the read deadline itself while the server waits for a request. A read returns bytes or the end of the time, never both. At the end it takes what has arrived, once, and looks at the limits again. Why this works: nobody but the reader closes a connection for lack of a request, so that none that was read can lose its connection to the limits.

--- a/internal/node/calls/cutoff_test.go
+++ b/internal/node/calls/cutoff_test.go
@@ -44,9 +44,9 @@
 	n := f.nodes[node]
 	n.callers.Close()
 	n.callers = httptest.NewUnstartedServer(n.runner.CallersHandler())
-	n.callers.Config.ConnState = callerconn.OnStateChange
-	n.callers.Config.ConnContext = callerconn.Context
-	n.callers.Listener = callerconn.Listener{Listener: n.callers.Listener}
+	tracker := callerconn.NewTracker(func() callerconn.Limits { return callerconn.Limits{Header: testTimeout, Idle: testTimeout} })
+	tracker.Configure(n.callers.Config)
+	n.callers.Listener = tracker.Listen(n.callers.Listener)
 	n.callers.Start()
 	f.t.Cleanup(n.callers.Close)
 }
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -63,6 +64,7 @@
 	stopping atomic.Bool
 
 	callersServer *http.Server
+	callerConns   *callerconn.Tracker
 	adminServer   *http.Server
 	// announceServer and readyServer are nil without an adapter.
 	announceServer *http.Server
@@ -193,10 +195,9 @@
 
 func (n *node) composeServers(adapter Adapter) {
 	n.callersServer = newServer(n.calls.CallersHandler())
-	n.callersServer.ReadHeaderTimeout, n.callersServer.IdleTimeout = state.MaxHeaderTimeout, state.MaxIdleTimeout
 	n.callersServer.MaxHeaderBytes = state.MaxHeaderBytes
-	n.callersServer.ConnState = newCallerConns(n.callerLimits).onStateChange
-	n.callersServer.ConnContext = callerconn.Context
+	n.callerConns = callerconn.NewTracker(n.callerLimits)
+	n.callerConns.Configure(n.callersServer)
 	n.adminServer = newServer(n.adminHandler())
 	if adapter.NewAnnouncementHandler != nil {
 		n.announceServer = newServer(adapter.NewAnnouncementHandler(n.targets))
@@ -206,13 +207,18 @@
 	}
 }
 
-// callerLimits returns the configured limits for callers, or zero limits, which
-// stand for the node's defaults, before there is a configuration.
-func (n *node) callerLimits() state.CallerLimits {
-	if snapshot := n.configuration.Snapshot(); snapshot != nil {
-		return snapshot.CallerLimits()
+// callerLimits returns the configured time limits for callers. The node's defaults stand in
+// for those that are not configured, and before there is a configuration.
+func (n *node) callerLimits() callerconn.Limits {
+	limits := callerconn.Limits{Header: headerTimeout, Idle: idleTimeout}
+	snapshot := n.configuration.Snapshot()
+	if snapshot == nil {
+		return limits
 	}
-	return state.CallerLimits{}
+	configured := snapshot.CallerLimits()
+	limits.Header = cmp.Or(time.Duration(configured.HeaderTimeout), limits.Header)
+	limits.Idle = cmp.Or(time.Duration(configured.IdleTimeout), limits.Idle)
+	return limits
 }
 
 func newServer(handler http.Handler) *http.Server {
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -6,7 +6,6 @@
 	"github.com/joomcode/errorx"
 
 	"jasminegate/internal/config"
-	"jasminegate/internal/transport/callerconn"
 )
 
 // Errors of the startup of a node.
@@ -55,9 +54,6 @@
 		}
 		*port.into = listener
 	}
-	if opened.callers != nil {
-		opened.callers = callerconn.Listener{Listener: opened.callers}
-	}
 	return opened, nil
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -114,10 +114,10 @@
 	group.Go(func() error {
 		return peer.Serve(ctx, n.listeners.calls, n.callsMux(), n.logger)
 	})
-	n.serveHTTP(group, n.callersServer, n.listeners.callers)
-	n.serveHTTP(group, n.adminServer, n.listeners.admin)
-	n.serveHTTP(group, n.announceServer, n.listeners.announce)
-	n.serveHTTP(group, n.readyServer, n.listeners.ready)
+	group.Go(func() error { return serveHTTP(n.callersServer, n.callerConns.Listen(n.listeners.callers)) })
+	group.Go(func() error { return serveHTTP(n.adminServer, n.listeners.admin) })
+	group.Go(func() error { return serveHTTP(n.announceServer, n.listeners.announce) })
+	group.Go(func() error { return serveHTTP(n.readyServer, n.listeners.ready) })
 	group.Go(func() error {
 		<-ctx.Done()
 		for _, server := range []*http.Server{n.callersServer, n.adminServer, n.announceServer, n.readyServer} {
@@ -131,17 +131,15 @@
 
 // serveHTTP serves until the server or its listener is closed. It does nothing if
 // either is nil.
-func (n *node) serveHTTP(group *errgroup.Group, server *http.Server, listener net.Listener) {
+func serveHTTP(server *http.Server, listener net.Listener) error {
 	if server == nil || listener == nil {
-		return
+		return nil
 	}
-	group.Go(func() error {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		return err
-	})
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
 }
 
 // drain finishes the node's work before shutdown. During the leave delay the node
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -1,99 +1,172 @@
-// Package callerconn accepts callers' connections and records how they end.
+// Package callerconn serves callers' connections. It limits how long they wait for a
+// request, and records how they end.
+//
+// Only the goroutine that reads a connection gives it up for lack of a request. A close
+// from elsewhere, such as a timer's, could cross a request that has just been read: the
+// request would be served, and its response lost.
 package callerconn
 
 import (
-	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// Cause says why a connection ended.
-type Cause string
-
-// Causes.
-const (
-	// CallerClosed means that the caller closed its sending side, or the whole
-	// connection.
-	CallerClosed Cause = "caller-closed"
-	// CallerReset means that the connection broke: the caller reset it, or it became
-	// unreachable.
-	CallerReset Cause = "caller-reset"
-	// RequestTimeout means that no complete request header arrived within the limits.
-	RequestTimeout Cause = "request-timeout"
-	// ReadTimeout means that another read deadline expired, such as that of a body.
-	ReadTimeout Cause = "read-timeout"
-	// NodeClosed means that this process closed the connection for another reason, for
-	// example at the end of a shutdown.
-	NodeClosed Cause = "node-closed"
-)
-
-// Causes returns all causes.
-func Causes() []Cause {
-	return []Cause{CallerClosed, CallerReset, RequestTimeout, ReadTimeout, NodeClosed}
-}
-
-// Conn is a caller's connection.
+// Conn is a caller's connection. The HTTP server that reads it reports its state by the
+// Tracker's hooks.
 type Conn struct {
 	net.Conn
+	tracker    *Tracker
 	acceptedAt time.Time
 
 	mu sync.Mutex
-	// waitingSince is when the connection was accepted or became idle.
-	waitingSince time.Time
-	// waited is how long it waited for the present request.
+	// waiting is set while the server waits for a request, until its headers are complete.
+	waiting bool
+	// hadRequest is set once the connection has carried a request.
+	hadRequest bool
+	// waitingSince is when the connection was accepted or became idle, and firstByteAt when
+	// the first byte of the awaited request was read; zero if none was.
+	waitingSince, firstByteAt time.Time
+	// lateRead is set once bytes were looked for after the deadline of the present wait. Only
+	// the reader uses it while waiting is set.
+	lateRead bool
+	// waited is how long the connection waited for the present request.
 	waited time.Duration
 	// written counts the bytes written since the present request's headers were complete.
 	written int64
-	// cause is the first cause that became known; empty while the connection is open.
+	// cause is the first cause of the connection's end that became known; empty before.
 	cause Cause
 }
 
-// Description describes a connection and its present request.
-type Description struct {
-	// Age is the time since the connection was accepted.
-	Age time.Duration
-	// Waited is the time from the accept or from the last response until the headers of
-	// the present request were complete.
-	Waited time.Duration
-	// Written is how many bytes of a response were written.
-	Written int64
-	// Cause is why the connection ended; empty while it is open.
-	Cause Cause
-}
-
-func newConn(conn net.Conn) *Conn {
+func newConn(conn net.Conn, tracker *Tracker) *Conn {
 	now := time.Now()
-	return &Conn{Conn: conn, acceptedAt: now, waitingSince: now}
+	return &Conn{Conn: conn, tracker: tracker, acceptedAt: now, waiting: true, waitingSince: now}
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(data []byte) (int, error) {
+	c.mu.Lock()
+	waiting := c.waiting
+	c.mu.Unlock()
+	if waiting {
+		return c.readRequest(data)
+	}
 	n, err := c.Conn.Read(data)
-	if err != nil {
+	c.noteReadError(err)
+	return n, err
+}
+
+// readRequest reads while the server waits for a request. At the limit it takes what has
+// arrived before it gives up the connection.
+func (c *Conn) readRequest(data []byte) (int, error) {
+	for {
+		if err := c.setWaitDeadline(); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(data)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.untilWaitDeadline() > 0 {
+				continue // the limits were raised meanwhile
+			}
+			if n = c.readArrived(data); n > 0 {
+				err = nil
+			}
+		}
+		if n > 0 {
+			c.noteFirstByte()
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.noteCause(RequestTimeout)
+		}
 		c.noteReadError(err)
+		return n, err
 	}
-	return n, err
 }
 
-func (c *Conn) noteReadError(err error) {
-	switch {
-	case errors.Is(err, io.EOF):
-		c.NoteCause(CallerClosed)
-	case errors.Is(err, net.ErrClosed):
-		c.NoteCause(NodeClosed)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		// net/http ends its own reads by a deadline and goes on with the connection, so
-		// that Close decides whether this was the cause.
-	default:
-		c.NoteCause(CallerReset)
+// readArrived reads without waiting, once in each wait. A read whose deadline has expired
+// returns nothing, even if bytes arrived before, as they do while the process has no
+// processor time.
+func (c *Conn) readArrived(data []byte) int {
+	if c.lateRead {
+		return 0
+	}
+	c.lateRead = true
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Read(func(fd uintptr) bool {
+		for {
+			var readErr error
+			n, readErr = syscall.Read(int(fd), data)
+			if readErr != syscall.EINTR {
+				return true
+			}
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
+// setWaitDeadline limits the next read while the server waits for a request.
+func (c *Conn) setWaitDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Conn.SetReadDeadline(c.waitDeadline())
+}
+
+func (c *Conn) untilWaitDeadline() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Until(c.waitDeadline())
+}
+
+// waitDeadline returns when the wait for a request, or for the rest of its headers, ends.
+// An idle connection is kept for the header timeout beyond the idle timeout, so that it is
+// still open for a request that a caller sends at the end of its idle time. The caller
+// holds mu.
+func (c *Conn) waitDeadline() time.Time {
+	limits := c.tracker.limits()
+	if !c.firstByteAt.IsZero() {
+		return c.firstByteAt.Add(limits.Header)
+	}
+	wait := limits.Header
+	if c.hadRequest {
+		wait += limits.Idle
+	}
+	return c.waitingSince.Add(wait)
+}
+
+func (c *Conn) noteFirstByte() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.firstByteAt.IsZero() {
+		c.firstByteAt = time.Now()
 	}
 }
 
+// SetReadDeadline implements net.Conn. While the server waits for a request, Read sets the
+// deadlines, and this call changes nothing.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // Write implements net.Conn. It counts the bytes written.
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
@@ -104,7 +177,7 @@
 }
 
 // CloseWrite closes the sending side, as net/http does before it closes a connection
-// whose request it refused. It returns an error if the connection has no such side.
+// whose request it refused. It fails if the connection has no such side.
 func (c *Conn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return conn.CloseWrite()
@@ -114,76 +187,20 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.NoteCause(NodeClosed)
+	c.noteCause(NodeClosed)
 	return c.Conn.Close()
 }
 
-// NoteCause records why the connection ends, unless a cause is known already.
-func (c *Conn) NoteCause(cause Cause) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cause == "" {
-		c.cause = cause
-	}
-}
-
-// Describe returns the present state; that of a nil connection is the zero value.
-func (c *Conn) Describe() Description {
-	if c == nil {
-		return Description{}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return Description{Age: time.Since(c.acceptedAt), Waited: c.waited, Written: c.written, Cause: c.cause}
-}
-
 func (c *Conn) onStateChange(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
 		c.waited, c.written = time.Since(c.waitingSince), 0
+		c.waiting, c.hadRequest = false, true
+		c.firstByteAt = time.Time{}
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	case http.StateIdle:
-		c.waitingSince = time.Now()
-	}
-}
-
-// OnStateChange is to be called from http.Server.ConnState.
-func OnStateChange(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*Conn); ok {
-		c.onStateChange(state)
-	}
-}
-
-// NoteCause records why a connection of this package ends; it ignores other ones.
-func NoteCause(conn net.Conn, cause Cause) {
-	if c, ok := conn.(*Conn); ok {
-		c.NoteCause(cause)
-	}
-}
-
-type contextKey struct{}
-
-// Context is a callback for http.Server.ConnContext: it adds the connection to the
-// context of its requests.
-func Context(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, contextKey{}, conn)
-}
-
-// FromContext returns the connection of a request, or nil if it has none of this package.
-func FromContext(ctx context.Context) *Conn {
-	conn, _ := ctx.Value(contextKey{}).(*Conn)
-	return conn
-}
-
-// Listener wraps the connections that it accepts.
-type Listener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+		c.waiting, c.waitingSince, c.lateRead = true, time.Now(), false
 	}
-	return newConn(conn), nil
 }
--- /dev/null
+++ b/internal/transport/callerconn/conn_test.go
@@ -0,0 +1,255 @@
+package callerconn
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// testServer is a server whose connections belong to a tracker.
+type testServer struct {
+	*httptest.Server
+	tracker *Tracker
+}
+
+// answer is a handler that responds at once.
+func answer(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
+
+// answerIfConnected is a handler that closes the connection if its context has ended.
+func answerIfConnected(w http.ResponseWriter, r *http.Request) {
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, r)
+}
+
+func startServer(t *testing.T, limits func() Limits, handler http.HandlerFunc) *testServer {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	tracker := NewTracker(limits)
+	tracker.Configure(server.Config)
+	server.Listener = tracker.Listen(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	return &testServer{server, tracker}
+}
+
+func (s *testServer) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// dialLimited starts a server with the limits and returns a connection to it.
+func dialLimited(t *testing.T, limits Limits) net.Conn {
+	t.Helper()
+	return startServer(t, func() Limits { return limits }, answer).dial(t)
+}
+
+// send writes a request and returns the status of its response.
+func send(conn net.Conn) (int, error) {
+	if _, err := io.WriteString(conn, request); err != nil {
+		return 0, err
+	}
+	return readStatus(conn)
+}
+
+// readStatus reads one response to its end and returns its status.
+func readStatus(conn net.Conn) (int, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(closeWait)); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// closedWithin reports whether the other end closes the connection within wait.
+func closedWithin(t *testing.T, conn net.Conn, wait time.Duration) bool {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(wait)))
+	_, err := io.Copy(io.Discard, conn)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+const (
+	shortLimit = 50 * time.Millisecond
+	// requestLimit is enough for a request on loopback on a loaded machine.
+	requestLimit = 2 * time.Second
+	longLimit    = time.Minute
+	// closeWait bounds the wait for a close. openCheck is how long a connection
+	// must stay open to pass as kept.
+	closeWait = 20 * time.Second
+	openCheck = 300 * time.Millisecond
+	request   = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+)
+
+func TestIdleCallersAreClosed(t *testing.T) {
+	is := is.New(t)
+	conn := dialLimited(t, Limits{Header: requestLimit, Idle: shortLimit})
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	is.True(closedWithin(t, conn, closeWait))
+}
+
+func TestIdleCallersAreKeptWithinTheirLimit(t *testing.T) {
+	is := is.New(t)
+	conn := dialLimited(t, Limits{Header: longLimit, Idle: shortLimit})
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	is.True(!closedWithin(t, conn, openCheck)) // closes only after idle plus header timeout
+}
+
+func TestSlowHeadersAreClosed(t *testing.T) {
+	is := is.New(t)
+	conn := dialLimited(t, Limits{Header: shortLimit, Idle: longLimit})
+	_, _ = io.WriteString(conn, request[:20]) // the server may have closed the connection already
+	is.True(closedWithin(t, conn, closeWait))
+}
+
+// TestTricklingHeadersAreClosed sends a header byte by byte for longer than the limit.
+func TestTricklingHeadersAreClosed(t *testing.T) {
+	is := is.New(t)
+	conn := dialLimited(t, Limits{Header: shortLimit, Idle: longLimit})
+	is.NoErr(conn.SetWriteDeadline(time.Now().Add(closeWait)))
+	begun := time.Now()
+	for time.Since(begun) < closeWait {
+		if _, err := io.WriteString(conn, "G"); err != nil {
+			return // closed
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the connection is still open")
+}
+
+// TestLongRequestsAreKept checks that the limits close no connection while a
+// request runs.
+func TestLongRequestsAreKept(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Header: requestLimit, Idle: requestLimit}
+	release := make(chan struct{})
+	conn := startServer(t, func() Limits { return limits }, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		answer(w, r)
+	}).dial(t)
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	is.True(!closedWithin(t, conn, 2*requestLimit+openCheck))
+	close(release)
+	is.True(closedWithin(t, conn, closeWait))
+}
+
+// TestIdleCloseCutsOffRunningRequest sends requests at the instant at which the idle
+// connection is closed. One may get no response only if it is not served.
+func TestIdleCloseCutsOffRunningRequest(t *testing.T) {
+	const conns, rounds = 50, 20
+	limits := Limits{Header: 20 * time.Millisecond, Idle: 30 * time.Millisecond}
+	var served, answered atomic.Int64
+	server := startServer(t, func() Limits { return limits }, func(w http.ResponseWriter, r *http.Request) {
+		served.Add(1)
+		time.Sleep(5 * time.Millisecond)
+		answerIfConnected(w, r)
+	})
+	var callers sync.WaitGroup
+	for i := range conns {
+		callers.Go(func() {
+			for round := range rounds {
+				conn, err := net.Dial("tcp", server.Listener.Addr().String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				for range 2 {
+					if _, err := send(conn); err == nil {
+						answered.Add(1)
+					}
+					offset := time.Duration((i*rounds+round)%13-6) * 50 * time.Microsecond
+					time.Sleep(limits.Header + limits.Idle + offset)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	callers.Wait()
+	if lost := served.Load() - answered.Load(); lost != 0 {
+		t.Errorf("%d of %d requests were served and got no response", lost, served.Load())
+	}
+}
+
+// TestRaisedIdleLimitClosesAtTheOldOne raises the limits while a connection is idle.
+func TestRaisedIdleLimitClosesAtTheOldOne(t *testing.T) {
+	is := is.New(t)
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{Header: shortLimit, Idle: shortLimit})
+	conn := startServer(t, func() Limits { return *limits.Load() }, func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r)
+		// The wait for the next request begins with the limits as they were.
+		time.AfterFunc(shortLimit/2, func() { limits.Store(&Limits{Header: longLimit, Idle: longLimit}) })
+	}).dial(t)
+	_, err := send(conn)
+	is.NoErr(err)
+	is.True(!closedWithin(t, conn, openCheck))
+	status, err := send(conn)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
+
+// TestRequestThatArrivedInTimeIsDropped stalls the server until the limit has passed, as a
+// process without processor time is, while the request has arrived.
+func TestRequestThatArrivedInTimeIsDropped(t *testing.T) {
+	is := is.New(t)
+	var stalled atomic.Bool
+	arrived := make(chan struct{})
+	server := startServer(t, func() Limits {
+		if stalled.Load() {
+			<-arrived
+		}
+		return Limits{Header: time.Nanosecond, Idle: time.Nanosecond}
+	}, func(w http.ResponseWriter, r *http.Request) { answer(w, r) })
+	stalled.Store(true)
+	conn := server.dial(t)
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	time.AfterFunc(openCheck, func() { close(arrived) })
+	status, err := readStatus(conn)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
+
+// TestResetEndsRequest resets the connection while the request is served.
+func TestResetEndsRequest(t *testing.T) {
+	is := is.New(t)
+	begun, ended := make(chan struct{}), make(chan Cause, 1)
+	conn := startServer(t, func() Limits { return Limits{Header: longLimit, Idle: longLimit} }, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		ended <- FromContext(r.Context()).Describe().Cause
+	}).dial(t)
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	<-begun
+	is.NoErr(conn.(*net.TCPConn).SetLinger(0))
+	is.NoErr(conn.Close())
+	select {
+	case cause := <-ended:
+		is.Equal(cause, CallerReset)
+	case <-time.After(closeWait):
+		t.Fatal("the request still runs")
+	}
+}
