Do not end a request by the read deadline of its body

What callers may see: a connection closed without a response while the call runs. Cause: a read deadline that was set for a body can expire in the read by which net/http looks for a disconnect, of this request or the next one on the connection; net/http then ends the context of the connection. The code cleared the deadline in each path, but between setting and clearing it a process may be without processor time, and abortBodyRead set one while such a read could have begun. Change: callerconn recognises these reads (net/http reads one byte) and lets only the server itself end them. Evidence: TestBodyDeadlineEndsRequest fails on (unexpected EOF) and passes now.

--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -38,6 +38,8 @@
 	waited time.Duration
 	// written counts the bytes written since the present request's headers were complete.
 	written int64
+	// aborted is set while the server ends a read by a deadline in the past.
+	aborted bool
 	// cause is the first cause of the connection's end that became known; empty before.
 	cause Cause
 }
@@ -55,9 +57,7 @@
 	if waiting {
 		return c.readRequest(data)
 	}
-	n, err := c.Conn.Read(data)
-	c.noteReadError(err)
-	return n, err
+	return c.readDuringRequest(data)
 }
 
 // readRequest reads while the server waits for a request. At the limit it takes what has
@@ -156,6 +156,35 @@
 	}
 }
 
+// disconnectReadBytes is the size of the reads by which net/http detects that a caller
+// disconnects while its request is served. Reads of a body are larger.
+const disconnectReadBytes = 1
+
+// readDuringRequest reads while a request is served: the rest of its body, or, after that,
+// a read by which the server detects a disconnect.
+func (c *Conn) readDuringRequest(data []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(data)
+		expired := errors.Is(err, os.ErrDeadlineExceeded)
+		if expired && len(data) == disconnectReadBytes && c.clearDeadline() {
+			continue
+		}
+		c.noteReadError(err)
+		return n, err
+	}
+}
+
+// clearDeadline clears a deadline that was set for the body. It returns false if the
+// server has set one to end the read.
+func (c *Conn) clearDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // SetReadDeadline implements net.Conn. While the server waits for a request, Read sets the
 // deadlines, and this call changes nothing.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
@@ -164,6 +193,7 @@
 	if c.waiting {
 		return nil
 	}
+	c.aborted = !deadline.IsZero() && deadline.Before(c.acceptedAt)
 	return c.Conn.SetReadDeadline(deadline)
 }
 
--- a/internal/transport/callerconn/conn_test.go
+++ b/internal/transport/callerconn/conn_test.go
@@ -253,3 +253,18 @@
 		t.Fatal("the request still runs")
 	}
 }
+
+// TestBodyDeadlineEndsRequest lets a read deadline for a body expire after the body.
+func TestBodyDeadlineEndsRequest(t *testing.T) {
+	is := is.New(t)
+	conn := startServer(t, func() Limits { return Limits{Header: longLimit, Idle: longLimit} }, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(shortLimit))
+		time.Sleep(2 * shortLimit)
+		answerIfConnected(w, r)
+	}).dial(t)
+	for range 2 {
+		status, err := send(conn)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+}
