Answer callers that have closed only their sending side

Cause: net/http takes the end of the input for a disconnect and ends the request's context. Change: callerconn holds back the end of the input until the request is served, and reports it. A reset still ends the request at once.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -46,7 +46,7 @@
 	// it accepts the rest of the body.
 	started chan struct{}
 	// stopCallerWatch ends the watch for the caller's disconnect, and
-	// stopAttemptsWatch the watch for the end of Runner.attemptsCtx.
+	// stopAttemptsWatch the watch for the end of callerRequest.attemptsCtx.
 	stopCallerWatch   func() bool
 	stopAttemptsWatch func() bool
 }
@@ -163,7 +163,7 @@
 	if err := a.stream.Send(first); err != nil {
 		return nil, a.endLost()
 	}
-	a.stopAttemptsWatch = context.AfterFunc(a.runner.attemptsCtx, a.cancelIfQueued)
+	a.stopAttemptsWatch = context.AfterFunc(a.request.attemptsCtx, a.cancelIfQueued)
 	if !first.Last {
 		a.request.uploads.Add(1)
 		go a.upload()
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -21,16 +21,22 @@
 	"jasminegate/internal/protocol/problem"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
+	"jasminegate/internal/transport/callerconn"
 )
 
 // callerRequest is one caller's request while it is served.
 type callerRequest struct {
-	ctx        context.Context
-	controller *http.ResponseController
-	handle     uint64
-	route      state.Route
-	receivedAt time.Time
-	deadline   time.Time
+	// ctx ends when the caller has left; cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// attemptsCtx ends when no further attempt is to be made; stopAttempts ends it.
+	attemptsCtx  context.Context
+	stopAttempts context.CancelFunc
+	controller   *http.ResponseController
+	handle       uint64
+	route        state.Route
+	receivedAt   time.Time
+	deadline     time.Time
 	// softDeadline is the instant by which a response is wanted; zero means the
 	// deadline.
 	softDeadline time.Time
@@ -81,7 +87,9 @@
 	}
 	c.outcome = outcomeCallerLeft
 	defer func() { r.metrics.observeRequest(string(c.route.Class), c.outcome, startedAt) }()
+	defer c.end()
 	defer c.abortBodyRead()
+	defer r.watchInput(c)()
 	r.dispatch(w, request, c)
 	c.drainBody(request.Body)
 }
@@ -107,7 +115,7 @@
 	if !ok {
 		return nil, noRoute()
 	}
-	c := &callerRequest{ctx: ctx, receivedAt: now, controller: http.NewResponseController(w), route: route}
+	c := &callerRequest{receivedAt: now, controller: http.NewResponseController(w), route: route}
 	if refused := c.readContractHeaders(now, request, r.options.Contract); refused != nil {
 		return nil, refused
 	}
@@ -124,6 +132,8 @@
 		// disconnect of the caller.
 		_ = c.controller.SetReadDeadline(time.Time{})
 	}
+	c.ctx, c.cancel = context.WithCancelCause(ctx)
+	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
 	c.body = body
 	c.handle = r.entry.handles.Add(1)
 	c.template = r.newTemplate(ctx, c, request)
@@ -268,14 +278,26 @@
 			return
 		}
 		action = r.entry.submit(event)
-		if r.attemptsCtx.Err() != nil && leadsToAttempt(action) {
-			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: call.ReasonLeaving})
+		if c.attemptsCtx.Err() != nil && leadsToAttempt(action) {
+			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()})
 		}
 	}
-	r.noteCutOff(request, c, "")
+	r.noteCutOff(request, c, c.cutOffCause())
+	if c.cutOffCause() == callerconn.CallerClosed {
+		problem.Write(w, *callerClosed()) // for a caller that has closed only its sending side
+		return
+	}
 	panic(http.ErrAbortHandler) // the caller disconnected: abort the connection without a response
 }
 
+// giveUpReason returns why a request makes no further attempt.
+func (r *Runner) giveUpReason() call.Reason {
+	if r.attemptsCtx.Err() != nil {
+		return call.ReasonLeaving
+	}
+	return call.ReasonCancelled
+}
+
 // leadsToAttempt reports whether the action leads to another attempt, or is a
 // Wait before an attempt or another Resolve.
 func leadsToAttempt(action entry.Action) bool {
--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -10,8 +10,10 @@
 	errClaimUnavailable = errorx.NewType(Errors, "no-claims")
 	errSilent           = errorx.NewType(Errors, "silent")
 	errCallerLeft       = errorx.NewType(Errors, "caller-left")
-	errBodyTooLarge     = errorx.NewType(Errors, "bounds")
-	errConnectionLimit  = errorx.NewType(Errors, "connections")
+	// errInputClosed means that the caller of an idempotent call closed its sending side.
+	errInputClosed     = errorx.NewType(Errors, "input-closed")
+	errBodyTooLarge    = errorx.NewType(Errors, "bounds")
+	errConnectionLimit = errorx.NewType(Errors, "connections")
 	// errSignal means that a target states something about itself that is malformed.
 	errSignal = errorx.NewType(Errors, "signal")
 )
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -53,6 +53,16 @@
 		"Send the call to another node, or again after the given time.", fencedOrOverloadedRetryAfter)
 }
 
+// callerClosed is the response to a caller that closed its sending side before its call
+// was answered.
+func callerClosed() *problem.Problem {
+	return &problem.Problem{
+		Type: problemBase + "caller-closed", Title: "The connection's sending side was closed, and the call was cancelled",
+		Status: http.StatusGatewayTimeout, Outcome: problem.Unknown,
+		Remedy: "Keep the sending side open until the response has arrived.",
+	}
+}
+
 func noRoute() *problem.Problem {
 	return notRun("no-route", "No route matches the call", http.StatusNotFound,
 		"Check host, path and method against the published routes.", 0)
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -1,5 +1,6 @@
 // Package callerconn serves callers' connections. It limits how long they wait for a
-// request, and records how they end.
+// request, keeps them open for callers that have closed only their sending side, and records
+// how they end.
 //
 // Only the goroutine that reads a connection gives it up for lack of a request. A close
 // from elsewhere, such as a timer's, could cross a request that has just been read: the
@@ -8,6 +9,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +42,11 @@
 	written int64
 	// aborted is set while the server ends a read by a deadline in the past.
 	aborted bool
+	// inputClosed is set once the caller's end of input was read while a request was served;
+	// onInputClosed is called then. held is closed to end the read that found it.
+	inputClosed   bool
+	onInputClosed func()
+	held          chan struct{}
 	// cause is the first cause of the connection's end that became known; empty before.
 	cause Cause
 }
@@ -165,9 +172,16 @@
 func (c *Conn) readDuringRequest(data []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(data)
-		expired := errors.Is(err, os.ErrDeadlineExceeded)
-		if expired && len(data) == disconnectReadBytes && c.clearDeadline() {
-			continue
+		if err == nil || n > 0 {
+			return n, err
+		}
+		if len(data) == disconnectReadBytes {
+			if errors.Is(err, io.EOF) {
+				return c.holdInputClosed()
+			}
+			if errors.Is(err, os.ErrDeadlineExceeded) && c.clearDeadline() {
+				continue
+			}
 		}
 		c.noteReadError(err)
 		return n, err
@@ -185,6 +199,46 @@
 	return c.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// holdInputClosed reports the end of the caller's input and waits until the server has
+// served the request or the connection is closed. An error would make the server end the
+// request's context, although the caller may have closed only its sending side and wait
+// for the response.
+func (c *Conn) holdInputClosed() (int, error) {
+	c.mu.Lock()
+	if c.aborted {
+		c.mu.Unlock()
+		return 0, os.ErrDeadlineExceeded
+	}
+	held := make(chan struct{})
+	c.held = held
+	c.inputClosed = true
+	notify := c.onInputClosed
+	c.mu.Unlock()
+	if notify != nil {
+		notify()
+	}
+	<-held
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return 0, net.ErrClosed
+}
+
+// OnInputClosed sets the function that is called once if the caller closes its sending
+// side, or the whole connection, while the present request is served. It is called at once
+// if that has happened already. Nil removes it.
+func (c *Conn) OnInputClosed(notify func()) {
+	c.mu.Lock()
+	c.onInputClosed = notify
+	closed := c.inputClosed
+	c.mu.Unlock()
+	if closed && notify != nil {
+		notify()
+	}
+}
+
 // SetReadDeadline implements net.Conn. While the server waits for a request, Read sets the
 // deadlines, and this call changes nothing.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
@@ -194,9 +248,20 @@
 		return nil
 	}
 	c.aborted = !deadline.IsZero() && deadline.Before(c.acceptedAt)
+	if c.aborted {
+		c.releaseHeld()
+	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// releaseHeld ends the read that found the end of the input. The caller holds mu.
+func (c *Conn) releaseHeld() {
+	if c.held != nil {
+		close(c.held)
+		c.held = nil
+	}
+}
+
 // Write implements net.Conn. It counts the bytes written.
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
@@ -218,6 +283,9 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.noteCause(NodeClosed)
+	c.mu.Lock()
+	c.releaseHeld()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/internal/transport/callerconn/conn_test.go
+++ b/internal/transport/callerconn/conn_test.go
@@ -232,6 +232,25 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// TestHalfCloseEndsRequest closes the sending side while the request is served.
+func TestHalfCloseEndsRequest(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	conn := startServer(t, func() Limits { return Limits{Header: longLimit, Idle: longLimit} }, func(w http.ResponseWriter, r *http.Request) {
+		FromContext(r.Context()).OnInputClosed(func() { close(closed) })
+		<-closed
+		time.Sleep(openCheck)
+		answerIfConnected(w, r)
+	}).dial(t)
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	status, err := readStatus(conn)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.True(closedWithin(t, conn, closeWait)) // no further request can come
+}
+
 // TestResetEndsRequest resets the connection while the request is served.
 func TestResetEndsRequest(t *testing.T) {
 	is := is.New(t)
