An error of accept ends the node and cuts off every call

Cause: http.Server.Serve and drpcserver.Serve return the first error of accept that net.Error does not call temporary. run.go has everything in one errgroup, so that error closes all callers' connections and ends the process. accept(2) on Linux also reports errors of a single connection (EPROTO, ENETDOWN, EPERM by a firewall ...) and a lack of memory or buffers (ENOMEM, ENOBUFS) that passes. With EMFILE and ENFILE drpc waited 500 ms for each try, which is the silence timeout.

Now the listeners accept again after 5 to 100 ms and log event 108, at most once a second and address. Only a closed listener, or a socket that cannot be used (EBADF, EINVAL, ENOTSOCK), ends a server.

Before, on the unchanged code: TestServeGoesOnAfterAcceptErrors (peer): "the server ended: accept tcp: accept4: ..." for 9 of 11 errors, no event for EMFILE and ENFILE, which were served after 1.5 s (three failures). TestCallersServedAfterAcceptErrors (node): 6 of 8 errors ended the server of the callers' port; EMFILE and ENFILE did not. ECONNABORTED is in the tables, but Go's accept retries it by itself. After: both pass with -race.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -12,6 +12,7 @@
 	NodeFenced       = Event{103, log.WarnLevel, "node is fenced: it lacks the contact with other nodes or the platform that serving requires, has left or was replaced: calls are refused"}
 	NodeUnfenced     = Event{104, log.InfoLevel, "node is no longer fenced: calls are admitted"}
 	SettingsRejected = Event{105, log.ErrorLevel, "settings rejected"}
+	AcceptFailed     = Event{108, log.WarnLevel, "connections could not be accepted: the node tries again"}
 )
 
 // Events of configuration distribution.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -19,6 +19,7 @@
 	"jasminegate/internal/config"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/transport/accept"
 	"jasminegate/internal/transport/peer"
 )
 
@@ -114,10 +115,10 @@
 	group.Go(func() error {
 		return peer.Serve(ctx, n.listeners.calls, n.callsMux(), n.logger)
 	})
-	group.Go(func() error { return serveHTTP(n.callersServer, n.callerConns.Listen(n.listeners.callers)) })
-	group.Go(func() error { return serveHTTP(n.adminServer, n.listeners.admin) })
-	group.Go(func() error { return serveHTTP(n.announceServer, n.listeners.announce) })
-	group.Go(func() error { return serveHTTP(n.readyServer, n.listeners.ready) })
+	group.Go(func() error { return n.serveHTTP(n.callersServer, n.callerConns.Listen(n.listeners.callers)) })
+	group.Go(func() error { return n.serveHTTP(n.adminServer, n.listeners.admin) })
+	group.Go(func() error { return n.serveHTTP(n.announceServer, n.listeners.announce) })
+	group.Go(func() error { return n.serveHTTP(n.readyServer, n.listeners.ready) })
 	group.Go(func() error {
 		<-ctx.Done()
 		for _, server := range []*http.Server{n.callersServer, n.adminServer, n.announceServer, n.readyServer} {
@@ -129,13 +130,13 @@
 	})
 }
 
-// serveHTTP serves until the server or its listener is closed. It does nothing if
-// either is nil.
-func serveHTTP(server *http.Server, listener net.Listener) error {
+// serveHTTP serves until the server or its listener is closed, also after errors of
+// accept (see accept.Retry). It does nothing if either is nil.
+func (n *node) serveHTTP(server *http.Server, listener net.Listener) error {
 	if server == nil || listener == nil {
 		return nil
 	}
-	err := server.Serve(listener)
+	err := server.Serve(accept.Retry(listener, n.logger))
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -10,16 +10,18 @@
 	"storj.io/drpc/drpcserver"
 
 	"jasminegate/internal/logging"
+	"jasminegate/internal/transport/accept"
 )
 
 // Serve serves drpc on the listener until ctx ends. A connection that sends
-// malformed data is closed and the error logged; the server continues.
+// malformed data is closed and the error logged; the server continues, also after
+// errors of accept (see accept.Retry).
 func Serve(ctx context.Context, listener net.Listener, handler drpc.Handler, logger *logging.Logger) error {
 	server := drpcserver.NewWithOptions(handler, drpcserver.Options{
 		Manager: managerOptions(),
 		Log:     func(err error) { logConnectionError(logger, err) },
 	})
-	return server.Serve(ctx, deadlineListener{listener})
+	return server.Serve(ctx, deadlineListener{accept.Retry(listener, logger)})
 }
 
 func logConnectionError(logger *logging.Logger, err error) {
