A panic in one call between nodes ends the process

Cause: drpcserver recovers no panic of a handler, and the goroutines of a call (run at the target, frames of the entry, upload, the own gate's end of a call, probes, claim requests, requests of the configuration) are not below net/http, which does. A panic in one of them ends the process, and with it every call.

Now the call or request that met the panic is given up and the node goes on. A call that may have reached its target ends with an unknown outcome (abort frame), never "not run"; its slot is freed by the same Finished event as usual.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -13,6 +13,7 @@
 	NodeUnfenced     = Event{104, log.InfoLevel, "node is no longer fenced: calls are admitted"}
 	SettingsRejected = Event{105, log.ErrorLevel, "settings rejected"}
 	AcceptFailed     = Event{108, log.WarnLevel, "connections could not be accepted: the node tries again"}
+	PanicRecovered   = Event{109, log.ErrorLevel, "a part of the node's work failed by a fault of the program: that work is given up"}
 )
 
 // Events of configuration distribution.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -21,6 +21,7 @@
 	logger log.Logger
 	// writer is nil if lines are written synchronously.
 	writer *lossyWriter
+	panics panicCounter
 }
 
 // New returns a logger that writes events at or above level ("debug", "info",
--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -48,6 +48,9 @@
 	set.NewGauge("jasminegate_log_lines_left_out_total", func() float64 {
 		return float64(n.logger.DroppedLines())
 	})
+	set.NewGauge("jasminegate_panics_total", func() float64 {
+		return float64(n.logger.Panics())
+	})
 	set.NewGauge("jasminegate_calls_in_flight", func() float64 {
 		return float64(n.calls.Stats().InFlight)
 	})
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -247,6 +247,9 @@
 // upload sends the rest of the body once the gate has started the call.
 func (a *attempt) upload() {
 	defer a.request.uploads.Done()
+	defer a.runner.recoverCall("upload of a body", func() {
+		a.cancel(errUploadFailed.New("the upload to gate %s failed: the attempt is treated as lost", a.endpoint.ID))
+	})
 	select {
 	case <-a.started:
 	case <-a.ctx.Done():
--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -10,6 +10,7 @@
 	errClaimUnavailable = errorx.NewType(Errors, "no-claims")
 	errSilent           = errorx.NewType(Errors, "silent")
 	errCallerLeft       = errorx.NewType(Errors, "caller-left")
+	errUploadFailed     = errorx.NewType(Errors, "upload")
 	// errInputClosed means that the caller of an idempotent call closed its sending side.
 	errInputClosed     = errorx.NewType(Errors, "input-closed")
 	errBodyTooLarge    = errorx.NewType(Errors, "bounds")
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -153,7 +153,7 @@
 	handler := drpcmux.New()
 	f.is.NoErr(wire.DRPCRegisterCalls(handler, n.runner))
 	group.Go(func() { _ = n.runner.Run(ctx) })
-	group.Go(func() { _ = peer.Serve(ctx, listener, handler, logging.Discard()) })
+	group.Go(func() { _ = peer.Serve(ctx, listener, handler, n.runner.options.Logger) })
 	n.callers = httptest.NewServer(n.runner.CallersHandler())
 	n.stop = sync.OnceFunc(func() {
 		n.callers.CloseClientConnections()
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -188,11 +188,11 @@
 // receiveFrames reads the rest of the body, and reports a cancellation by the
 // entry or the loss of its connection to the gate machine.
 func (r *Runner) receiveFrames(stream serverStream, c *gateCall) {
+	defer r.recoverCall("frames of an entry", func() { r.loseEntry(c) })
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
-			c.failBody(io.ErrUnexpectedEOF)
-			r.gate.notify(gate.Disconnected{ID: c.id})
+			r.loseEntry(c)
 			return
 		}
 		if frame.Cancel {
@@ -260,7 +260,7 @@
 	r.counters.started.Add(1)
 	r.metrics.gateWait.UpdateDuration(c.arrivedAt)
 	r.targetCalls.Add(1)
-	go r.runAtTarget(ctx, c)
+	go r.runOrAbort(ctx, c)
 	if c.streaming {
 		if err := stream.Send(&wire.AnswerFrame{Started: true}); err != nil {
 			c.response.abandon()
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -177,7 +177,10 @@
 	l.ring.Push(keyedItem{event: event}, l.done)
 }
 
-func (l *keyedLoop) roundTrip(action keyed.SendRequest, address string) (*wire.ClaimAnswer, error) {
+func (l *keyedLoop) roundTrip(action keyed.SendRequest, address string) (answer *wire.ClaimAnswer, err error) {
+	defer l.runner.recoverCall("claim request", func() {
+		answer, err = nil, errClaimUnavailable.New("the claim request to gate %s failed", action.To)
+	})
 	if address == "" {
 		return nil, errClaimUnavailable.New("no calls address is known for gate %s", action.To)
 	}
--- /dev/null
+++ b/internal/node/calls/panic_test.go
@@ -0,0 +1,85 @@
+package calls
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"jasminegate/internal/protocol/headers"
+)
+
+// panickingTracer panics where a span of the name starts, or ends.
+type panickingTracer struct {
+	trace.Tracer
+	name  string
+	atEnd bool
+	armed atomic.Bool
+}
+
+func newPanickingTracer(name string, atEnd bool) *panickingTracer {
+	return &panickingTracer{Tracer: noop.NewTracerProvider().Tracer(""), name: name, atEnd: atEnd}
+}
+
+func (t *panickingTracer) Start(ctx context.Context, name string, options ...trace.SpanStartOption) (context.Context, trace.Span) {
+	ctx, span := t.Tracer.Start(ctx, name, options...)
+	if name != t.name || !t.armed.Load() {
+		return ctx, span
+	}
+	if t.atEnd {
+		return ctx, panickingSpan{span}
+	}
+	panic("on purpose, at the start of a span")
+}
+
+type panickingSpan struct{ trace.Span }
+
+func (panickingSpan) End(...trace.SpanEndOption) { panic("on purpose, at the end of a span") }
+
+// TestPanicAtGateEndsOnlyItsCall lets the gate panic while it runs a call, at the own
+// node and at another one. The caller of that call gets a response that does not say
+// "not run" of a call that may have run; its slot is free again, and later calls are
+// answered.
+func TestPanicAtGateEndsOnlyItsCall(t *testing.T) {
+	for _, row := range []struct {
+		name, span string
+		atEnd      bool
+		outcome    string
+	}{
+		{"gate", "gate", false, "not-run"}, // before the gate has admitted the call
+		{"run begins", "target", false, "outcome-unknown"},
+		{"run ends", "target", true, ""}, // the response is complete by then
+	} {
+		for _, remote := range []bool{false, true} {
+			t.Run(row.name+map[bool]string{false: ", own gate", true: ", other gate"}[remote], func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: remote, slots: 2}, echo)
+				gate := f.nodes[1]
+				if !remote {
+					gate = f.nodes[0]
+					f.nodes[1].stop()
+				}
+				tracer := newPanickingTracer(row.span, row.atEnd)
+				for _, n := range f.nodes {
+					n.runner.options.Tracer = tracer
+				}
+				tracer.armed.Store(true)
+				for range 5 {
+					got := f.call(0, "POST", "/file", "b")
+					is.NoErr(got.err)
+					is.Equal(got.header.Get(headers.Outcome), row.outcome)
+				}
+				tracer.armed.Store(false)
+				got := f.call(0, "POST", "/file", "b")
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusCreated)
+				is.True(gate.runner.options.Logger.Panics() >= 5)
+				f.waitFor("no call runs", func() bool { return gate.runner.gate.load.Load() == 0 })
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/calls/recover.go
@@ -0,0 +1,34 @@
+package calls
+
+import (
+	"context"
+	"io"
+
+	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/gate"
+)
+
+// recoverCall is deferred by the goroutines of one call: a panic ends that call with
+// end, and the node goes on.
+func (r *Runner) recoverCall(place string, end func()) {
+	if value := recover(); value != nil {
+		r.options.Logger.Panicked(place, value)
+		end()
+	}
+}
+
+// runOrAbort is runAtTarget for a call that may panic. The request may have reached the
+// target by then, so the outcome is unknown.
+func (r *Runner) runOrAbort(ctx context.Context, c *gateCall) {
+	defer r.recoverCall("run at the target", func() {
+		result := r.abort(c, call.ReasonTargetConnectionLost, gate.Failed)
+		r.gate.notify(gate.Finished{ID: c.id, Result: result, RetainedBytes: c.response.retainedBytes()})
+	})
+	r.runAtTarget(ctx, c)
+}
+
+// loseEntry treats a call as one whose entry's connection was lost.
+func (r *Runner) loseEntry(c *gateCall) {
+	c.failBody(io.ErrUnexpectedEOF)
+	r.gate.notify(gate.Disconnected{ID: c.id})
+}
--- a/internal/node/calls/resolve.go
+++ b/internal/node/calls/resolve.go
@@ -42,6 +42,7 @@
 // watchFetch reports to the gate machine that the entry which fetches the response has
 // cancelled the call or lost its connection.
 func (r *Runner) watchFetch(stream serverStream, id call.ID) {
+	defer r.recoverCall("frames of an entry", func() { r.gate.notify(gate.Disconnected{ID: id}) })
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
--- a/internal/node/calls/stream.go
+++ b/internal/node/calls/stream.go
@@ -121,6 +121,7 @@
 	pipe := newLocalPipe(ctx)
 	go func() {
 		defer close(pipe.served)
+		defer r.recoverCall("call at the own gate", func() {})
 		_ = r.serveStream(localServer{pipe})
 	}()
 	return localClient{pipe}
--- a/internal/node/members/exchange.go
+++ b/internal/node/members/exchange.go
@@ -53,7 +53,13 @@
 	}()
 }
 
-func (r *Runner) probe(ctx context.Context, action membership.SendProbe) membership.Event {
+func (r *Runner) probe(ctx context.Context, action membership.SendProbe) (result membership.Event) {
+	defer func() {
+		if value := recover(); value != nil {
+			r.options.Logger.Panicked("probe", value)
+			result = membership.ProbeFailed{Token: action.Token}
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, action.Timeout)
 	defer cancel()
 	conn, err := r.options.Pool.Get(ctx, action.Address)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -15,9 +15,9 @@
 
 // Serve serves drpc on the listener until ctx ends. A connection that sends
 // malformed data is closed and the error logged; the server continues, also after
-// errors of accept (see accept.Retry).
+// errors of accept (see accept.Retry) and panics of the handler.
 func Serve(ctx context.Context, listener net.Listener, handler drpc.Handler, logger *logging.Logger) error {
-	server := drpcserver.NewWithOptions(handler, drpcserver.Options{
+	server := drpcserver.NewWithOptions(recoveringHandler{handler, logger}, drpcserver.Options{
 		Manager: managerOptions(),
 		Log:     func(err error) { logConnectionError(logger, err) },
 	})
