A malformed response closes the caller's connection without an answer

Three faults, found by sending what no node and no target sends:

A target that responds with a status of 000 to 099, or a gate with one outside of 100 to 999 (also by an outcome of 256, which became 0, "answered"): net/http panics in WriteHeader, in the entry's handler, after the call has run. The caller's connection is closed and nothing is written. Of 101 and 150 the caller got an interim response. Now the gate takes a status below 200 for a mismatched response, and the entry a start with an impossible status or outcome for a lost attempt: the caller is told that the outcome is unknown. 2. An outcome that does not exist reached the caller as "answered". 3. A rate limit of NaN in the report that an entry sends with a call: the gate then had never a token, and refused every call of its target until the target itself stated a limit. Now a report whose limit is no number of 0 or more is left out.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -210,7 +210,7 @@
 	if frame.Aborted != "" {
 		return nil, a.endRefused(call.Unknown, frame.Aborted, &wire.AnswerStart{})
 	}
-	if frame.Start == nil {
+	if !validStart(frame.Start) {
 		return nil, a.endLost()
 	}
 	if outcome := call.Outcome(frame.Start.Outcome); outcome != call.Answered {
@@ -219,6 +219,22 @@
 	return frame, nil
 }
 
+// Statuses of a target's response. net/http panics if a handler writes one outside of
+// its range, which closes the caller's connection, and takes one below 200 for an
+// interim response.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
+// validStart reports whether a gate can have sent the start.
+func validStart(start *wire.AnswerStart) bool {
+	if start == nil || start.Outcome > uint32(call.Ran) {
+		return false
+	}
+	return start.Outcome != uint32(call.Answered) || start.Status >= minStatus && start.Status <= maxStatus
+}
+
 // readBuffered reads the response until it is complete or exceeds the buffer
 // limit.
 func (a *attempt) readBuffered(first *wire.AnswerFrame) (*gateResponse, entry.Event) {
@@ -298,7 +314,7 @@
 
 // endLost ends the attempt after its connection was lost, after the gate sent
 // nothing within the silence timeout or did not finish within gateGracePeriod
-// after the deadline, or after a first frame without the start of a response. Unless the caller disconnected, it also closes the idle connections
+// after the deadline, or after a first frame without a valid start of a response. Unless the caller disconnected, it also closes the idle connections
 // to the gate, which are likely to have failed too.
 func (a *attempt) endLost() entry.Event {
 	a.end(false)
--- a/internal/node/calls/classify.go
+++ b/internal/node/calls/classify.go
@@ -25,6 +25,9 @@
 	if echoesOther(contract.RequestID, request, response) || echoesOther(contract.CallID, request, response) {
 		return mismatchedResponse
 	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return mismatchedResponse
+	}
 	if contract.NotRun == "" {
 		return validResponse
 	}
--- a/internal/node/calls/reportwire.go
+++ b/internal/node/calls/reportwire.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"math"
 	"time"
 
 	"jasminegate/internal/coordination/call"
@@ -19,9 +20,10 @@
 	}
 }
 
-// fromWireReport returns the received report, or nil if there is none.
+// fromWireReport returns the received report, or nil if there is none or its rate limit
+// is no number of 0 or more.
 func fromWireReport(now time.Time, report *wire.TargetReport) *call.TargetReport {
-	if report == nil {
+	if report == nil || !(report.RateLimit >= 0) || math.IsInf(report.RateLimit, 0) {
 		return nil
 	}
 	return &call.TargetReport{
