One failed part of the node closes all callers' connections without a reason

Cause: the runners and servers were in one errgroup with a context: the first error, of the admin port's server for example, ended the context of all, which closes the callers' connections while their calls run. Nothing said which part failed but the last line on standard error. A panic of a machine or of the work with the platform's log ended the process at once; had it been contained, Run of members and configuration would have waited for their workers for good, and the lock that Serving takes would have stayed locked.

Now a part that fails, also by a panic, is logged with its reason (event 110; 109 with the stack), the node drains as after SIGTERM, so that the calls in flight get their responses, and then ends with exit code 1. Where the calls runner itself fails, its calls at the target are cut, and the callers are told that the outcome is unknown.

After: all pass with -race.

What can end a node by itself after this, by reading: a lost socket (EBADF, EINVAL, ENOTSOCK) of a listener, a panic of a machine or of a ticker of a runner, and what Go cannot recover: concurrent map access, memory, a panic in a goroutine of a library, in a callback of context.AfterFunc (attempt.go), in the timers of callerconns.go and platformlog/transfer.go, and in reloadOnSignal. members.Run, configuration.Run, calls.Run, targets.run, rediscoverTarget and sweepPools return nil only.

--- a/internal/logging/panic.go
+++ b/internal/logging/panic.go
@@ -5,6 +5,16 @@
 	"runtime/debug"
 	"sync"
 	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors of guarded code.
+var (
+	Errors = errorx.NewNamespace("logging")
+
+	// ErrPanicked means that guarded code panicked.
+	ErrPanicked = errorx.NewType(Errors, "panicked")
 )
 
 const (
@@ -53,6 +63,17 @@
 	l.Event(PanicRecovered).Str("place", place).Str("panic", fmt.Sprint(value)).Uint("left_out", leftOut).Str("stack", string(stack)).Send()
 }
 
+// Guard runs run. A panic is logged and returned as an error.
+func (l *Logger) Guard(place string, run func() error) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			l.Panicked(place, value)
+			err = ErrPanicked.New("%s: %v: look for event %d in the log", place, value, PanicRecovered.Code)
+		}
+	}()
+	return run()
+}
+
 // Panics returns the number of recovered panics.
 func (l *Logger) Panics() uint64 {
 	if l == nil {
--- a/internal/node/calls/panic_test.go
+++ b/internal/node/calls/panic_test.go
@@ -5,11 +5,14 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/protocol/headers"
 )
 
@@ -83,3 +86,29 @@
 		}
 	}
 }
+
+// TestPanicOfMachineAnswersCallers lets the gate machine's loop panic while a call runs.
+// The runner ends, and the caller gets a response that says what is known of its call.
+func TestPanicOfMachineAnswersCallers(t *testing.T) {
+	is := is.New(t)
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	f := newFleet(t, fleetOptions{nodes: 1}, func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		select {
+		case <-proceed:
+		case <-r.Context().Done():
+		}
+	})
+	n := f.nodes[0]
+	defer close(proceed)
+	got := make(chan callResult, 1)
+	go func() { got <- f.call(0, "POST", "/file", "b") }()
+	<-arrived
+	// An arrival without its call, which no code sends.
+	arrive := gate.Arrive{ID: call.ID{Entry: "e", Counter: 1}, GateIncarnation: n.member.Incarnation, Deadline: time.Now().Add(testTimeout)}
+	is.True(n.runner.gate.arrive(arrive, nil))
+	answer := <-got
+	is.NoErr(answer.err)
+	is.Equal(answer.header.Get(headers.Outcome), "outcome-unknown")
+	is.Equal(n.runner.options.Logger.Panics(), uint64(1))
+}
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -131,10 +131,13 @@
 // target.
 func (r *Runner) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return r.entry.run(ctx) })
-	group.Go(func() error { return r.gate.run(ctx) })
-	group.Go(func() error { return r.keyed.run(ctx) })
-	group.Go(func() error { return r.maintain(ctx) })
+	for place, run := range map[string]func(context.Context) error{
+		"entry machine": r.entry.run, "gate machine": r.gate.run, "keyed machine": r.keyed.run, "maintenance": r.maintain,
+	} {
+		group.Go(func() error {
+			return r.options.Logger.Guard(place, func() error { return run(ctx) })
+		})
+	}
 	err := group.Wait()
 	r.cancelBase()
 	r.targetCalls.Wait()
--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -155,8 +155,10 @@
 // must be called only once.
 func (r *Runner) Run(ctx context.Context) error {
 	var workers sync.WaitGroup
-	r.startWorkers(ctx, &workers)
 	defer workers.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the workers also after a panic of the machine
+	r.startWorkers(ctx, &workers)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var epoch uint64
--- /dev/null
+++ b/internal/node/failure_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminegate/internal/config"
+	"jasminegate/internal/logging"
+)
+
+// breakableListener accepts until it is broken; then its socket cannot be used.
+type breakableListener struct {
+	net.Listener
+	broken chan struct{}
+}
+
+func (l *breakableListener) Accept() (net.Conn, error) {
+	<-l.broken
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EINVAL)}
+}
+
+// logBuffer is a buffer that the logger writes and the test reads.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(data)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
+// composeTestNode returns a node on its own loopback address that nobody else knows.
+func composeTestNode(t *testing.T, logger *logging.Logger) *node {
+	is := is.New(t)
+	settings := config.Defaults()
+	ip := fmt.Sprintf("127.90.%d.%d", os.Getpid()%250+1, time.Now().UnixNano()/1000%250+1)
+	settings.Node = config.Node{
+		ID: "n-1", Domain: "d",
+		CallersAddress: ip + ":8304", AdminAddress: ip + ":7635", ControlAddress: ip + ":7620", CallsAddress: ip + ":8300",
+	}
+	settings.Platform.URL = "http://" + ip + ":9" // nothing listens here
+	settings.Calls.LeaveDelay = 10 * time.Millisecond
+	opened, err := listen(settings.Node)
+	is.NoErr(err)
+	t.Cleanup(opened.close)
+	telemetry, err := newTelemetry(settings)
+	is.NoErr(err)
+	t.Cleanup(telemetry.close)
+	return compose(settings, opened, telemetry, defaultAdapter, logger)
+}
+
+// TestFailedPartDoesNotCutOffCalls breaks one part of a node while a caller waits for
+// its response. The node cannot go on, but the caller gets its response first, and the
+// reason is logged before the node stops.
+func TestFailedPartDoesNotCutOffCalls(t *testing.T) {
+	is := is.New(t)
+	var log logBuffer
+	n := composeTestNode(t, logging.New(&log, "info", "n-1"))
+	admin := &breakableListener{Listener: n.listeners.admin, broken: make(chan struct{})}
+	n.listeners.admin = admin
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	n.callersServer.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-proceed
+		_, _ = io.WriteString(w, "answer")
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- n.run(context.Background()) }()
+	type result struct {
+		body string
+		err  error
+	}
+	got := make(chan result, 1)
+	go func() {
+		response, err := http.Get("http://" + n.listeners.callers.Addr().String())
+		if err != nil {
+			got <- result{err: err}
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		got <- result{string(body), err}
+	}()
+	<-arrived
+	close(admin.broken)
+	select {
+	case cut := <-got:
+		t.Errorf("the caller's connection was closed while its call ran: %v", cut.err)
+	case <-time.After(300 * time.Millisecond): // the call still runs
+	}
+	close(proceed)
+	if !t.Failed() {
+		answer := <-got
+		is.NoErr(answer.err)
+		is.Equal(answer.body, "answer")
+	}
+	is.True((<-ended) != nil) // the process ends with an error
+	failed, stopped := strings.Index(log.String(), `"event":110,`), strings.Index(log.String(), `"event":102,`)
+	is.True(failed >= 0 && failed < stopped) // the reason is logged, and before the node stops
+	is.True(strings.Contains(log.String(), "invalid argument"))
+}
--- a/internal/node/members/runner.go
+++ b/internal/node/members/runner.go
@@ -106,12 +106,15 @@
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer close(r.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the background work also after a panic of the machine
+	failed := make(chan error, 1)
 	switch {
 	case r.options.Directory != nil:
 		r.step(ctx, membership.SeedsLearned{Seeds: seedsOf(r.options.Registrations.members)})
-		background.Go(func() { r.runDirectory(ctx) })
+		background.Go(func() { failed <- r.guard(ctx, "directory", r.runDirectory) })
 	case r.options.Log != nil:
-		background.Go(func() { r.runRoster(ctx) })
+		background.Go(func() { failed <- r.guard(ctx, "roster", r.runRoster) })
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -119,6 +122,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case err := <-failed:
+			if err != nil {
+				return err
+			}
 		case <-ticker.C:
 			r.step(ctx, r.localStatus())
 			r.step(ctx, membership.Tick{})
@@ -129,6 +136,14 @@
 	}
 }
 
+// guard returns a panic of run as an error.
+func (r *Runner) guard(ctx context.Context, place string, run func(context.Context)) error {
+	return r.options.Logger.Guard(place, func() error {
+		run(ctx)
+		return nil
+	})
+}
+
 // View returns the latest view of the fleet; never nil.
 func (r *Runner) View() *membership.View { return r.view.Load() }
 
@@ -218,17 +233,22 @@
 }
 
 func (r *Runner) step(ctx context.Context, event membership.Event) {
+	actions, view := r.stepMachine(event)
+	r.view.Store(view)
+	for _, action := range actions {
+		r.perform(ctx, action)
+	}
+}
+
+func (r *Runner) stepMachine(event membership.Event) ([]membership.Action, *membership.View) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	actions := r.machine.Step(r.options.Now(), event)
 	view := r.view.Load()
 	if epoch := r.machine.Epoch(); epoch != view.Epoch {
 		view = r.machine.View()
 	}
-	r.mu.Unlock()
-	r.view.Store(view)
-	for _, action := range actions {
-		r.perform(ctx, action)
-	}
+	return actions, view
 }
 
 func (r *Runner) perform(ctx context.Context, action membership.Action) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
 	"jasminegate/internal/config"
@@ -37,7 +36,8 @@
 	cancelQueuedMargin = 700 * time.Millisecond
 )
 
-// Run runs a node until ctx ends, then shuts it down gracefully: after the leave
+// Run runs a node until ctx ends or one of its parts fails, then shuts it down
+// gracefully: after the leave
 // delay new work is refused, work in flight is finished, and the other nodes are
 // notified. It fails if the settings cannot be applied, for example if an address
 // is in use.
@@ -77,49 +77,45 @@
 func (n *node) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	group, groupCtx := errgroup.WithContext(background)
-	n.startRunners(groupCtx, group)
-	n.startServers(groupCtx, group)
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			n.drain()
-		case <-groupCtx.Done():
-		}
-		stop()
-		return nil
-	})
-	err := group.Wait()
+	parts := newParts(n.logger)
+	n.startRunners(background, parts)
+	n.startServers(background, parts)
+	select {
+	case <-ctx.Done():
+	case <-parts.failed:
+	}
+	n.drain()
+	stop()
+	err := parts.wait()
 	n.controlPool.Close()
 	n.callsPool.Close()
 	n.logger.Event(logging.NodeStopped).Send()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
 	return err
 }
 
-func (n *node) startRunners(ctx context.Context, group *errgroup.Group) {
-	group.Go(func() error { return n.members.Run(ctx) })
-	group.Go(func() error { return n.configuration.Run(ctx) })
-	group.Go(func() error { return n.calls.Run(ctx) })
-	group.Go(func() error { return n.sweepPools(ctx) })
-	group.Go(func() error { return n.targets.run(ctx) })
-	group.Go(func() error { return n.rediscoverTarget(ctx) })
+func (n *node) startRunners(ctx context.Context, parts *parts) {
+	parts.start("members", func() error { return n.members.Run(ctx) })
+	parts.start("configuration", func() error { return n.configuration.Run(ctx) })
+	parts.start("calls", func() error { return n.calls.Run(ctx) })
+	parts.start("pools", func() error { return n.sweepPools(ctx) })
+	parts.start("targets", func() error { return n.targets.run(ctx) })
+	parts.start("rediscovery", func() error { return n.rediscoverTarget(ctx) })
 }
 
-func (n *node) startServers(ctx context.Context, group *errgroup.Group) {
-	group.Go(func() error {
+func (n *node) startServers(ctx context.Context, parts *parts) {
+	parts.start("control server", func() error {
 		return peer.Serve(ctx, n.controlTraffic.Listener(n.listeners.control), n.controlMux(), n.logger)
 	})
-	group.Go(func() error {
+	parts.start("calls server", func() error {
 		return peer.Serve(ctx, n.listeners.calls, n.callsMux(), n.logger)
 	})
-	group.Go(func() error { return n.serveHTTP(n.callersServer, n.callerConns.Listen(n.listeners.callers)) })
-	group.Go(func() error { return n.serveHTTP(n.adminServer, n.listeners.admin) })
-	group.Go(func() error { return n.serveHTTP(n.announceServer, n.listeners.announce) })
-	group.Go(func() error { return n.serveHTTP(n.readyServer, n.listeners.ready) })
-	group.Go(func() error {
+	parts.start("callers server", func() error {
+		return n.serveHTTP(n.callersServer, n.callerConns.Listen(n.listeners.callers))
+	})
+	parts.start("admin server", func() error { return n.serveHTTP(n.adminServer, n.listeners.admin) })
+	parts.start("announcement server", func() error { return n.serveHTTP(n.announceServer, n.listeners.announce) })
+	parts.start("readiness server", func() error { return n.serveHTTP(n.readyServer, n.listeners.ready) })
+	parts.start("end of the servers", func() error {
 		<-ctx.Done()
 		for _, server := range []*http.Server{n.callersServer, n.adminServer, n.announceServer, n.readyServer} {
 			if server != nil {
--- a/internal/node/run_test.go
+++ b/internal/node/run_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 
 	"jasminegate/internal/logging"
 )
@@ -46,8 +45,8 @@
 			is.NoErr(err)
 			n := &node{logger: logging.Discard()}
 			server := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
-			var group errgroup.Group
-			group.Go(func() error {
+			parts := newParts(n.logger)
+			parts.start("callers server", func() error {
 				return n.serveHTTP(server, &failingListener{Listener: opened, errors: []error{code, code, code}})
 			})
 			served := make(chan error, 1)
@@ -60,7 +59,7 @@
 				served <- err
 			}()
 			ended := make(chan error, 1)
-			go func() { ended <- group.Wait() }()
+			go func() { ended <- parts.wait() }()
 			select {
 			case err := <-ended:
 				t.Fatalf("the server ended: %v", err)
