TestEndlessResponseHeadIsReadOn: bound the head of a target's response

Cause: net/http reads up to 10 MiB of response head for each connection, and takes a multiple of that while it parses. A target in trouble that sends bytes without end where a head is due can so end the process.

--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -34,6 +34,10 @@
 	targetIdleTimeout = 2 * time.Second
 	// targetDialTimeout bounds opening a connection to the target.
 	targetDialTimeout = time.Second
+	// MaxResponseHeadBytes limits the status line and the headers of a response,
+	// those of interim responses (1xx) included. A head takes a multiple of its size
+	// while it is parsed.
+	MaxResponseHeadBytes = 32 << 10
 )
 
 // Process returns the identity of the target's process.
@@ -55,15 +59,17 @@
 func newTarget(announced Target) *target {
 	t := &target{Target: announced}
 	t.pooledTransport = &http.Transport{
-		DialContext:         t.dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: announced.Connections,
-		IdleConnTimeout:     targetIdleTimeout,
+		DialContext:            t.dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    announced.Connections,
+		IdleConnTimeout:        targetIdleTimeout,
+		MaxResponseHeaderBytes: MaxResponseHeadBytes,
 	}
 	t.singleUseTransport = &http.Transport{
-		DialContext:        t.dial,
-		DisableCompression: true,
-		DisableKeepAlives:  true,
+		DialContext:            t.dial,
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: MaxResponseHeadBytes,
 	}
 	return t
 }
