TestEndlessResponseBodyTakesMemory: parts of a body take the memory that they count

Cause: each read of a body of unknown length allocated 32 KiB and kept it, however few bytes came; the buffer's limit counted the bytes alone. With small chunks, which are read 4 KiB of wire at most at a time, calls.buffer_bytes (256 KiB) stood for several MiB.

A part is copied to its size now, and a part with data counts at least 512 bytes towards the limit, since a frame takes more than its data. Parts of 512 bytes and more count as before. Weighed: to merge short parts into one frame; it would copy parts that a reader may be sending. The time is not bounded in the three cases of valid bodies: until the limit of the body they may still end well.

--- a/internal/node/calls/responsebuffer.go
+++ b/internal/node/calls/responsebuffer.go
@@ -7,6 +7,10 @@
 	"jasminegate/internal/protocol/wire"
 )
 
+// minFrameBytes is what a frame with data counts at least: a short one takes more memory
+// than its data.
+const minFrameBytes = 512
+
 // responseBuffer holds a target's response between the goroutine that reads it
 // from the target and those that send it on. A response within the limit is
 // retained whole, so that it can be fetched again. A larger one is streamed:
@@ -22,7 +26,7 @@
 	// firstIndex is the index of frames[0] in the whole response.
 	firstIndex int
 	// buffered is the size of the frames in bytes; total is that of the
-	// response so far.
+	// response so far. Both count as frameSize does.
 	buffered  int64
 	total     int64
 	streaming bool
@@ -55,7 +59,7 @@
 }
 
 func (r *responseBuffer) addLocked(frame *wire.AnswerFrame) bool {
-	size := int64(len(frame.Data))
+	size := frameSize(frame)
 	if r.total+size > r.limit {
 		r.streaming = true
 	}
@@ -72,6 +76,14 @@
 	return true
 }
 
+// frameSize returns the bytes that a frame counts.
+func frameSize(frame *wire.AnswerFrame) int64 {
+	if len(frame.Data) == 0 {
+		return 0
+	}
+	return int64(max(len(frame.Data), minFrameBytes))
+}
+
 func (r *responseBuffer) notify() {
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -99,7 +111,7 @@
 		return
 	}
 	for r.firstIndex < index {
-		r.buffered -= int64(len(r.frames[0].Data))
+		r.buffered -= frameSize(r.frames[0])
 		r.frames[0] = nil
 		r.frames = r.frames[1:]
 		r.firstIndex++
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -236,8 +237,9 @@
 		frame = &wire.AnswerFrame{}
 	}
 	remaining := r.options.Settings.MaxBodyBytes
+	part := make([]byte, partBytes(response.ContentLength))
 	for {
-		data, err := readPart(response.Body, response.ContentLength)
+		data, err := readPart(response.Body, response.ContentLength, part)
 		remaining -= int64(len(data))
 		if remaining < 0 {
 			return r.abort(c, call.ReasonAnswerTooLarge, gate.Failed)
@@ -258,23 +260,28 @@
 	}
 }
 
-// readPart reads the next part of a body. The error is io.EOF with the last
-// part. A short body of known length is read in one part.
-func readPart(body io.Reader, length int64) ([]byte, error) {
-	size := int64(frameBytes)
-	if length >= 0 && length < size {
-		size = length + 1
+// partBytes returns the size of the buffer that readPart needs for a body of the
+// length, which is negative if unknown.
+func partBytes(length int64) int64 {
+	if length >= 0 && length < frameBytes {
+		return length + 1
 	}
-	data := make([]byte, size)
+	return frameBytes
+}
+
+// readPart reads the next part of a body by means of the buffer. The error is io.EOF
+// with the last part. A short body of known length is read in one part, in place; any
+// other part is copied, so that it takes no more memory than it has bytes.
+func readPart(body io.Reader, length int64, buffer []byte) ([]byte, error) {
 	if length >= 0 && length <= frameBytes {
-		n, err := io.ReadFull(body, data)
+		n, err := io.ReadFull(body, buffer)
 		if err == io.ErrUnexpectedEOF && int64(n) == length {
 			err = io.EOF
 		}
-		return data[:n], err
+		return buffer[:n], err
 	}
-	n, err := body.Read(data)
-	return data[:n], err
+	n, err := body.Read(buffer)
+	return bytes.Clone(buffer[:n]), err
 }
 
 // abortReason returns the reason for an incomplete response. A cancelled call also
