TestProtocolSwitchIsReadOn: a 101 of the target is no response

Cause: no call asks for another protocol, yet a response 101 was taken as valid under a contract without a header for calls that did not run; its body has no end and no framing.

--- a/internal/node/calls/hostilebody_test.go
+++ b/internal/node/calls/hostilebody_test.go
@@ -19,3 +19,9 @@
 		t.Run(row.name, func(t *testing.T) { playHostile(t, row) })
 	}
 }
+
+// TestProtocolSwitchIsReadOn lets a target switch to another protocol, which no caller
+// asked for, and send bytes without end.
+func TestProtocolSwitchIsReadOn(t *testing.T) {
+	playHostile(t, hostileResponse{name: "other protocol", head: "HTTP/1.1 101 Switching Protocols\r\n" + echoedID + "Upgrade: x\r\nConnection: upgrade\r\n\r\n", repeated: "body"})
+}
