TestHealthCheckReadsEndlessHead: bound the head of a health check's response

Cause: as for calls, up to 10 MiB of head were read, for each check anew, for as long as 500 ms. With the bound taken out the test ends after 0.52 s by the timeout of the check, with the target's health unknown, so that the next check follows; with it after 32 KiB, and the target counts as unreachable, as after any other response that is no HTTP.

--- a/internal/node/rediscovery.go
+++ b/internal/node/rediscovery.go
@@ -39,7 +39,7 @@
 	if configured := n.settings.Node.Service; !hasPreviousTarget || configured != "" && configured != n.previousSelf.Service {
 		return nil
 	}
-	client := &http.Client{Timeout: healthCheckTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newHealthClient()
 	deadline := time.Now().Add(rediscoveryTimeout)
 	for time.Now().Before(deadline) && !n.targets.hasReported() {
 		delay := configurationPollInterval
@@ -63,6 +63,14 @@
 	return nil
 }
 
+// newHealthClient returns the HTTP client for health checks.
+func newHealthClient() *http.Client {
+	return &http.Client{
+		Timeout:   healthCheckTimeout,
+		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: calls.MaxResponseHeadBytes},
+	}
+}
+
 // previousService returns the service of the previous incarnation's target, once
 // there is a configuration that gives the service a health path.
 func (n *node) previousService() (state.Service, bool) {
