TestHealthCheckFollowsRedirect: ask only the target about its health

Cause: the HTTP client of the health checks followed redirects. A target that redirects could make a node that has restarted ask another server, and take its status and headers as those of the target. Without the change the test sees one request at the other server; with it none, and the health is unknown.

--- a/internal/node/rediscovery.go
+++ b/internal/node/rediscovery.go
@@ -63,11 +63,13 @@
 	return nil
 }
 
-// newHealthClient returns the HTTP client for health checks.
+// newHealthClient returns the HTTP client for health checks. It follows no redirect: only
+// the target itself can say that it is healthy.
 func newHealthClient() *http.Client {
 	return &http.Client{
-		Timeout:   healthCheckTimeout,
-		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: calls.MaxResponseHeadBytes},
+		Timeout:       healthCheckTimeout,
+		Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: calls.MaxResponseHeadBytes},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
--- a/internal/node/rediscovery_test.go
+++ b/internal/node/rediscovery_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,3 +57,18 @@
 	t.Logf("%d KiB were sent", sent>>10)
 	is.True(sent < 1<<20)
 }
+
+// TestHealthCheckFollowsRedirect lets a target redirect a health check to another server,
+// whose health says nothing about the target's.
+func TestHealthCheckFollowsRedirect(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+	defer other.Close()
+	target := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
+	defer target.Close()
+	n := healthCheckNode(target.Listener.Addr().String())
+	_, _, health := n.checkHealth(context.Background(), newHealthClient(), state.Service{Name: "depot", HealthPath: "/health"})
+	is.Equal(health, targetHealthUnknown)
+	is.Equal(asked.Load(), int64(0)) // requests at the other server
+}
