TestCallIsLostOnIdleConnection: heed a target's idle timeout

Cause: connections to the target stay idle for up to 2 s, whatever the target states or does. A target that gives them up earlier loses the request that crosses its close; for a non-idempotent call the outcome is then unknown, on a connection that was known to be about to end, or whose target states nothing since its timeout is under 1 s.

A connection that is forgotten without notice is also what a node finds that was stopped while the target closed: its process has not read the close yet.

- Idempotent calls use a connection until 500 ms before the end of the stated timeout, 2 s at most.
A shorter timeout replaces the transport of the pool; it is not raised again for the same process.
- Non-idempotent calls with a body use connections that were idle for at most 100 ms, from a pool of their own; without a body each has a connection of its own, as before.
- All idle closing is that of net/http, which takes a connection from the pool under its lock before it closes it, and looks at the idle time again when it takes one for a request, so that a late timer matters not.

Weighed: one pool in which a non-idempotent call refuses a connection that was idle for long. It would open fewer connections, but net/http offers no choice by idle time: it needs a write that fails on purpose, which consumes the first part of a streamed body. A new connection for each non-idempotent call: more connections (up to one a call), and nothing to lose at all.

Not covered: a process that stops between taking a connection and writing to it, for longer than the margin.

--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -72,7 +72,7 @@
 
 // targetBody returns the body for the target, or nil if it is empty. A body cannot
 // be rewound, which keeps the HTTP client from sending the request again by
-// itself; without a body, singleUseTransport does so for non-idempotent calls.
+// itself; without a body, targetConns.singleUse does so for non-idempotent calls.
 func (c *gateCall) targetBody() io.ReadCloser {
 	switch {
 	case c.streaming:
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -142,7 +142,7 @@
 	r.cancelBase()
 	r.targetCalls.Wait()
 	if t := r.target.Load(); t != nil {
-		t.close()
+		t.conns.closeIdle()
 	}
 	return err
 }
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -60,6 +60,7 @@
 		return r.recordFailure(c, t, conn.sent(), err)
 	}
 	defer response.Body.Close()
+	t.conns.observeKeepAlive(response.Header)
 	class := classifyResponse(r.options.Contract, request, response)
 	r.observeSignals(t, request, response, class)
 	switch class {
@@ -125,10 +126,7 @@
 // the connection of the last try. resent is called when the HTTP client sends the
 // request again by itself.
 func (t *target) roundTrip(request *http.Request, c *gateCall, resent func()) (response *http.Response, used *writeTracker, err error) {
-	transport := t.pooledTransport
-	if !c.start.Idempotent && !c.streaming && len(c.buffered) == 0 {
-		transport = t.singleUseTransport
-	}
+	transport := t.conns.transportFor(c.start.Idempotent, c.streaming || len(c.buffered) > 0)
 	for try := 0; try < maxUnsentTries; try++ {
 		used = &writeTracker{resent: resent}
 		traced := request.WithContext(httptrace.WithClientTrace(request.Context(), used.trace()))
@@ -188,7 +186,7 @@
 		return gate.Failed
 	}
 	if errors.Is(c.runCtx.Err(), context.DeadlineExceeded) {
-		t.pooledTransport.CloseIdleConnections()
+		t.conns.closeIdle()
 		r.recordOutcome(c, call.Unknown, call.ReasonDeadline)
 		return gate.DeadlineExceeded
 	}
