State once which statuses a target's response may have

Cause: two mends (a 101 of the target, statuses outside of 200 to 999) each brought a check. Change: one check. Result: go test -race ./internal/node/... passes.

--- a/internal/node/calls/classify.go
+++ b/internal/node/calls/classify.go
@@ -22,16 +22,13 @@
 // classifyResponse classifies a response by its status and the headers of the
 // contract.
 func classifyResponse(contract headers.Contract, request *http.Request, response *http.Response) responseClass {
-	if response.StatusCode < http.StatusOK {
-		// 101: no request asks for another protocol, and what follows has no end.
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		// Includes 101: no request asks for another protocol, and what follows has no end.
 		return mismatchedResponse
 	}
 	if echoesOther(contract.RequestID, request, response) || echoesOther(contract.CallID, request, response) {
 		return mismatchedResponse
 	}
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
-		return mismatchedResponse
-	}
 	if contract.NotRun == "" {
 		return validResponse
 	}
