Close a caller's connection whose request body was not read to its end

Cause: the read deadline was cleared, and net/http used the connection again after a body whose reader kept an error. Change: a connection whose body was not read to its end is closed after its response. One of unknown length says so in its head (Connection: close), as its end is written later.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -57,6 +57,8 @@
 	uploads sync.WaitGroup
 	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
+	// closeAnnounced is set if the response says that the connection is closed after it.
+	closeAnnounced bool
 
 	mu        sync.Mutex
 	bodyError error
@@ -92,6 +94,10 @@
 	defer r.watchInput(c)()
 	r.dispatch(w, request, c)
 	c.drainBody(request.Body)
+	if !c.bodyComplete() && !c.closeAnnounced {
+		// The rest of the body would be taken for the next request. The response is written.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // admit prepares the request, or returns the problem to refuse it with.
@@ -430,6 +436,11 @@
 	}
 }
 
+// bodyComplete reports whether nothing of the body is left to be read.
+func (c *callerRequest) bodyComplete() bool {
+	return c.body.rest == nil || c.bodyRead.Load()
+}
+
 // markBodyRead clears the read deadline. After the body, net/http reads from
 // the connection to detect a disconnect; a deadline that expires during that
 // read would be taken for a disconnect, of this request and of the next one on
@@ -439,11 +450,13 @@
 	_ = c.controller.SetReadDeadline(time.Time{})
 }
 
-// abortBodyRead ends the reading of a body that was not read to its end.
+// abortBodyRead ends the reading of a body that was not read to its end. Its deadline stays,
+// so that net/http does not read on either: it closes the connection.
 func (c *callerRequest) abortBodyRead() {
-	if c.body.rest != nil && !c.bodyRead.Load() {
-		_ = c.controller.SetReadDeadline(time.Now())
-		c.uploads.Wait()
+	if c.bodyComplete() {
+		_ = c.controller.SetReadDeadline(time.Time{})
+		return
 	}
-	_ = c.controller.SetReadDeadline(time.Time{})
+	_ = c.controller.SetReadDeadline(time.Now())
+	c.uploads.Wait()
 }
--- a/internal/node/calls/response.go
+++ b/internal/node/calls/response.go
@@ -61,6 +61,11 @@
 	if g.complete && bodyAllowed(method, int(g.start.Status)) {
 		header.Set("Content-Length", strconv.Itoa(len(g.data)))
 	}
+	if c := g.attempt.request; !g.complete && !c.bodyComplete() {
+		// The connection cannot be closed without this after a response of unknown length.
+		header.Set("Connection", "close")
+		c.closeAnnounced = true
+	}
 	w.WriteHeader(int(g.start.Status))
 }
 
