The end of a shutdown cuts off acknowledgements and operators' responses

Cause: at the end of a drain, server.Close() ends the announcement, admin and readiness servers while they write a response. A target whose report the node has taken over, and keeps to, then has no acknowledgement of it. The callers' port is not affected: its requests are finished by the drain.

Now these servers finish their responses for up to 500 ms before they are closed; a shutdown without such a request takes no longer than before.

Before: TestAcknowledgementIsNotCutOffAtShutdown, both ports: "EOF". After: passes with -race, three times. go test ./platform: passes.

--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -119,3 +119,56 @@
 	is.True(failed >= 0 && failed < stopped) // the reason is logged, and before the node stops
 	is.True(strings.Contains(log.String(), "invalid argument"))
 }
+
+// TestAcknowledgementIsNotCutOffAtShutdown lets an announcement arrive just before the
+// node has drained: its target must get the acknowledgement, as the node keeps to it.
+func TestAcknowledgementIsNotCutOffAtShutdown(t *testing.T) {
+	for _, port := range []string{"announcement", "admin"} {
+		t.Run(port, func(t *testing.T) {
+			is := is.New(t)
+			n := composeTestNode(t, logging.Discard())
+			calls := n.listeners.calls.Addr().String()
+			arrived := make(chan struct{})
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				close(arrived)
+				for { // until the servers are being closed
+					conn, err := net.Dial("tcp", calls)
+					if err != nil {
+						break
+					}
+					_ = conn.Close()
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(w, "acknowledged")
+			})
+			address := n.listeners.admin.Addr().String()
+			if port == "admin" {
+				n.adminServer.Handler = handler
+			} else {
+				opened, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				n.listeners.announce, n.announceServer = opened, newServer(handler)
+				address = opened.Addr().String()
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- n.run(ctx) }()
+			got := make(chan string, 1)
+			go func() {
+				response, err := http.Get("http://" + address)
+				if err != nil {
+					got <- err.Error()
+					return
+				}
+				defer response.Body.Close()
+				body, _ := io.ReadAll(response.Body)
+				got <- string(body)
+			}()
+			<-arrived
+			stop()
+			is.Equal(<-got, "acknowledged")
+			is.NoErr(<-ended)
+		})
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -24,12 +24,15 @@
 
 // Limits of the servers and of the shutdown.
 const (
-	headerTimeout     = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	leaveTimeout      = time.Second // for notifying the other nodes at the end of a shutdown
-	closeTimeout      = 5 * time.Second
-	poolSweepInterval = time.Second
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	leaveTimeout   = time.Second // for notifying the other nodes at the end of a shutdown
+	closeTimeout   = 5 * time.Second
+	// lastResponseTimeout bounds the wait for the responses of the admin, announcement
+	// and readiness servers at the end of a shutdown.
+	lastResponseTimeout = 500 * time.Millisecond
+	poolSweepInterval   = time.Second
 	// acceptGrace is how long connections are accepted after the leave delay: closing the
 	// port resets those that are open and not accepted yet.
 	acceptGrace = 100 * time.Millisecond
@@ -121,15 +124,32 @@
 	parts.start("readiness server", func() error { return n.serveHTTP(n.readyServer, n.listeners.ready) })
 	parts.start("end of the servers", func() error {
 		<-ctx.Done()
-		for _, server := range []*http.Server{n.callersServer, n.adminServer, n.announceServer, n.readyServer} {
-			if server != nil {
-				_ = server.Close() // after a drain, cuts off only responses that exceeded the drain timeout
-			}
-		}
+		_ = n.callersServer.Close() // after a drain, cuts off only responses that exceeded the drain timeout
+		n.closeOtherServers()
 		return nil
 	})
 }
 
+// closeOtherServers lets the admin, announcement and readiness servers finish their
+// responses within lastResponseTimeout: a target or an operator that gets none cannot
+// know what the node has taken over.
+func (n *node) closeOtherServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastResponseTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range []*http.Server{n.adminServer, n.announceServer, n.readyServer} {
+		if server == nil {
+			continue
+		}
+		group.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close()
+			}
+		})
+	}
+	group.Wait()
+}
+
 // serveHTTP serves until the server or its listener is closed, also after errors of
 // accept (see accept.Retry). It does nothing if either is nil.
 func (n *node) serveHTTP(server *http.Server, listener net.Listener) error {
