A stalled entry drops the connections of its calls with frames unread

Cause: the timer of calls.silence_timeout closes an attempt's connection from another goroutine than the one that reads it. When the entry's process stands still for longer than the timeout, Go runs the overdue timers first, so that the connection is closed although the gate's heartbeats, or its response, have arrived. The idle connections to that gate go with it; an idempotent call runs again or is fetched, and a response that is being streamed to its caller is broken off.

The timeout as such stays.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -33,7 +33,7 @@
 	stream   clientStream
 	// silenceTimer cancels the attempt when no frame arrives within the silence
 	// timeout.
-	silenceTimer *time.Timer
+	silenceTimer *silenceTimer
 	cancel       context.CancelCauseFunc
 	ctx          context.Context
 	// releaseConn returns the connection to the pool, or closes it if reuse is
@@ -116,7 +116,7 @@
 		a.cancel(nil)
 		return nil, err
 	}
-	a.silenceTimer = time.AfterFunc(r.options.Settings.SilenceTimeout, func() {
+	a.silenceTimer = newSilenceTimer(r.options.Settings.SilenceTimeout, func() {
 		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: the attempt is treated as lost", endpoint.ID))
 	})
 	a.stopCallerWatch = context.AfterFunc(c.ctx, a.cancelByCaller)
@@ -183,7 +183,7 @@
 		if err != nil {
 			return nil, err
 		}
-		a.silenceTimer.Reset(a.runner.options.Settings.SilenceTimeout)
+		a.silenceTimer.reset()
 		if frame.Started {
 			a.noteStarted()
 		}
@@ -344,7 +344,7 @@
 // end closes the stream. The connection is reused only if complete reports that
 // the gate's whole response was received.
 func (a *attempt) end(complete bool) {
-	a.silenceTimer.Stop()
+	a.silenceTimer.stop()
 	if a.stopAttemptsWatch != nil {
 		a.stopAttemptsWatch()
 	}
--- a/internal/node/calls/response.go
+++ b/internal/node/calls/response.go
@@ -87,7 +87,7 @@
 		}
 		// A caller that reads slowly delays the next recv: that is not silence of
 		// the gate.
-		g.attempt.silenceTimer.Stop()
+		g.attempt.silenceTimer.stop()
 		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := w.Write(frame.Data); err != nil {
 			g.attempt.cancelByCaller()
@@ -99,6 +99,6 @@
 			return true
 		}
 		_ = controller.Flush()
-		g.attempt.silenceTimer.Reset(g.attempt.runner.options.Settings.SilenceTimeout)
+		g.attempt.silenceTimer.reset()
 	}
 }
--- /dev/null
+++ b/internal/node/calls/silence.go
@@ -0,0 +1,80 @@
+package calls
+
+import (
+	"sync"
+	"time"
+)
+
+// lastShare is the share of the silence timeout that begins when the rest of it is over.
+const lastShare = 1.0 / 5
+
+// silenceTimer calls a function when no frame arrives within a timeout. After a stall of
+// this process a timer fires before the goroutine runs that reads the frames which have
+// arrived meanwhile. The timeout therefore ends in two steps: the first one, which may
+// come late, gives the reader the time of the second.
+type silenceTimer struct {
+	first, last time.Duration
+	silent      func()
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// due is when the running step ends; zero if the timer is stopped.
+	due    time.Time
+	atLast bool
+}
+
+// newSilenceTimer returns a running timer.
+func newSilenceTimer(timeout time.Duration, silent func()) *silenceTimer {
+	last := time.Duration(float64(timeout) * lastShare)
+	t := &silenceTimer{first: timeout - last, last: last, silent: silent}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.due = time.Now().Add(t.first)
+	t.timer = time.AfterFunc(t.first, t.fire)
+	return t
+}
+
+// reset starts the timeout again.
+func (t *silenceTimer) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.atLast = false
+	t.run(t.first)
+}
+
+// stop stops the timer until the next reset.
+func (t *silenceTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.due = time.Time{}
+	t.timer.Stop()
+}
+
+// run starts a step. The lock must be held.
+func (t *silenceTimer) run(step time.Duration) {
+	t.due = time.Now().Add(step)
+	t.timer.Reset(step)
+}
+
+// fire ends a step. A call that reset or stop has overtaken does nothing.
+func (t *silenceTimer) fire() {
+	if t.endStep() {
+		t.silent()
+	}
+}
+
+// endStep reports whether the timeout is over.
+func (t *silenceTimer) endStep() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.due.IsZero() || time.Now().Before(t.due) {
+		return false
+	}
+	if !t.atLast {
+		t.atLast = true
+		t.run(t.last)
+		return false
+	}
+	t.due = time.Time{}
+	return true
+}
