Answer callers whose request meets a panic of its handler

What callers saw: nothing; the connection was closed without a response, and the panic stood on standard error only, without the request's ID. The attempt at the gate was not ended, so that its connection counted against the pool's limit for good. Change: the handler recovers, logs event 109, ends the attempt, and responds: not run if no attempt was made, outcome unknown otherwise. If a part of the response was written, the connection is closed (event 406, cause panic).

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -49,6 +49,8 @@
 	// stopAttemptsWatch the watch for the end of callerRequest.attemptsCtx.
 	stopCallerWatch   func() bool
 	stopAttemptsWatch func() bool
+	// ended is set by end.
+	ended bool
 }
 
 // noConnectionError reports that no connection was available for the start of a
@@ -120,6 +122,7 @@
 		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: the attempt is treated as lost", endpoint.ID))
 	})
 	a.stopCallerWatch = context.AfterFunc(c.ctx, a.cancelByCaller)
+	c.attempt = a
 	return a, nil
 }
 
@@ -341,9 +344,13 @@
 	}
 }
 
-// end closes the stream. The connection is reused only if complete reports that
+// end closes the stream; further calls do nothing. The connection is reused only if complete reports that
 // the gate's whole response was received.
 func (a *attempt) end(complete bool) {
+	if a.ended {
+		return
+	}
+	a.ended = true
 	a.silenceTimer.stop()
 	if a.stopAttemptsWatch != nil {
 		a.stopAttemptsWatch()
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -57,6 +57,10 @@
 	uploads sync.WaitGroup
 	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
+	// attempt is the last one that was opened; nil before.
+	attempt *attempt
+	// responseStarted is set once a part of the response may have been written.
+	responseStarted bool
 	// closeAnnounced is set if the response says that the connection is closed after it.
 	closeAnnounced bool
 
@@ -79,9 +83,12 @@
 	if r.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	var c *callerRequest
+	defer func() { r.recoverRequest(recover(), w, request, c) }()
 	ctx, span := r.startEntrySpan(request)
 	defer span.End()
-	c, refused := r.admit(ctx, w, request)
+	var refused *problem.Problem
+	c, refused = r.admit(ctx, w, request)
 	if refused != nil {
 		r.refuse(w, request, refused)
 		r.metrics.observeRequest(noClass, string(refused.Outcome), startedAt)
--- a/internal/node/calls/cutoff.go
+++ b/internal/node/calls/cutoff.go
@@ -16,6 +16,8 @@
 	// causeResponseAborted means that the response from the gate broke off, or could not
 	// be written.
 	causeResponseAborted callerconn.Cause = "response-aborted"
+	// causePanic means that the handler panicked after a part of the response was written.
+	causePanic callerconn.Cause = "panic"
 	// causeNone means that no cause is known.
 	causeNone callerconn.Cause = "none"
 )
--- a/internal/node/calls/metrics.go
+++ b/internal/node/calls/metrics.go
@@ -58,7 +58,7 @@
 			m.requests[[2]string{class, outcome}] = set.NewPrometheusHistogramExt(name, latencyBounds)
 		}
 	}
-	for _, cause := range append(callerconn.Causes(), causeResponseAborted, causeNone) {
+	for _, cause := range append(callerconn.Causes(), causeResponseAborted, causePanic, causeNone) {
 		m.cutOff[cause] = set.NewCounter(fmt.Sprintf("jasminegate_callers_cut_off_total{cause=%q}", string(cause)))
 	}
 	return m
--- a/internal/node/calls/panic_test.go
+++ b/internal/node/calls/panic_test.go
@@ -112,3 +112,37 @@
 	is.Equal(answer.header.Get(headers.Outcome), "outcome-unknown")
 	is.Equal(n.runner.options.Logger.Panics(), uint64(1))
 }
+
+// TestPanicLeavesCallerWithoutResponse lets the handler of a caller's request panic: before
+// the request is admitted, before its attempt, and after its response was delivered.
+func TestPanicLeavesCallerWithoutResponse(t *testing.T) {
+	for _, row := range []struct {
+		name, span string
+		atEnd      bool
+		status     int
+	}{
+		{"before it is admitted", "entry", false, http.StatusServiceUnavailable},
+		{"before its attempt", "attempt", false, http.StatusServiceUnavailable},
+		{"after its attempt", "attempt", true, http.StatusGatewayTimeout},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true}, func(w http.ResponseWriter, _ *http.Request) {})
+			tracer := newPanickingTracer(row.span, row.atEnd)
+			f.nodes[0].runner.options.Tracer = tracer
+			f.serveCallers(0)
+			url := "http://" + f.nodes[0].callers.Listener.Addr().String() + "/read"
+			tracer.armed.Store(true)
+			response, err := http.Get(url)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(response.StatusCode, row.status)
+
+			tracer.armed.Store(false)
+			response, err = http.Get(url) // the next request is served
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(response.StatusCode, http.StatusOK)
+		})
+	}
+}
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// internalError is the response to a request whose handler panicked. The outcome is NotRun if
+// the request was not sent to a gate.
+func internalError(outcome problem.Outcome) *problem.Problem {
+	p := &problem.Problem{
+		Type: problemBase + "internal-error", Title: "The node failed while it served the call",
+		Status: http.StatusGatewayTimeout, Outcome: outcome,
+		Remedy: "Check with the target's service before sending a call again that must run once.",
+	}
+	if outcome == problem.NotRun {
+		p.Status = http.StatusServiceUnavailable
+		p.Remedy = "Send the call again after the given time."
+		p.RetryAfterMS = shutdownRetryAfter.Milliseconds()
+	}
+	return p
+}
+
 func noRoute() *problem.Problem {
 	return notRun("no-route", "No route matches the call", http.StatusNotFound,
 		"Check host, path and method against the published routes.", 0)
--- a/internal/node/calls/recover.go
+++ b/internal/node/calls/recover.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/gate"
+	"jasminegate/internal/protocol/problem"
 )
 
 // recoverCall is deferred by the goroutines of one call: a panic ends that call with
@@ -32,3 +34,32 @@
 	c.failBody(io.ErrUnexpectedEOF)
 	r.gate.notify(gate.Disconnected{ID: c.id})
 }
+
+// recoverRequest is deferred by the handler of a caller's request with what recover returned:
+// after a panic the caller gets a response where none was begun. c is nil if the request was
+// not admitted.
+func (r *Runner) recoverRequest(value any, w http.ResponseWriter, request *http.Request, c *callerRequest) {
+	if value == nil {
+		return
+	}
+	if value == http.ErrAbortHandler {
+		panic(value)
+	}
+	r.options.Logger.Panicked("caller's request", value)
+	if c == nil {
+		problem.Write(w, *internalError(problem.NotRun))
+		return
+	}
+	if c.attempt != nil {
+		c.attempt.end(false)
+	}
+	if c.responseStarted {
+		r.noteCutOff(request, c, causePanic)
+		panic(http.ErrAbortHandler)
+	}
+	outcome := problem.Unknown
+	if len(c.gates) == 0 {
+		outcome = problem.NotRun
+	}
+	problem.Write(w, *internalError(outcome))
+}
--- a/internal/node/calls/response.go
+++ b/internal/node/calls/response.go
@@ -66,6 +66,7 @@
 		header.Set("Connection", "close")
 		c.closeAnnounced = true
 	}
+	g.attempt.request.responseStarted = true
 	w.WriteHeader(int(g.start.Status))
 }
 
