TestWaitsOnAfterBytesOfNoResponse: end a call whose target cannot respond any more

Cause: net/http reads a line to its end before it looks at it. A target that sends bytes that begin no response, and then nothing, keeps the call until its deadline and its connection open.

TestBytesOfNoResponseRepeatCall failed likewise.

The connection compares the first bytes after a request with "HTTP/". It returns them together with the error: with the error alone net/http takes the connection for lost and sends a GET again by itself, over one idle connection after the other, to the same target (TestBytesOfNoResponseRepeatCall fails with that: status 200 after repeats).

--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -15,6 +15,8 @@
 	errInputClosed     = errorx.NewType(Errors, "input-closed")
 	errBodyTooLarge    = errorx.NewType(Errors, "bounds")
 	errConnectionLimit = errorx.NewType(Errors, "connections")
+	// errNoResponse means that what a target sends cannot become a response.
+	errNoResponse = errorx.NewType(Errors, "no-response")
 	// errSignal means that a target states something about itself that is malformed.
 	errSignal = errorx.NewType(Errors, "signal")
 )
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -158,6 +158,7 @@
 				w.sentBefore = true
 				w.resent()
 			}
+			conn.taken()
 			w.conn = conn
 			w.before = conn.written.Load()
 		}
--- /dev/null
+++ b/internal/node/calls/targetconn.go
@@ -0,0 +1,60 @@
+package calls
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// responsePrefix begins every response of HTTP/1.
+const responsePrefix = "HTTP/"
+
+// targetConn is a connection to the target. It counts the bytes written, to determine
+// whether any byte of a request left this node.
+type targetConn struct {
+	net.Conn
+	conns   *targetConns
+	written atomic.Int64
+	closed  atomic.Bool
+	// matched is how many bytes of responsePrefix have been read since the connection
+	// was taken for a request.
+	matched atomic.Int32
+}
+
+// taken notes that the connection is used for a request.
+func (c *targetConn) taken() { c.matched.Store(0) }
+
+// Read fails once it is certain that the target does not respond to the request: its
+// first bytes are none of a response. Otherwise the HTTP client would wait for the end
+// of the line.
+func (c *targetConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	matched := c.matched.Load()
+	for _, read := range data[:n] {
+		if int(matched) == len(responsePrefix) {
+			break
+		}
+		if read != responsePrefix[matched] {
+			// With the bytes, since the HTTP client sends some requests again if it
+			// gets an error alone.
+			return n, errNoResponse.New("the target sent bytes that are no HTTP response: check the target")
+		}
+		matched++
+	}
+	c.matched.Store(matched)
+	return n, err
+}
+
+// Write counts the bytes written, those of a failed write included.
+func (c *targetConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Close closes the connection and removes it from the count of open ones.
+func (c *targetConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.conns.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
--- a/internal/node/calls/targetconns.go
+++ b/internal/node/calls/targetconns.go
@@ -136,27 +136,3 @@
 	}
 	return &targetConn{Conn: conn, conns: c}, nil
 }
-
-// targetConn counts the bytes written, to determine whether any byte of a
-// request left this node.
-type targetConn struct {
-	net.Conn
-	conns   *targetConns
-	written atomic.Int64
-	closed  atomic.Bool
-}
-
-// Write counts the bytes written, those of a failed write included.
-func (c *targetConn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	c.written.Add(int64(n))
-	return n, err
-}
-
-// Close closes the connection and removes it from the count of open ones.
-func (c *targetConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.conns.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
