--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -121,13 +121,17 @@
 	return header
 }
 
-// roundTrip sends the request, and sends it once more if no byte of it was
-// written, its body is not streamed and its context has not ended. used tracks
+// roundTrip sends the request, and sends it once more, over a new connection, if no
+// byte of it was written, its body is not streamed and its context has not ended. used tracks
 // the connection of the last try. resent is called when the HTTP client sends the
 // request again by itself.
 func (t *target) roundTrip(request *http.Request, c *gateCall, resent func()) (response *http.Response, used *writeTracker, err error) {
 	transport := t.conns.transportFor(c.start.Idempotent, c.streaming || len(c.buffered) > 0)
 	for try := 0; try < maxUnsentTries; try++ {
+		if try == maxUnsentTries-1 {
+			// Other connections of the pool may have ended too.
+			transport = t.conns.singleUse
+		}
 		used = &writeTracker{resent: resent}
 		traced := request.WithContext(httptrace.WithClientTrace(request.Context(), used.trace()))
 		traced.Body = c.targetBody()
@@ -158,7 +162,7 @@
 				w.sentBefore = true
 				w.resent()
 			}
-			conn.taken()
+			conn.take(w)
 			w.conn = conn
 			w.before = conn.written.Load()
 		}
@@ -169,10 +173,11 @@
 	return w.sentBefore || w.conn != nil && w.conn.written.Load() > w.before
 }
 
-// discard closes a connection on which bytes arrived that belong to no request.
+// discard closes a connection on which bytes arrived that belong to no request. After a
+// response without a body it is in the pool again, and may have another user.
 func (w *writeTracker) discard() {
 	if w.conn != nil {
-		_ = w.conn.Close()
+		w.conn.discard(w)
 	}
 }
 
--- a/internal/node/calls/targetconn.go
+++ b/internal/node/calls/targetconn.go
@@ -18,10 +18,28 @@
 	// matched is how many bytes of responsePrefix have been read since the connection
 	// was taken for a request.
 	matched atomic.Int32
+	// user is the request that took the connection last, or discarded.
+	user atomic.Pointer[writeTracker]
 }
 
-// taken notes that the connection is used for a request.
-func (c *targetConn) taken() { c.matched.Store(0) }
+// discarded is the user of a connection that takes no further request.
+var discarded = &writeTracker{}
+
+// take notes that the request uses the connection, unless it has been discarded: then
+// it fails at its first write, with no byte written.
+func (c *targetConn) take(user *writeTracker) {
+	c.matched.Store(0)
+	if previous := c.user.Load(); previous != discarded {
+		c.user.CompareAndSwap(previous, user)
+	}
+}
+
+// discard closes the connection unless another request than the user has taken it.
+func (c *targetConn) discard(user *writeTracker) {
+	if c.user.CompareAndSwap(user, discarded) {
+		_ = c.Close()
+	}
+}
 
 // Read fails once it is certain that the target does not respond to the request: its
 // first bytes are none of a response. Otherwise the HTTP client would wait for the end
@@ -46,6 +64,9 @@
 
 // Write counts the bytes written, those of a failed write included.
 func (c *targetConn) Write(data []byte) (int, error) {
+	if c.user.Load() == discarded {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Write(data)
 	c.written.Add(int64(n))
 	return n, err
