TestAnnouncementWithoutEndIsReadOn: bound the time of reading an announcement

Cause: the body of an announcement had a bound in bytes (64 KiB) and none in time, so that a target in trouble could hold ever more connections of its node. Without the change the test sees its connection open after 10 s, at a trial bound of 5 s; with it the connection is closed after 15.0 s.

A report may be late, and a connection may be opened long before its first report: the bound is that of the headers, 10 s, and 5 s more. The announcements of the product's own protocol go to the admin address, which also takes large tickets over slow links: unchanged.

--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -203,7 +203,7 @@
 	n.callerConns.Configure(n.callersServer)
 	n.adminServer = newServer(n.adminHandler())
 	if adapter.NewAnnouncementHandler != nil {
-		n.announceServer = newServer(adapter.NewAnnouncementHandler(n.targets))
+		n.announceServer = newAnnounceServer(adapter.NewAnnouncementHandler(n.targets))
 	}
 	if adapter.NewReadinessHandler != nil {
 		n.readyServer = newServer(adapter.NewReadinessHandler(func() bool { return n.state() == adminapi.NodeServing }))
@@ -224,6 +224,16 @@
 	return limits
 }
 
+// announceTimeout bounds reading one announcement from its first byte, or from the start
+// of its connection, to the end of its body.
+const announceTimeout = headerTimeout + 5*time.Second
+
+func newAnnounceServer(handler http.Handler) *http.Server {
+	server := newServer(handler)
+	server.ReadTimeout = announceTimeout
+	return server
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
