Events 304 and 305 do not say whence a target's state is known

A deregistration was not logged at all.

Now each change has its source (report, health check, own drain, response, deregistration), and the process's instance, start time and sequence. 304 is also logged when another process is ready at once. A repeated deregistration is not logged again.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -38,8 +38,8 @@
 	MemberSuspect       = Event{301, log.WarnLevel, "member suspected"}
 	MemberDead          = Event{302, log.WarnLevel, "member dead"}
 	MemberLeft          = Event{303, log.InfoLevel, "member left"}
-	TargetReady         = Event{304, log.InfoLevel, "target announced ready"}
-	TargetDraining      = Event{305, log.InfoLevel, "target announced draining"}
+	TargetReady         = Event{304, log.InfoLevel, "target is ready"}
+	TargetDraining      = Event{305, log.InfoLevel, "target is draining or has deregistered"}
 	TargetExpired       = Event{306, log.WarnLevel, "target's announcement expired"}
 	AnnouncementRefused = Event{308, log.WarnLevel, "target announcement refused: the node keeps the target that it knows"}
 	TargetNotFound      = Event{309, log.InfoLevel, "target of the node's previous incarnation not found: the node waits for the target's announcement"}
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jasminegate/internal/config"
+	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/node/calls"
 	"jasminegate/internal/protocol/headers"
@@ -29,10 +30,12 @@
 // TargetRegistry stores the announcement of the local target. Its methods return
 // once the change is in effect.
 type TargetRegistry interface {
-	// Announce registers or renews an announcement that is valid for ttl.
-	Announce(target calls.Target, ttl time.Duration)
-	// Withdraw removes the announcement.
-	Withdraw()
+	// Announce registers or renews an announcement that is valid for ttl. Sequence is
+	// that of the target's report.
+	Announce(target calls.Target, sequence uint64, ttl time.Duration)
+	// Withdraw removes the announcement. Process is the one that withdrew itself, also
+	// if it had not announced itself; sequence is that of its last report, 0 if unknown.
+	Withdraw(process call.TargetProcess, sequence uint64)
 }
 
 // AdapterOptions are the inputs of an adapter.
--- a/internal/node/admin_target.go
+++ b/internal/node/admin_target.go
@@ -22,12 +22,12 @@
 		writeBadRequest(w, errorMessage(err), "correct the value and announce again")
 		return
 	}
-	n.targets.announce(targetFromAnnouncement(announcement), announcement.TTL(), time.Now())
+	n.targets.announce(targetFromAnnouncement(announcement), 0, announcement.TTL(), time.Now())
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func (n *node) deleteTarget(w http.ResponseWriter, _ *http.Request) {
-	n.targets.remove()
+	n.targets.removeAnnounced()
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
+	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/node/calls"
@@ -14,6 +16,24 @@
 // expiryCheckInterval is the time between two checks for an expired announcement.
 const expiryCheckInterval = 200 * time.Millisecond
 
+// changeSource is where a change of the local target's state was learned.
+type changeSource string
+
+const (
+	sourceReport         changeSource = "report"
+	sourceHealthCheck    changeSource = "health check"
+	sourceOwnDrain       changeSource = "own drain"
+	sourceResponse       changeSource = "response"
+	sourceDeregistration changeSource = "deregistration"
+)
+
+// targetChange is the cause of a change of the local target's state.
+type targetChange struct {
+	source changeSource
+	// sequence is that of the target's last report, 0 if unknown.
+	sequence uint64
+}
+
 // targetRegistry stores the announcement of the local target and passes each
 // change on to the members and the calls runner.
 type targetRegistry struct {
@@ -24,6 +44,10 @@
 	// the limits that the configuration sets for its service.
 	announced calls.Target
 	effective calls.Target
+	// learned is how announced was learned.
+	learned targetChange
+	// withdrawn is the process that withdrew itself last.
+	withdrawn call.TargetProcess
 	expires   time.Time
 	draining  bool
 	// leaving is a target that stated in a response that it is leaving, although it
@@ -39,23 +63,29 @@
 }
 
 // Announce implements TargetRegistry.
-func (r *targetRegistry) Announce(target calls.Target, ttl time.Duration) {
-	r.announce(target, ttl, time.Now())
+func (r *targetRegistry) Announce(target calls.Target, sequence uint64, ttl time.Duration) {
+	r.announce(target, sequence, ttl, time.Now())
 }
 
 // Withdraw implements TargetRegistry.
-func (r *targetRegistry) Withdraw() { r.remove() }
+func (r *targetRegistry) Withdraw(process call.TargetProcess, sequence uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remove(process, sequence)
+}
 
 // announce stores or renews an announcement that is valid for ttl.
-func (r *targetRegistry) announce(target calls.Target, ttl time.Duration, now time.Time) {
+func (r *targetRegistry) announce(target calls.Target, sequence uint64, ttl time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reported = true
 	r.expires = now.Add(ttl)
+	learned := targetChange{source: sourceReport, sequence: sequence}
 	if r.draining && target.State == membership.TargetReady {
 		target.State = membership.TargetDraining
+		learned.source = sourceOwnDrain
 	}
-	r.apply(target)
+	r.apply(target, learned)
 }
 
 // hasReported reports whether the target has announced or withdrawn itself to
@@ -75,15 +105,31 @@
 		return
 	}
 	r.expires = time.Now().Add(ttl)
-	r.apply(target)
+	r.apply(target, targetChange{source: sourceHealthCheck})
 }
 
-// remove removes the target after its withdrawal.
-func (r *targetRegistry) remove() {
+// removeAnnounced removes the target after its withdrawal.
+func (r *targetRegistry) removeAnnounced() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reported = true
+	r.remove(r.announced.Process(), r.learned.sequence)
+}
+
+// remove removes the target after the withdrawal of the process, which need not be
+// known. A repeated withdrawal is not logged. The caller holds mu.
+func (r *targetRegistry) remove(process call.TargetProcess, sequence uint64) {
+	repeated := r.effective.State == membership.TargetAbsent && r.withdrawn == process
+	target := calls.Target{
+		Service:   cmp.Or(r.announced.Service, r.node.settings.Node.Service),
+		Instance:  process.Instance,
+		StartedMS: process.StartedMS,
+		State:     membership.TargetDraining,
+	}
+	r.reported, r.withdrawn = true, process
 	r.end()
+	if !repeated {
+		r.logState(target, targetChange{source: sourceDeregistration, sequence: sequence})
+	}
 }
 
 // markLeaving takes the target as draining from now on, also if it announces itself
@@ -92,7 +138,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = &target
-	r.apply(r.announced)
+	r.apply(r.announced, r.learned)
 }
 
 // isLeaving reports whether the announced target is the one that stated that it is
@@ -107,7 +153,7 @@
 	if r.leaving != nil && r.leaving.Instance == "" {
 		r.leaving = nil
 	}
-	r.apply(calls.Target{})
+	r.apply(calls.Target{}, targetChange{})
 }
 
 // drain marks a ready target as draining until the node stops, also if it announces
@@ -121,7 +167,7 @@
 		return
 	}
 	target.State = membership.TargetDraining
-	r.apply(target)
+	r.apply(target, targetChange{source: sourceOwnDrain, sequence: r.learned.sequence})
 }
 
 // run removes a target whose announcement was not renewed in time, and applies
@@ -145,7 +191,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	r.apply(r.announced)
+	r.apply(r.announced, r.learned)
 }
 
 func (r *targetRegistry) expire(now time.Time) {
@@ -159,28 +205,42 @@
 // apply stores an announcement and passes a changed target on: first to the gate,
 // then to membership, so that the gate knows of a drain before other nodes do, and
 // of a new target before other nodes send calls for it.
-func (r *targetRegistry) apply(announced calls.Target) {
-	r.announced = announced
+func (r *targetRegistry) apply(announced calls.Target, learned targetChange) {
+	r.announced, r.learned = announced, learned
 	target := r.withinLimits(announced)
 	if target.State == membership.TargetReady && r.isLeaving(target) {
 		target.State = membership.TargetDraining
+		learned.source = sourceResponse
 	}
 	if target == r.effective {
 		return
 	}
-	previousState := r.effective.State
+	previous := r.effective
 	r.effective = target
 	r.node.calls.SetTarget(target)
 	r.node.members.SetTarget(target.Service, uint32(target.Slots), target.State)
-	if previousState == target.State {
-		return
+	if previous.State != target.State || !previous.Process().Same(target.Process()) {
+		r.logState(target, learned)
 	}
+}
+
+// logState logs that the target is ready or draining, and how this was learned.
+func (r *targetRegistry) logState(target calls.Target, learned targetChange) {
+	event := logging.TargetReady
 	switch target.State {
 	case membership.TargetReady:
-		r.node.logger.Event(logging.TargetReady).Str("service", target.Service).Send()
 	case membership.TargetDraining:
-		r.node.logger.Event(logging.TargetDraining).Str("service", target.Service).Send()
+		event = logging.TargetDraining
+	default:
+		return
 	}
+	r.node.logger.Event(event).
+		Str("service", target.Service).
+		Str("source", string(learned.source)).
+		Str("instance", target.Instance).
+		Int("started_ms", target.StartedMS).
+		Uint("sequence", learned.sequence).
+		Send()
 }
 
 // withinLimits applies the limits that the configuration sets for the target's
