Hold back the end of a caller's input only once its request was read

What callers may see: a request whose body ends too early, or stalls, was read on for good where net/http happens to read a single byte of it: 20 such callers left 20 goroutines, and the body's read deadline did not count. Found in review. Cause: reads of one byte were taken for those by which net/http looks for a disconnect, also within a body. Two more of the same review: a connection that is closed between the end of its input and the wait for its request left its reader waiting for good; a part of a header held up a planned stop. Change: the calls runner says when the request was read (RequestRead); a read of one byte waits up to 100 ms for that. A closed connection is not waited for. At a planned stop a header that has begun has 100 ms too.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -144,6 +144,7 @@
 		// A read deadline that expires after the body would be taken for a
 		// disconnect of the caller.
 		_ = c.controller.SetReadDeadline(time.Time{})
+		callerconn.FromContext(ctx).RequestRead()
 	}
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
@@ -454,6 +455,7 @@
 // the connection.
 func (c *callerRequest) markBodyRead() {
 	c.bodyRead.Store(true)
+	callerconn.FromContext(c.ctx).RequestRead()
 	_ = c.controller.SetReadDeadline(time.Time{})
 }
 
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -40,8 +40,12 @@
 	waited time.Duration
 	// written counts the bytes written since the present request's headers were complete.
 	written int64
-	// aborted is set while the server ends a read by a deadline in the past.
-	aborted bool
+	// requestRead is closed once the present request was read to its end; nil while the
+	// server waits for a request.
+	requestRead chan struct{}
+	// aborted is set while the server ends a read by a deadline in the past, and closed once
+	// the connection is closed.
+	aborted, closed bool
 	// inputClosed is set once the caller's end of input was read while a request was served;
 	// onInputClosed is called then. held is closed to end the read that found it.
 	inputClosed   bool
@@ -145,15 +149,15 @@
 // holds mu.
 func (c *Conn) waitDeadline() time.Time {
 	limits := c.tracker.limits()
-	if !c.firstByteAt.IsZero() {
-		return c.firstByteAt.Add(limits.Header)
-	}
-	wait := limits.Header
-	if c.hadRequest {
+	since, wait := c.waitingSince, limits.Header
+	switch {
+	case !c.firstByteAt.IsZero():
+		since = c.firstByteAt
+	case c.hadRequest:
 		wait += limits.Idle
 	}
-	deadline := c.waitingSince.Add(wait)
-	if drained, ok := c.tracker.drainDeadline(c.waitingSince); ok && drained.Before(deadline) {
+	deadline := since.Add(wait)
+	if drained, ok := c.tracker.drainDeadline(since); ok && drained.Before(deadline) {
 		return drained
 	}
 	return deadline
@@ -176,9 +180,14 @@
 	}
 }
 
-// disconnectReadBytes is the size of the reads by which net/http detects that a caller
-// disconnects while its request is served. Reads of a body are larger.
-const disconnectReadBytes = 1
+const (
+	// disconnectReadBytes is the size of the reads by which net/http detects that a caller
+	// disconnects while its request is served. A read of a body rarely has it.
+	disconnectReadBytes = 1
+	// requestReadWait is how long such a read waits for RequestRead, which may be called
+	// only after it began. It bounds the delay of a read of a body that is taken for one.
+	requestReadWait = 100 * time.Millisecond
+)
 
 // readDuringRequest reads while a request is served: the rest of its body, or, after that,
 // a read by which the server detects a disconnect.
@@ -188,11 +197,12 @@
 		if err == nil || n > 0 {
 			return n, err
 		}
-		if len(data) == disconnectReadBytes {
-			if errors.Is(err, io.EOF) {
+		ended, expired := errors.Is(err, io.EOF), errors.Is(err, os.ErrDeadlineExceeded)
+		if (ended || expired) && len(data) == disconnectReadBytes && c.awaitRequestRead() {
+			if ended {
 				return c.holdInputClosed()
 			}
-			if errors.Is(err, os.ErrDeadlineExceeded) && c.clearDeadline() {
+			if c.clearDeadline() {
 				continue
 			}
 		}
@@ -201,6 +211,47 @@
 	}
 }
 
+// awaitRequestRead reports whether the present request was read to its end, so that a read
+// cannot be one of its body.
+func (c *Conn) awaitRequestRead() bool {
+	c.mu.Lock()
+	read, aborted := c.requestRead, c.aborted
+	c.mu.Unlock()
+	if aborted {
+		return true // the server ends a read of its own
+	}
+	timer := time.NewTimer(requestReadWait)
+	defer timer.Stop()
+	select {
+	case <-read:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// RequestRead is to be called when the present request was read to its end. From then on a
+// half-close and the read deadline of its body do not end it.
+func (c *Conn) RequestRead() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeRequestRead()
+}
+
+// closeRequestRead closes requestRead. The caller holds mu.
+func (c *Conn) closeRequestRead() {
+	select {
+	case <-c.requestRead:
+	default:
+		if c.requestRead != nil {
+			close(c.requestRead)
+		}
+	}
+}
+
 // clearDeadline clears a deadline that was set for the body. It returns false if the
 // server has set one to end the read.
 func (c *Conn) clearDeadline() bool {
@@ -218,9 +269,9 @@
 // for the response.
 func (c *Conn) holdInputClosed() (int, error) {
 	c.mu.Lock()
-	if c.aborted {
-		c.mu.Unlock()
-		return 0, os.ErrDeadlineExceeded
+	if c.aborted || c.closed {
+		defer c.mu.Unlock()
+		return 0, c.heldError()
 	}
 	held := make(chan struct{})
 	c.held = held
@@ -233,10 +284,16 @@
 	<-held
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborted {
-		return 0, os.ErrDeadlineExceeded
+	return 0, c.heldError()
+}
+
+// heldError returns the error of a read that found the end of the input, once it has ended.
+// The caller holds mu.
+func (c *Conn) heldError() error {
+	if c.closed {
+		return net.ErrClosed
 	}
-	return 0, net.ErrClosed
+	return os.ErrDeadlineExceeded
 }
 
 // OnInputClosed sets the function that is called once if the caller closes its sending
@@ -297,6 +354,7 @@
 func (c *Conn) Close() error {
 	c.noteCause(NodeClosed)
 	c.mu.Lock()
+	c.closed = true
 	c.releaseHeld()
 	c.mu.Unlock()
 	c.tracker.remove(c)
@@ -310,9 +368,11 @@
 	case http.StateActive:
 		c.waited, c.written = time.Since(c.waitingSince), 0
 		c.waiting, c.hadRequest = false, true
+		c.requestRead = make(chan struct{})
 		c.firstByteAt = time.Time{}
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	case http.StateIdle:
 		c.waiting, c.waitingSince, c.lateRead = true, time.Now(), false
+		c.requestRead = nil
 	}
 }
--- a/internal/transport/callerconn/conn_test.go
+++ b/internal/transport/callerconn/conn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -238,7 +239,9 @@
 	is := is.New(t)
 	closed := make(chan struct{})
 	conn := startServer(t, func() Limits { return Limits{Header: longLimit, Idle: longLimit} }, func(w http.ResponseWriter, r *http.Request) {
-		FromContext(r.Context()).OnInputClosed(func() { close(closed) })
+		conn := FromContext(r.Context())
+		conn.RequestRead()
+		conn.OnInputClosed(func() { close(closed) })
 		<-closed
 		time.Sleep(openCheck)
 		answerIfConnected(w, r)
@@ -278,6 +281,7 @@
 func TestBodyDeadlineEndsRequest(t *testing.T) {
 	is := is.New(t)
 	conn := startServer(t, func() Limits { return Limits{Header: longLimit, Idle: longLimit} }, func(w http.ResponseWriter, r *http.Request) {
+		FromContext(r.Context()).RequestRead()
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(shortLimit))
 		time.Sleep(2 * shortLimit)
 		answerIfConnected(w, r)
@@ -337,3 +341,58 @@
 	is.True(closedWithin(t, idle, closeWait))
 	is.True(closedWithin(t, silent, closeWait))
 }
+
+// TestIncompleteBodyIsHeld closes the sending side within a body, where the server reads a
+// single byte: 4,095 bytes of a chunk's line fill its buffer but for one.
+func TestIncompleteBodyIsHeld(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	conn := startServer(t, func() Limits { return Limits{Header: longLimit, Idle: longLimit} }, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		ended <- err
+	}).dial(t)
+	const head = "POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+	_, err := io.WriteString(conn, head)
+	is.NoErr(err)
+	_, err = io.WriteString(conn, "4;"+strings.Repeat("x", 4093))
+	is.NoErr(err)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	select {
+	case err := <-ended:
+		is.True(err != nil)
+	case <-time.After(closeWait):
+		t.Fatal("the body is still read")
+	}
+}
+
+// TestPartOfHeaderHoldsDrain drains a server one of whose callers has sent a part of a header.
+func TestPartOfHeaderHoldsDrain(t *testing.T) {
+	is := is.New(t)
+	server := startServer(t, func() Limits { return Limits{Header: longLimit, Idle: longLimit} }, answer)
+	conn := server.dial(t)
+	_, err := io.WriteString(conn, request[:20])
+	is.NoErr(err)
+	time.Sleep(openCheck)
+	is.NoErr(server.Listener.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	is.NoErr(server.tracker.Drain(ctx))
+}
+
+// endedConn is a connection whose input has ended.
+type endedConn struct{ net.Conn }
+
+func (endedConn) Read([]byte) (int, error)        { return 0, io.EOF }
+func (endedConn) SetReadDeadline(time.Time) error { return nil }
+func (endedConn) Close() error                    { return nil }
+
+// TestReadOfClosedConnectionHangs closes a connection before the end of its input is found.
+func TestReadOfClosedConnectionHangs(t *testing.T) {
+	is := is.New(t)
+	c := NewTracker(func() Limits { return Limits{Header: longLimit, Idle: longLimit} }).add(endedConn{})
+	c.onStateChange(http.StateActive)
+	c.RequestRead()
+	is.NoErr(c.Close())
+	_, err := c.Read(make([]byte, disconnectReadBytes))
+	is.True(errors.Is(err, net.ErrClosed))
+}
--- a/internal/transport/callerconn/tracker.go
+++ b/internal/transport/callerconn/tracker.go
@@ -16,8 +16,8 @@
 	Idle time.Duration
 }
 
-// drainGrace is how long a connection without a request is kept open at a shutdown, for a
-// request that is on its way.
+// drainGrace is how long a connection without a whole request header is kept open at a
+// shutdown, for a request that is on its way.
 const drainGrace = 100 * time.Millisecond
 
 // Tracker knows the open connections of a server for callers.
@@ -107,18 +107,18 @@
 	}
 }
 
-// drainDeadline returns when a connection that has waited for a request since the given
-// time is to end; ok is false before Drain.
-func (t *Tracker) drainDeadline(waitingSince time.Time) (deadline time.Time, ok bool) {
+// drainDeadline returns when a connection that has waited for a request, or for the rest of
+// its headers, since the given time is to end; ok is false before Drain.
+func (t *Tracker) drainDeadline(since time.Time) (deadline time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.drainedAt.IsZero() {
 		return time.Time{}, false
 	}
-	if waitingSince.Before(t.drainedAt) {
-		waitingSince = t.drainedAt
+	if since.Before(t.drainedAt) {
+		since = t.drainedAt
 	}
-	return waitingSince.Add(drainGrace), true
+	return since.Add(drainGrace), true
 }
 
 // Drain ends the connections without a request, and returns when those with one have ended
