TestOverload let its calls end before all had reached the target

Seen once by another developer at load average 16: "2 != 3".

Cause, in the test's order of events: it let the calls at the target end as soon as the 13th refusal was in. A refusal is immediate, but a call that has a slot still has to reach the target over a new connection. Beside load, fewer than three of them had arrived by then, and afterwards the calls ended at once and never ran three at a time.

By reading only: the test's maximum was also read and written in two steps, so two calls that arrive together could lower it.

The test now waits until three calls are at the target and counts each call that arrives over the number of slots. It is as strict: exactly 13 refusals and 7 answers, three calls at a time, never four.

--- a/internal/node/calls/faults_test.go
+++ b/internal/node/calls/faults_test.go
@@ -384,15 +384,18 @@
 // TestOverload fills the slots and the queue: further calls are refused at
 // once, and never more calls run than there are slots.
 func TestOverload(t *testing.T) {
-	var running, maxRunning atomic.Int64
+	const slots = 3
+	var running, overSlots atomic.Int64
 	proceed := make(chan struct{})
-	f := newFleet(t, fleetOptions{nodes: 1, slots: 3}, func(w http.ResponseWriter, r *http.Request) {
-		if n := running.Add(1); n > maxRunning.Load() {
-			maxRunning.Store(n)
+	release := sync.OnceFunc(func() { close(proceed) })
+	f := newFleet(t, fleetOptions{nodes: 1, slots: slots}, func(w http.ResponseWriter, r *http.Request) {
+		if running.Add(1) > slots {
+			overSlots.Add(1)
 		}
 		<-proceed
 		running.Add(-1)
 	})
+	defer release() // the servers of a failed test close only after their handlers have ended
 	f.publish(4, 20)
 	f.waitFor("the queue limit", func() bool { f.nodes[0].runner.updateGateLimits(); return true })
 	var group sync.WaitGroup
@@ -409,10 +412,11 @@
 		})
 	}
 	f.waitFor("13 refusals", func() bool { return refused.Load() == 13 })
-	close(proceed)
+	f.waitFor("as many calls at the target as it has slots", func() bool { return running.Load() == slots })
+	release()
 	group.Wait()
 	f.is.Equal(answered.Load(), int64(7))
-	f.is.Equal(maxRunning.Load(), int64(3))
+	f.is.Equal(overSlots.Load(), int64(0))
 }
 
 // TestCallerDisconnects verifies that the request at the target is cancelled,
