--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	go test -race -timeout 600s $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 format-check:
-	@unformatted="$$(gofmt -l cmd internal)"; \
+	@unformatted="$$(gofmt -l cmd internal platform)"; \
 	if [ -n "$$unformatted" ]; then echo "not formatted, run gofmt -w: $$unformatted"; exit 1; fi
 
 vet:
