Start pipelined requests before their turn, and count their time from their arrival

Cause: net/http serves a connection's requests in turn, so each waited for the whole run before it, and its limits counted from when the node parsed it.

Change: the connection gives net/http one request at a time, reads on while a request is served, and lets the handler start the idempotent requests behind it (callerconn/ahead.go, head.go, calls/ahead.go). dispatch is apart from writing, so that a response can wait for its turn. "Connection: close" is decided when a response is written, and never while requests behind it are in work. Before a connection with unread requests is closed, the caller may read the last response.

Ruled out: that the head scanner changes what net/http parses; it only decides when bytes are given (TestPipelinedRequestsInParts: a pause after each possible number of bytes, bodies among them).

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -55,6 +55,8 @@
 
 	// uploads waits for the goroutine that sends the rest of the body.
 	uploads sync.WaitGroup
+	// begun is set once the entry machine has accepted the request.
+	begun bool
 	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
 	// attempt is the last one that was opened; nil before.
@@ -78,11 +80,14 @@
 }
 
 func (r *Runner) serveCaller(w http.ResponseWriter, request *http.Request) {
+	if ahead := startedAhead(request); ahead != nil {
+		r.respondAhead(w, request, ahead)
+		return
+	}
 	startedAt := time.Now()
 	r.counters.requests.Add(1)
-	if r.keepAlivesDisabled.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	conn := callerconn.FromContext(request.Context())
+	conn.ExpectBody(request.ContentLength)
 	var c *callerRequest
 	defer func() { r.recoverRequest(recover(), w, request, c) }()
 	ctx, span := r.startEntrySpan(request)
@@ -96,10 +101,11 @@
 	}
 	c.outcome = outcomeCallerLeft
 	defer func() { r.metrics.observeRequest(string(c.route.Class), c.outcome, startedAt) }()
-	defer c.end()
+	defer r.endRequest(c)
 	defer c.abortBodyRead()
 	defer r.watchInput(c)()
-	r.dispatch(w, request, c)
+	r.serveBehind(c)
+	r.respond(w, request, c, r.dispatch(c))
 	c.drainBody(request.Body)
 	if !c.bodyComplete() && !c.closeAnnounced {
 		// The rest of the body would be taken for the next request. The response is written.
@@ -107,33 +113,29 @@
 	}
 }
 
-// admit prepares the request, or returns the problem to refuse it with.
+// admit prepares a request in its turn, or returns the problem to refuse it with. Its time
+// limits count from its arrival.
 func (r *Runner) admit(ctx context.Context, w http.ResponseWriter, request *http.Request) (*callerRequest, *problem.Problem) {
 	now := r.options.Now()
-	index := r.currentRoutes()
-	if index == nil {
-		return nil, notReady()
-	}
-	if !r.options.Serving(now) {
-		return nil, fenced()
-	}
-	if r.attemptsCtx.Err() != nil {
-		return nil, shuttingDown()
-	}
-	limits := index.snapshot.CallerLimits()
-	if refused := headersTooLarge(request, limits); refused != nil {
+	index, refused := r.admitAt(now)
+	if refused != nil {
 		return nil, refused
 	}
-	route, ok := index.routes.Match(request.Host, request.URL.EscapedPath(), request.Method)
-	if !ok {
-		return nil, noRoute()
+	conn := callerconn.FromContext(ctx)
+	receivedAt := now
+	if at := conn.ArrivedAt(); !at.IsZero() {
+		receivedAt = now.Add(-time.Since(at))
 	}
-	c := &callerRequest{receivedAt: now, controller: http.NewResponseController(w), route: route}
-	if refused := c.readContractHeaders(now, request, r.options.Contract); refused != nil {
+	c, refused := r.newCallerRequest(index, receivedAt, request)
+	if refused != nil {
 		return nil, refused
 	}
+	if !now.Before(c.deadline) {
+		return nil, waitedTooLong()
+	}
+	c.controller = http.NewResponseController(w)
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
-	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(limits))
+	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
 	if err != nil {
 		return nil, badBody(err)
 	}
@@ -144,14 +146,50 @@
 		// A read deadline that expires after the body would be taken for a
 		// disconnect of the caller.
 		_ = c.controller.SetReadDeadline(time.Time{})
-		callerconn.FromContext(ctx).RequestRead()
+		conn.RequestRead()
+	}
+	r.prepare(ctx, c, request, body)
+	return c, nil
+}
+
+// admitAt returns the routes in force, or the problem to refuse every request with.
+func (r *Runner) admitAt(now time.Time) (*routeIndex, *problem.Problem) {
+	index := r.currentRoutes()
+	switch {
+	case index == nil:
+		return nil, notReady()
+	case !r.options.Serving(now):
+		return nil, fenced()
+	case r.attemptsCtx.Err() != nil:
+		return nil, shuttingDown()
+	}
+	return index, nil
+}
+
+// newCallerRequest returns the request with its route and time limits, or the problem to
+// refuse it with.
+func (r *Runner) newCallerRequest(index *routeIndex, receivedAt time.Time, request *http.Request) (*callerRequest, *problem.Problem) {
+	if refused := headersTooLarge(request, index.snapshot.CallerLimits()); refused != nil {
+		return nil, refused
+	}
+	route, ok := index.routes.Match(request.Host, request.URL.EscapedPath(), request.Method)
+	if !ok {
+		return nil, noRoute()
+	}
+	c := &callerRequest{receivedAt: receivedAt, route: route}
+	if refused := c.readContractHeaders(receivedAt, request, r.options.Contract); refused != nil {
+		return nil, refused
 	}
+	return c, nil
+}
+
+// prepare gives the request its body, its contexts and what all of its attempts share.
+func (r *Runner) prepare(ctx context.Context, c *callerRequest, request *http.Request, body *requestBody) {
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
 	c.body = body
 	c.handle = r.entry.handles.Add(1)
 	c.template = r.newTemplate(ctx, c, request)
-	return c, nil
 }
 
 // readContractHeaders reads the idempotency key, the timeout and the attempts
@@ -256,20 +294,27 @@
 	return uint32(max(1, c.deadline.Sub(now).Milliseconds()))
 }
 
-// dispatch performs the entry machine's actions until the caller has a
-// response.
-func (r *Runner) dispatch(w http.ResponseWriter, request *http.Request, c *callerRequest) {
+// dispatchResult is what became of a request: the target's response, why there is none, or
+// neither if the caller has left.
+type dispatchResult struct {
+	response *gateResponse
+	failure  *entry.Fail
+	// overloaded says that the node had too many requests in work to accept this one.
+	overloaded bool
+}
+
+// dispatch performs the entry machine's actions until there is a response for the caller,
+// or none will come.
+func (r *Runner) dispatch(c *callerRequest) dispatchResult {
 	begin := entry.Begin{
 		Handle: c.handle, Route: c.route.Name, Destinations: c.route.EffectiveDestinations(), Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, MaxAttempts: c.attempts, Key: c.key,
 	}
 	action, accepted := r.entry.trySubmit(begin)
 	if !accepted {
-		c.outcome = string(problem.NotRun)
-		r.refuse(w, request, overloaded())
-		return
+		return dispatchResult{overloaded: true}
 	}
-	defer r.entry.notify(entry.End{Handle: c.handle})
+	c.begun = true
 	for c.ctx.Err() == nil {
 		var got *gateResponse
 		var event entry.Event
@@ -281,29 +326,64 @@
 		case entry.Wait:
 			event = r.wait(c, a)
 		case entry.Fail:
-			r.fail(w, request, c, a)
-			return
+			return dispatchResult{failure: &a}
 		default: // nil: the entry loop has ended, and an attempt may have been sent
-			r.fail(w, request, c, entry.Fail{Outcome: call.Unknown, Reason: call.ReasonLeaving})
-			return
+			return dispatchResult{failure: &entry.Fail{Outcome: call.Unknown, Reason: call.ReasonLeaving}}
 		}
 		if got != nil {
-			r.deliver(w, request, c, got)
-			return
+			r.noteResponse(c, got)
+			return dispatchResult{response: got}
 		}
 		action = r.entry.submit(event)
 		if c.attemptsCtx.Err() != nil && leadsToAttempt(action) {
 			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()})
 		}
 	}
+	return dispatchResult{}
+}
+
+// noteResponse tells the entry machine of a response.
+func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
+	r.entry.notify(entry.ResponseReceived{
+		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
+		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
+	})
+}
+
+// respond writes the result of dispatch to the caller.
+func (r *Runner) respond(w http.ResponseWriter, request *http.Request, c *callerRequest, result dispatchResult) {
+	switch {
+	case result.overloaded:
+		c.outcome = string(problem.NotRun)
+		r.refuse(w, request, overloaded())
+	case result.failure != nil:
+		r.fail(w, request, c, *result.failure)
+	case result.response != nil:
+		r.deliver(w, request, c, result.response)
+	default:
+		r.respondToLeft(w, request, c)
+	}
+}
+
+// respondToLeft ends a request whose caller has left.
+func (r *Runner) respondToLeft(w http.ResponseWriter, request *http.Request, c *callerRequest) {
 	r.noteCutOff(request, c, c.cutOffCause())
 	if c.cutOffCause() == callerconn.CallerClosed {
+		r.announceClose(w, request)
 		problem.Write(w, *callerClosed()) // for a caller that has closed only its sending side
 		return
 	}
 	panic(http.ErrAbortHandler) // the caller disconnected: abort the connection without a response
 }
 
+// announceClose makes the response ask the caller to close the connection if the node is
+// about to stop, unless requests behind it are in work.
+func (r *Runner) announceClose(w http.ResponseWriter, request *http.Request) {
+	if r.keepAlivesDisabled.Load() && callerconn.FromContext(request.Context()).AnnounceClose() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // giveUpReason returns why a request makes no further attempt.
 func (r *Runner) giveUpReason() call.Reason {
 	if r.attemptsCtx.Err() != nil {
@@ -333,10 +413,7 @@
 }
 
 func (r *Runner) deliver(w http.ResponseWriter, request *http.Request, c *callerRequest, got *gateResponse) {
-	r.entry.notify(entry.ResponseReceived{
-		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
-		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
-	})
+	r.announceClose(w, request)
 	if got.deliver(w, request.Method) {
 		c.outcome = outcomeAnswered
 		r.counters.answered.Add(1)
@@ -407,6 +484,7 @@
 		Str("type", p.Type).Str("outcome", string(p.Outcome)).Int("retry_after_ms", p.RetryAfterMS).
 		Str("version", r.options.Snapshot().VersionOrNone()).Send()
 	p.PreciseRetryAfter = r.options.Contract.PreciseRetryAfter
+	r.announceClose(w, request)
 	problem.Write(w, *p)
 }
 
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -48,6 +48,13 @@
 		"Send the call to another node, or again after the given time.", shutdownRetryAfter)
 }
 
+// waitedTooLong refuses a request whose time had passed before the requests in front of it
+// on its connection were answered.
+func waitedTooLong() *problem.Problem {
+	return notRun("deadline", "The call's time passed while it waited behind others on its connection", http.StatusServiceUnavailable,
+		"Send the call again over another connection.", shutdownRetryAfter)
+}
+
 func overloaded() *problem.Problem {
 	return notRun("overloaded", "This node has too many calls in work", http.StatusServiceUnavailable,
 		"Send the call to another node, or again after the given time.", fencedOrOverloadedRetryAfter)
--- a/internal/node/calls/recover.go
+++ b/internal/node/calls/recover.go
@@ -46,6 +46,9 @@
 		panic(value)
 	}
 	r.options.Logger.Panicked("caller's request", value)
+	if !(c != nil && c.responseStarted) {
+		r.announceClose(w, request)
+	}
 	if c == nil {
 		problem.Write(w, *internalError(problem.NotRun))
 		return
--- a/internal/node/calls/response.go
+++ b/internal/node/calls/response.go
@@ -30,6 +30,23 @@
 	}
 }
 
+// pause releases the attempt if the response is complete, and otherwise stops the watch for
+// silence until resume: the rest is not received until the response is delivered.
+func (g *gateResponse) pause() {
+	if g.complete {
+		g.attempt.end(true)
+		return
+	}
+	g.attempt.silenceTimer.stop()
+}
+
+// resume ends pause.
+func (g *gateResponse) resume() {
+	if !g.complete {
+		g.attempt.silenceTimer.reset()
+	}
+}
+
 // deliver writes the response to the caller. It returns false if the response
 // could not be written completely; the caller's connection must then be
 // aborted.
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"jasminegate/internal/config"
 	"jasminegate/internal/coordination/entry"
@@ -83,6 +84,8 @@
 	runningRequests runningRequests
 	failedLog       failedRequestLog
 	signals         *targetSignals
+	// aheadSlots has a slot for each request that may be in work before its turn.
+	aheadSlots *semaphore.Weighted
 	// baseCtx ends with Run, and with it the calls at the target.
 	baseCtx    context.Context
 	cancelBase context.CancelFunc
@@ -110,7 +113,7 @@
 	if options.OnTargetLeaving == nil {
 		options.OnTargetLeaving = func(Target) {}
 	}
-	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics()}
+	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.entry = newEntryLoop(options)
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -53,6 +54,10 @@
 	held          chan struct{}
 	// cause is the first cause of the connection's end that became known; empty before.
 	cause Cause
+	input input
+
+	// startMu serialises the start of requests before their turn. It is taken before mu.
+	startMu sync.Mutex
 }
 
 func newConn(conn net.Conn, tracker *Tracker) *Conn {
@@ -74,6 +79,9 @@
 // readRequest reads while the server waits for a request. At the limit it takes what has
 // arrived before it gives up the connection.
 func (c *Conn) readRequest(data []byte) (int, error) {
+	if n := c.takeHead(data); n > 0 {
+		return n, nil
+	}
 	for {
 		if err := c.setWaitDeadline(); err != nil {
 			return 0, err
@@ -88,7 +96,7 @@
 			}
 		}
 		if n > 0 {
-			c.noteFirstByte()
+			n = c.splitHead(data[:n])
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.noteCause(RequestTimeout)
@@ -163,9 +171,27 @@
 	return deadline
 }
 
-func (c *Conn) noteFirstByte() {
+// takeHead gives the server bytes of a request that were read while it served another one.
+func (c *Conn) takeHead(data []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.input.pending) == 0 {
+		return 0
+	}
+	c.noteFirstByte()
+	return c.input.takeHead(data)
+}
+
+// splitHead keeps what follows the awaited request's head, and returns the size of the rest.
+func (c *Conn) splitHead(data []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteFirstByte()
+	return c.input.splitHead(data)
+}
+
+// noteFirstByte records that a request has begun to arrive. The caller holds mu.
+func (c *Conn) noteFirstByte() {
 	if c.firstByteAt.IsZero() {
 		c.firstByteAt = time.Now()
 	}
@@ -192,15 +218,28 @@
 // readDuringRequest reads while a request is served: the rest of its body, or, after that,
 // a read by which the server detects a disconnect.
 func (c *Conn) readDuringRequest(data []byte) (int, error) {
+	disconnectRead := len(data) == disconnectReadBytes
+	if c.pendingBytes() > 0 {
+		if disconnectRead && c.requestGiven() {
+			return c.readAhead()
+		}
+		return c.takeBody(data), nil
+	}
+	data = c.bodyRead(data)
 	for {
 		n, err := c.Conn.Read(data)
+		if n > 0 && disconnectRead && c.requestGiven() {
+			c.keep(data[:n])
+			return c.readAhead()
+		}
 		if err == nil || n > 0 {
+			c.countBody(n)
 			return n, err
 		}
 		ended, expired := errors.Is(err, io.EOF), errors.Is(err, os.ErrDeadlineExceeded)
-		if (ended || expired) && len(data) == disconnectReadBytes && c.awaitRequestRead() {
+		if (ended || expired) && disconnectRead && (c.requestGiven() || c.awaitRequestRead()) {
 			if ended {
-				return c.holdInputClosed()
+				return c.hold(true)
 			}
 			if c.clearDeadline() {
 				continue
@@ -211,6 +250,34 @@
 	}
 }
 
+// requestGiven reports whether the server is known to have got the whole present request.
+func (c *Conn) requestGiven() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.input.unframed && c.input.bodyGiven == c.input.bodyLength
+}
+
+// takeBody gives the server pending bytes while a request is served.
+func (c *Conn) takeBody(data []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.input.take(c.input.bodyRead(data))
+	c.input.bodyGiven += int64(n)
+	return n
+}
+
+func (c *Conn) bodyRead(data []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.input.bodyRead(data)
+}
+
+func (c *Conn) countBody(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.input.bodyGiven += int64(n)
+}
+
 // awaitRequestRead reports whether the present request was read to its end, so that a read
 // cannot be one of its body.
 func (c *Conn) awaitRequestRead() bool {
@@ -263,11 +330,11 @@
 	return c.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
-// holdInputClosed reports the end of the caller's input and waits until the server has
-// served the request or the connection is closed. An error would make the server end the
-// request's context, although the caller may have closed only its sending side and wait
-// for the response.
-func (c *Conn) holdInputClosed() (int, error) {
+// hold waits until the server has served the request or the connection is closed. With
+// inputClosed it first reports the end of the caller's input. An error would make the server
+// end the request's context, although the caller may have closed only its sending side and
+// wait for the response.
+func (c *Conn) hold(inputClosed bool) (int, error) {
 	c.mu.Lock()
 	if c.aborted || c.closed {
 		defer c.mu.Unlock()
@@ -275,18 +342,33 @@
 	}
 	held := make(chan struct{})
 	c.held = held
-	c.inputClosed = true
-	notify := c.onInputClosed
+	notify := c.noteInputClosed(inputClosed)
 	c.mu.Unlock()
-	if notify != nil {
-		notify()
-	}
+	notify()
 	<-held
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return 0, c.heldError()
 }
 
+// noteInputClosed records the end of the caller's input if closed is set, and returns a
+// function that reports it. The caller holds mu.
+func (c *Conn) noteInputClosed(closed bool) (notify func()) {
+	if !closed {
+		return func() {}
+	}
+	c.inputClosed = true
+	present, ahead := c.onInputClosed, slices.Clone(c.input.ahead)
+	return func() {
+		if present != nil {
+			present()
+		}
+		for _, request := range ahead {
+			request.started.InputClosed()
+		}
+	}
+}
+
 // heldError returns the error of a read that found the end of the input, once it has ended.
 // The caller holds mu.
 func (c *Conn) heldError() error {
@@ -320,6 +402,7 @@
 	c.aborted = !deadline.IsZero() && deadline.Before(c.acceptedAt)
 	if c.aborted {
 		c.releaseHeld()
+		c.closeRequestRead()
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
@@ -350,17 +433,37 @@
 	return errors.ErrUnsupported
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Closing a connection with unread bytes resets it, and the caller
+// may lose a response that it has not read yet. A connection whose caller sent requests behind
+// the last one that is answered is therefore closed once the caller has closed it, or after
+// lingerTimeout.
 func (c *Conn) Close() error {
 	c.noteCause(NodeClosed)
 	c.mu.Lock()
+	linger := !c.closed && c.input.pipelined && c.input.closeAnnounced
 	c.closed = true
 	c.releaseHeld()
 	c.mu.Unlock()
+	c.cancelAhead()
+	if linger && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
 	c.tracker.remove(c)
 	return c.Conn.Close()
 }
 
+// lingerTimeout bounds the wait for a caller to read its last response.
+const lingerTimeout = 500 * time.Millisecond
+
+// linger discards what the caller still sends, and closes the connection.
+func (c *Conn) linger() {
+	defer c.tracker.remove(c)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
+	_ = c.Conn.Close()
+}
+
 func (c *Conn) onStateChange(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -370,9 +473,11 @@
 		c.waiting, c.hadRequest = false, true
 		c.requestRead = make(chan struct{})
 		c.firstByteAt = time.Time{}
+		c.input.beginRequest()
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	case http.StateIdle:
 		c.waiting, c.waitingSince, c.lateRead = true, time.Now(), false
 		c.requestRead = nil
+		c.input.endRequest()
 	}
 }
