An acknowledged leaving binds the node's next incarnation

Cause: a leaving that an incarnation acknowledged ended with it, so that a ready report sent before and late by seconds put the target in use again.

Change, as docs/decisions/acknowledged-leaving.md proposed it, its open points settled there: at its planned stop a node adds its target's newest process, and whether it left, to its record in the store; a ready report that no such history covers is held (event 313) until a health check says 200 for its instance, or until reports arrive that are too late to be older. The decision is a state machine of its own, internal/coordination/leaving. The wire format of the members' record grows by one optional field; older releases pass it over.

Ruled out: waiting for a second report (two may be late), sequence against age (a guess), waiting at the ack (nothing is gained once the target itself can be asked).

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -47,6 +47,7 @@
 	TargetRateLimit     = Event{310, log.InfoLevel, "target changed the rate limit that it states in its responses"}
 	TargetLeaving       = Event{311, log.InfoLevel, "target stated in a response that it is leaving"}
 	TargetSignalInvalid = Event{312, log.WarnLevel, "target sent a rate limit that cannot be used: the last one stays in force"}
+	TargetHeld          = Event{313, log.InfoLevel, "report of a ready target is held: it may have been sent before a leaving that an earlier incarnation of the node acknowledged"}
 	NodeSuperseded      = Event{307, log.ErrorLevel, "a later incarnation runs under this node's ID: calls are refused; stop this process or set another node.id"}
 )
 
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -12,6 +12,7 @@
 
 	"jasminegate/internal/clock"
 	"jasminegate/internal/config"
+	"jasminegate/internal/coordination/leaving"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/node/calls"
@@ -104,7 +105,7 @@
 		IdleTimeout:   settings.Calls.IdleTimeout,
 	})
 	n.composeRunners(adapter)
-	n.targets = newTargetRegistry(n)
+	n.targets = newTargetRegistry(n, leaving.New(n.started, n.registrations.TargetHistory(settings.Node.ID)))
 	n.metrics = n.newMetrics()
 	n.composeServers(adapter)
 	return n
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -8,6 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/leaving"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/wire"
@@ -63,6 +65,7 @@
 	previous := r.options.Registrations.Previous(r.options.Self.ID)
 	dir := &directory{runner: r, random: random, departedAt: make(map[string]time.Time), readAt: r.options.Registrations.ReadAt}
 	dir.recordedService, dir.recordedSlots = previous.Service, previous.Slots
+	r.directory = dir
 	dir.foundOthers = hasOthers(r.options.Registrations.members, r.options.Self.ID)
 	next := time.NewTimer(time.Duration(random.Int64N(int64(directoryStartSpread))))
 	defer next.Stop()
@@ -127,14 +130,18 @@
 
 // register writes this node's record under its ID, replacing that of its previous
 // incarnation. It reports whether the write succeeded.
-func (r *directory) register(ctx context.Context) bool {
+func (r *directory) register(ctx context.Context) bool { return r.write(ctx, nil) }
+
+// write writes this node's record, with the history of its target at the end of a planned
+// stop.
+func (r *directory) write(ctx context.Context, history *wire.TargetHistory) bool {
 	self := r.runner.options.Self
 	member := joinableMember(self)
 	member.Service, member.Slots = r.recordedService, r.recordedSlots
 	if current := r.runner.View().Self; current.Slots > 0 {
 		member.Service, member.Slots = current.Service, current.Slots
 	}
-	record := &wire.Roster{Domain: self.Domain, Members: []*wire.Member{member}}
+	record := &wire.Roster{Domain: self.Domain, Members: []*wire.Member{member}, TargetHistory: history}
 	data, err := proto.Marshal(record)
 	if err != nil {
 		r.runner.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
@@ -162,7 +169,7 @@
 		r.runner.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
 		return
 	}
-	members := decodeRosters(batch.Records, r.runner.options.Logger)
+	members := membersOf(decodeRosters(batch.Records, r.runner.options.Logger))
 	r.readAt, r.foundOthers = sentAt, hasOthers(members, r.runner.options.Self.ID)
 	r.runner.learnSeeds(members)
 	r.runner.events.TryPush(membership.PlatformContacted{SentAt: sentAt})
@@ -194,6 +201,8 @@
 	// ReadAt is when the read began, or zero if it failed.
 	ReadAt  time.Time
 	members []membership.Member
+	// histories are, by node ID, those that nodes left behind at their planned stops.
+	histories map[string]leaving.History
 }
 
 // ReadDirectory reads the records of all nodes. The errors are those of the directory.
@@ -202,7 +211,37 @@
 	if err != nil {
 		return Registrations{}, err
 	}
-	return Registrations{ReadAt: now, members: decodeRosters(batch.Records, logger)}, nil
+	rosters := decodeRosters(batch.Records, logger)
+	return Registrations{ReadAt: now, members: membersOf(rosters), histories: historiesOf(rosters)}, nil
+}
+
+// TargetHistory returns what the previous incarnation of the node handed over at its planned
+// stop: an empty history if there was none, and nil if it is not known.
+func (r Registrations) TargetHistory(id string) *leaving.History {
+	if r.ReadAt.IsZero() {
+		return nil
+	}
+	if history, ok := r.histories[id]; ok {
+		return &history
+	}
+	if r.Previous(id).Incarnation > 0 {
+		return nil // it was killed, or still runs
+	}
+	return &leaving.History{At: r.ReadAt}
+}
+
+// WriteTargetHistory hands the history to the next incarnation of this node. It is called once,
+// after Run.
+func (r *Runner) WriteTargetHistory(ctx context.Context, history leaving.History) {
+	if r.directory == nil {
+		return
+	}
+	r.directory.write(ctx, &wire.TargetHistory{
+		Instance:  history.Newest.Instance,
+		StartedMs: history.Newest.StartedMS,
+		Left:      history.Left,
+		EndedMs:   history.At.UnixMilli(),
+	})
 }
 
 // Members returns the registered nodes.
@@ -225,17 +264,41 @@
 	return slices.ContainsFunc(members, func(m membership.Member) bool { return m.ID != id })
 }
 
-// decodeRosters returns the members in records of the members stream. Malformed
-// records are logged and skipped.
-func decodeRosters(records []platformlog.Record, logger *logging.Logger) []membership.Member {
-	var members []membership.Member
+// decodeRosters returns the records of the members stream. Malformed ones are logged and
+// skipped.
+func decodeRosters(records []platformlog.Record, logger *logging.Logger) []*wire.Roster {
+	var rosters []*wire.Roster
 	for _, record := range records {
-		var roster wire.Roster
-		if err := proto.Unmarshal(record.Data, &roster); err != nil {
+		roster := &wire.Roster{}
+		if err := proto.Unmarshal(record.Data, roster); err != nil {
 			logger.Event(logging.MalformedMessage).Str("stream", platformlog.StreamMembers).Err(err).Send()
 			continue
 		}
+		rosters = append(rosters, roster)
+	}
+	return rosters
+}
+
+func membersOf(rosters []*wire.Roster) []membership.Member {
+	var members []membership.Member
+	for _, roster := range rosters {
 		members = append(members, membersFromWire(roster.GetMembers())...)
 	}
 	return members
 }
+
+func historiesOf(rosters []*wire.Roster) map[string]leaving.History {
+	histories := make(map[string]leaving.History)
+	for _, roster := range rosters {
+		history, members := roster.GetTargetHistory(), roster.GetMembers()
+		if history == nil || len(members) != 1 {
+			continue
+		}
+		histories[members[0].GetId()] = leaving.History{
+			Newest: call.TargetProcess{Instance: history.GetInstance(), StartedMS: history.GetStartedMs()},
+			Left:   history.GetLeft(),
+			At:     time.UnixMilli(history.GetEndedMs()),
+		}
+	}
+	return histories
+}
--- a/internal/node/members/roster.go
+++ b/internal/node/members/roster.go
@@ -120,7 +120,7 @@
 	for _, record := range records {
 		r.nextOffset = record.Offset + 1
 	}
-	r.runner.learnSeeds(decodeRosters(records, r.runner.options.Logger))
+	r.runner.learnSeeds(membersOf(decodeRosters(records, r.runner.options.Logger)))
 }
 
 // learnSeeds passes the nodes in records of the members stream to the machine as
--- a/internal/node/members/runner.go
+++ b/internal/node/members/runner.go
@@ -83,6 +83,9 @@
 
 	replies replies
 	loads   loads
+
+	// directory is set by Run on a compacted log, and used by others after Run.
+	directory *directory
 }
 
 // New returns a Runner that is idle until Run.
--- a/internal/node/rediscovery.go
+++ b/internal/node/rediscovery.go
@@ -43,7 +43,7 @@
 	deadline := time.Now().Add(rediscoveryTimeout)
 	for time.Now().Before(deadline) && !n.targets.hasReported() {
 		delay := configurationPollInterval
-		if service, ok := n.previousService(); ok {
+		if service, ok := n.configuredService(n.previousSelf.Service); ok {
 			target, header, health := n.checkHealth(ctx, client, service)
 			if health == targetHealthy {
 				n.targets.addRediscovered(target, rediscoveredTargetTTL)
@@ -63,6 +63,45 @@
 	return nil
 }
 
+// maxHealthRetryInterval bounds the time between two health checks for a held report.
+const maxHealthRetryInterval = 2 * time.Second
+
+// confirmReports checks the health of targets whose reports are held, until ctx ends.
+func (n *node) confirmReports(ctx context.Context) error {
+	client := newHealthClient()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.targets.holding:
+			n.confirmReport(ctx, client)
+		}
+	}
+}
+
+// confirmReport returns once no report is held. A report is in effect once a health check of its
+// instance had status 200: a target that is leaving responds with another status.
+func (n *node) confirmReport(ctx context.Context, client *http.Client) {
+	for delay := healthRetryInterval; ; delay = min(2*delay, maxHealthRetryInterval) {
+		held, ok := n.targets.heldTarget(time.Now())
+		if !ok {
+			return
+		}
+		if service, ok := n.configuredService(held.Service); ok {
+			healthy, header, health := n.checkHealth(ctx, client, service)
+			if health == targetHealthy && n.targets.confirm(healthy.Instance) {
+				n.calls.ObserveHealthCheck(held, header)
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+	}
+}
+
 // newHealthClient returns the HTTP client for health checks. It follows no redirect: only
 // the target itself can say that it is healthy.
 func newHealthClient() *http.Client {
@@ -73,14 +112,14 @@
 	}
 }
 
-// previousService returns the service of the previous incarnation's target, once
-// there is a configuration that gives the service a health path.
-func (n *node) previousService() (state.Service, bool) {
+// configuredService returns the service, once there is a configuration that gives it a health
+// path.
+func (n *node) configuredService(name string) (state.Service, bool) {
 	snapshot := n.configuration.Snapshot()
 	if snapshot == nil {
 		return state.Service{}, false
 	}
-	service, ok := snapshot.Service(n.previousSelf.Service)
+	service, ok := snapshot.Service(name)
 	return service, ok && service.HealthPath != ""
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -93,6 +93,7 @@
 	n.drain()
 	stop()
 	err := parts.wait()
+	n.handOverHistory()
 	n.controlPool.Close()
 	n.callsPool.Close()
 	n.logger.Event(logging.NodeStopped).Send()
@@ -106,6 +107,7 @@
 	parts.start("pools", func() error { return n.sweepPools(ctx) })
 	parts.start("targets", func() error { return n.targets.run(ctx) })
 	parts.start("rediscovery", func() error { return n.rediscoverTarget(ctx) })
+	parts.start("held reports", func() error { return n.confirmReports(ctx) })
 }
 
 func (n *node) startServers(ctx context.Context, parts *parts) {
@@ -198,6 +200,21 @@
 	return n.callerConns.Drain(ctx)
 }
 
+// historyTimeout bounds the write at the end of a planned stop.
+const historyTimeout = 200 * time.Millisecond
+
+// handOverHistory records for the node's next incarnation what the target reported. No report is
+// acknowledged any more.
+func (n *node) handOverHistory() {
+	history, known := n.targets.history(time.Now())
+	if !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), historyTimeout)
+	defer cancel()
+	n.members.WriteTargetHistory(ctx, history)
+}
+
 // logIncomplete logs that part of the node had work in flight when the drain
 // timeout expired.
 func (n *node) logIncomplete(part string, err error) {
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/leaving"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/node/calls"
@@ -56,10 +57,23 @@
 	// reported is set once the target has announced or withdrawn itself to this
 	// incarnation of the node.
 	reported bool
+	// reports decides whether a report of a ready target is news. held is one that may
+	// have been sent before a leaving that an earlier incarnation acknowledged; nil if
+	// there is none. holding has a value after one was held.
+	reports *leaving.Machine
+	held    *heldReport
+	holding chan struct{}
 }
 
-func newTargetRegistry(n *node) *targetRegistry {
-	return &targetRegistry{node: n}
+// heldReport is an announcement that is not in effect.
+type heldReport struct {
+	target   calls.Target
+	sequence uint64
+	expires  time.Time
+}
+
+func newTargetRegistry(n *node, reports *leaving.Machine) *targetRegistry {
+	return &targetRegistry{node: n, reports: reports, holding: make(chan struct{}, 1)}
 }
 
 // Announce implements TargetRegistry.
@@ -78,8 +92,60 @@
 func (r *targetRegistry) announce(target calls.Target, sequence uint64, ttl time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reported = true
-	r.expires = now.Add(ttl)
+	if target.State == membership.TargetReady && !r.reports.MayTake(now, target.Process()) {
+		r.hold(heldReport{target: target, sequence: sequence, expires: now.Add(ttl)})
+		return
+	}
+	r.take(target, sequence, now.Add(ttl))
+}
+
+// hold keeps a report for confirm. The caller holds mu.
+func (r *targetRegistry) hold(report heldReport) {
+	if r.held == nil || !r.held.target.Process().Same(report.target.Process()) {
+		r.node.logger.Event(logging.TargetHeld).
+			Str("service", report.target.Service).Str("instance", report.target.Instance).
+			Int("started_ms", report.target.StartedMS).Uint("sequence", report.sequence).Send()
+	}
+	r.held = &report
+	select {
+	case r.holding <- struct{}{}:
+	default:
+	}
+}
+
+// heldTarget returns the target of the held report; ok is false if there is none, or none
+// that is valid.
+func (r *targetRegistry) heldTarget(now time.Time) (target calls.Target, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held == nil || now.After(r.held.expires) {
+		r.held = nil
+		return calls.Target{}, false
+	}
+	return r.held.target, true
+}
+
+// confirm puts the held report in effect after the instance said that it is healthy. It
+// returns false if no report of the instance is held.
+func (r *targetRegistry) confirm(instance string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held == nil || r.held.target.Instance != instance {
+		return false
+	}
+	r.take(r.held.target, r.held.sequence, r.held.expires)
+	return true
+}
+
+// take puts an announcement in effect. The caller holds mu.
+func (r *targetRegistry) take(target calls.Target, sequence uint64, expires time.Time) {
+	r.reported, r.expires = true, expires
+	if target.State == membership.TargetReady {
+		r.held = nil
+		r.reports.Confirm(target.Process())
+	} else {
+		r.noteLeaving(target.Process())
+	}
 	learned := targetChange{source: sourceReport, sequence: sequence}
 	if r.draining && target.State == membership.TargetReady {
 		target.State = membership.TargetDraining
@@ -88,12 +154,29 @@
 	r.apply(target, learned)
 }
 
+// noteLeaving records that the process announced its leaving. A report of it that is held was
+// sent before. The caller holds mu.
+func (r *targetRegistry) noteLeaving(process call.TargetProcess) {
+	r.reports.Leave(process)
+	if r.held != nil && r.held.target.Process().Same(process) {
+		r.held = nil
+	}
+}
+
+// history returns what the next incarnation of the node needs to know, and false if that is
+// not known.
+func (r *targetRegistry) history(now time.Time) (leaving.History, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reports.History(now)
+}
+
 // hasReported reports whether the target has announced or withdrawn itself to
-// this incarnation of the node.
+// this incarnation of the node, also if the announcement is held.
 func (r *targetRegistry) hasReported() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reported
+	return r.reported || r.held != nil
 }
 
 // addRediscovered stores an announcement for a target whose health check
@@ -101,9 +184,10 @@
 func (r *targetRegistry) addRediscovered(target calls.Target, ttl time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.reported || r.draining {
+	if r.reported || r.draining || r.held != nil {
 		return
 	}
+	r.reports.Confirm(target.Process())
 	r.expires = time.Now().Add(ttl)
 	r.apply(target, targetChange{source: sourceHealthCheck})
 }
@@ -126,6 +210,7 @@
 		State:     membership.TargetDraining,
 	}
 	r.reported, r.withdrawn = true, process
+	r.noteLeaving(process)
 	r.end()
 	if !repeated {
 		r.logState(target, targetChange{source: sourceDeregistration, sequence: sequence})
