Settings follow from the deployment's bounds, and a planned stop uses its whole grace

Cause: drain_timeout stood in the deploy template as 5.3 s, the first site's grace less 0.7 s; nothing read the bounds that the platform states.

What comes after the drain (leaving, last responses, the target's history) now shares 500 ms, so that the sum stays within the grace; leaving alone could take 1 s before. A drain timeout above the grace is a clear error.

Found on the way by the new process test: the hold of ready reports also held targets of the product's own protocol, which name no start time, for 10 s after a start. They announce themselves in order, so they are taken at once (row "killed, target without start time").

Ruled out: a translation of the bounds in platform/: the template gets them as a table.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -26,18 +26,42 @@
 
 EXAMPLES
   jasminegate config check node.yaml
-  jasminegate config check node.yaml --node.id web-2 -o json`
+  jasminegate config check node.yaml --node.id web-2 -o json
+  jasminegate config check node.yaml --effective`
 
 // checkResult is the JSON output of the check commands.
 type checkResult struct {
 	File     string               `json:"file"`
 	Valid    bool                 `json:"valid"`
 	Problems []strictyaml.Problem `json:"problems"`
+	// Effective lists the settings in effect, if asked for.
+	Effective []effectiveSetting `json:"effective,omitempty"`
+}
+
+// effectiveSetting is one scalar setting in effect. From names the keys that it follows
+// from, if any.
+type effectiveSetting struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+	From  string `json:"from,omitempty"`
+}
+
+func effectiveSettings(settings config.Settings, derived []config.Derived) []effectiveSetting {
+	from := make(map[string]string, len(derived))
+	for _, d := range derived {
+		from[d.Key] = d.From
+	}
+	var list []effectiveSetting
+	for _, scalar := range strictyaml.Scalars(settings) {
+		list = append(list, effectiveSetting{scalar.Key, config.FormatScalar(scalar), from[scalar.Key]})
+	}
+	return list
 }
 
 func configCheckCommand(streams Streams) *ffcli.Command {
 	flags := newFlags("jasminegate config check", streams)
 	format := outputFlag(flags)
+	effective := flags.Bool("effective", false, "also list all settings in effect, with the keys from which some follow")
 	overrides := config.RegisterFlags(flags)
 	return &ffcli.Command{
 		Name:       "check",
@@ -51,8 +75,12 @@
 			if err != nil {
 				return err
 			}
-			_, err = config.Load(files[0], overrides.List...)
-			return reportCheck(streams, *format, files[0], err)
+			settings, derived, err := config.LoadDerived(files[0], overrides.List...)
+			result := checkResult{File: files[0]}
+			if err == nil && *effective {
+				result.Effective = effectiveSettings(settings, derived)
+			}
+			return result.report(streams, *format, err)
 		},
 	}
 }
@@ -60,7 +88,13 @@
 // reportCheck prints the result of checking a file. It returns ErrRejected if the file
 // has problems, and err itself if that is another error.
 func reportCheck(streams Streams, format, file string, err error) error {
-	result := checkResult{File: file, Valid: err == nil, Problems: []strictyaml.Problem{}}
+	return checkResult{File: file}.report(streams, format, err)
+}
+
+// report is reportCheck with what the result has.
+func (result checkResult) report(streams Streams, format string, err error) error {
+	file := result.File
+	result.Valid, result.Problems = err == nil, []strictyaml.Problem{}
 	if err != nil {
 		problems, ok := err.(*strictyaml.Problems)
 		if !ok {
@@ -84,4 +118,11 @@
 	for _, problem := range r.Problems {
 		fmt.Fprintln(out, problem)
 	}
+	for _, setting := range r.Effective {
+		fmt.Fprintf(out, "%s: %s", setting.Key, setting.Value)
+		if setting.From != "" {
+			fmt.Fprintf(out, "  # from %s", setting.From)
+		}
+		fmt.Fprintln(out)
+	}
 }
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -46,7 +46,7 @@
 }
 
 func runNode(ctx context.Context, streams Streams, adapters map[string]node.AdapterFactory, path string, overrides []config.Override) error {
-	settings, err := config.Load(path, overrides...)
+	settings, derived, err := config.LoadDerived(path, overrides...)
 	if err != nil {
 		return logProblems(streams, path, err)
 	}
@@ -56,6 +56,9 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	defer signal.Stop(reloads)
 	go reloadOnSignal(ctx, reloads, logger, func() (config.Settings, error) { return config.Load(path, overrides...) })
+	for _, d := range derived {
+		logger.Event(logging.SettingDerived).Str("key", d.Key).Str("value", d.Value).Str("from", d.From).Send()
+	}
 	return node.Run(ctx, settings, adapters, logger)
 }
 
--- /dev/null
+++ b/internal/config/derive.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"math"
+	"time"
+
+	"jasminegate/internal/strictyaml"
+)
+
+const (
+	// stopReserve is the part of deployment.stop_grace that is left when the drain times out: for leaving,
+	// for the last responses, and for the end of the process.
+	stopReserve = 700 * time.Millisecond
+	// maxLeaveDelay is a platform's time for noticing that a node is not ready: two checks, one
+	// a second, and half a second for the second one's response. leaveShare bounds it to a
+	// part of deployment.stop_grace.
+	maxLeaveDelay = 2500 * time.Millisecond
+	leaveShare    = 0.45
+	// retryShare is the part of deployment.retry_ratio that nodes use. The rest is for calls that arrive
+	// twice without a retry of theirs, and for the difference between windows.
+	retryShare = 0.75
+	// readReserve is what a change needs besides the wait of the read that is under way when
+	// the log recovers: the request timeout, and the distribution to the nodes.
+	readReserve = 2500 * time.Millisecond
+	minReadWait = 500 * time.Millisecond
+	maxReadWait = 5 * time.Second
+)
+
+// Derived is a setting that follows from what the deployment states.
+type Derived struct {
+	// Key is the setting's key, Value its value as in a settings file.
+	Key, Value string
+	// From names the keys that it follows from.
+	From string
+}
+
+// derivation is the rule for one setting. apply returns false if too
+// little is stated.
+type derivation struct {
+	key, from string
+	apply     func(*Settings, Deployment) bool
+}
+
+// derivations are applied in order; a setting that is given by hand is left alone.
+var derivations = []derivation{
+	{"calls.drain_timeout", "deployment.stop_grace", func(s *Settings, b Deployment) bool {
+		s.Calls.DrainTimeout = b.StopGrace - stopReserve
+		return b.StopGrace > 0
+	}},
+	{"calls.leave_delay", "deployment.stop_grace", func(s *Settings, b Deployment) bool {
+		s.Calls.LeaveDelay = min(maxLeaveDelay, time.Duration(leaveShare*float64(b.StopGrace)))
+		return b.StopGrace > 0
+	}},
+	{"calls.retry_ratio", "deployment.retry_ratio", func(s *Settings, b Deployment) bool {
+		s.Calls.RetryRatio = math.Round(retryShare*b.RetryRatio*1000) / 1000
+		return b.RetryRatio > 0
+	}},
+	{"platform.read_wait", "deployment.change_bound, deployment.settle_time", func(s *Settings, b Deployment) bool {
+		s.Platform.ReadWait = min(maxReadWait, max(minReadWait, b.ChangeBound+b.SettleTime-readReserve))
+		return b.ChangeBound > 0 && b.SettleTime > 0
+	}},
+}
+
+// derive sets the settings that follow from what the deployment states, and returns them.
+func derive(settings *Settings, given func(key string) bool) []Derived {
+	var derived []Derived
+	for _, d := range derivations {
+		changed := *settings
+		if given(d.key) || !d.apply(&changed, settings.Deployment) {
+			continue
+		}
+		*settings = changed
+		derived = append(derived, Derived{Key: d.key, Value: valueOf(settings, d.key), From: d.from})
+	}
+	return derived
+}
+
+// valueOf returns the value of a scalar setting as in a settings file.
+func valueOf(settings *Settings, key string) string {
+	for _, scalar := range strictyaml.Scalars(*settings) {
+		if scalar.Key == key {
+			return FormatScalar(scalar)
+		}
+	}
+	return ""
+}
+
+// FormatScalar writes a setting as in a settings file.
+func FormatScalar(scalar strictyaml.Scalar) string {
+	if size, ok := scalar.Value.(int64); ok {
+		return strictyaml.FormatSize(size)
+	}
+	return formatValue(scalar.Value)
+}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -25,32 +25,46 @@
 	ErrUnreadable = errorx.NewType(Errors, "unreadable")
 )
 
-// Load reads the settings file, applies the overrides and the defaults, and
-// validates the result. It fails with ErrUnreadable or *Problems.
+// Load is LoadDerived without the list of derived settings.
 func Load(path string, overrides ...Override) (Settings, error) {
+	settings, _, err := LoadDerived(path, overrides...)
+	return settings, err
+}
+
+// LoadDerived reads the settings file, applies the overrides, the defaults and what follows
+// from the deployment's bounds, and validates the result. It also returns the settings that
+// follow. It fails with ErrUnreadable or *Problems.
+func LoadDerived(path string, overrides ...Override) (Settings, []Derived, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, ErrUnreadable.New("settings %s: %v: give the path of a readable settings file", path, err)
+		return Settings{}, nil, ErrUnreadable.New("settings %s: %v: give the path of a readable settings file", path, err)
 	}
-	return Parse(path, data, overrides...)
+	return parse(path, data, overrides)
 }
 
 // Parse is like Load for settings in memory. Problems name file as their
 // source. It fails with *Problems.
 func Parse(file string, data []byte, overrides ...Override) (Settings, error) {
+	settings, _, err := parse(file, data, overrides)
+	return settings, err
+}
+
+func parse(file string, data []byte, overrides []Override) (Settings, []Derived, error) {
 	settings := Defaults()
 	document := strictyaml.Decode(file, data, &settings)
 	for _, override := range overrides {
 		document.Override(&settings, override)
 	}
+	var derived []Derived
 	if document.Parsed() {
+		derived = derive(&settings, document.Given)
 		check(document, &settings)
 	}
 	if err := document.Err(); err != nil {
-		return Settings{}, err
+		return Settings{}, nil, err
 	}
 	settings.Node.Seeds = otherSeeds(settings.Node)
-	return settings, nil
+	return settings, derived, nil
 }
 
 // otherSeeds returns the seeds without the node's own entry, so that all nodes
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -45,6 +45,10 @@
 	optionalName("node.service", func(s *Settings) string { return s.Node.Service }),
 	optionalName("platform.adapter", func(s *Settings) string { return s.Platform.Adapter }),
 	between("node.bandwidth_mbps", func(s *Settings) float64 { return s.Node.BandwidthMbps }, 0, 100_000),
+	zeroOrBetween("deployment.stop_grace", func(s *Settings) time.Duration { return s.Deployment.StopGrace }, time.Second, time.Hour),
+	zeroOrBetween("deployment.change_bound", func(s *Settings) time.Duration { return s.Deployment.ChangeBound }, 100*time.Millisecond, time.Hour),
+	zeroOrBetween("deployment.settle_time", func(s *Settings) time.Duration { return s.Deployment.SettleTime }, 100*time.Millisecond, time.Hour),
+	between("deployment.retry_ratio", func(s *Settings) float64 { return s.Deployment.RetryRatio }, 0, 1),
 	between("platform.heartbeat", func(s *Settings) time.Duration { return s.Platform.Heartbeat }, 10*time.Millisecond, time.Minute),
 	{"platform.url", acceptedURL, checkPlatformURL},
 	between("platform.request_timeout", func(s *Settings) time.Duration { return s.Platform.RequestTimeout }, 10*time.Millisecond, time.Minute),
@@ -109,6 +113,14 @@
 		text:     fmt.Sprintf("is over half of the %s after which a failure domain's summary is no longer fresh", readback.MaxSummaryAge),
 		remedy:   "lower it, so that one lost exchange does not make read-backs unconfirmed",
 	},
+	{
+		keys: []string{"calls.drain_timeout", "deployment.stop_grace"},
+		violated: func(s *Settings) bool {
+			return s.Deployment.StopGrace > 0 && s.Calls.DrainTimeout > s.Deployment.StopGrace-stopReserve
+		},
+		text:   fmt.Sprintf("is less than %s below deployment.stop_grace", stopReserve),
+		remedy: "lower it or leave it out, so that the node can leave and answer before it is killed",
+	},
 	{
 		keys:     []string{"calls.leave_delay", "calls.drain_timeout"},
 		violated: func(s *Settings) bool { return s.Calls.LeaveDelay >= s.Calls.DrainTimeout },
@@ -167,6 +179,19 @@
 	}}
 }
 
+// zeroOrBetween is between for a duration that may also be 0, which is unknown.
+func zeroOrBetween(key string, get func(*Settings) time.Duration, low, high time.Duration) rule {
+	inRange := between(key, get, low, high)
+	accepted := "0s or " + inRange.accepted
+	return rule{key, accepted, func(s *Settings) (string, string) {
+		text, _ := inRange.check(s)
+		if text == "" || get(s) == 0 {
+			return "", ""
+		}
+		return text, "use " + accepted
+	}}
+}
+
 // formatValue writes a value as in a settings file.
 func formatValue(value any) string {
 	duration, ok := value.(time.Duration)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -10,6 +10,7 @@
 // settings file, in which durations and sizes are written with their unit.
 type Settings struct {
 	Node       Node       `yaml:"node"`
+	Deployment Deployment `yaml:"deployment"`
 	Platform   Platform   `yaml:"platform"`
 	Spread     Spread     `yaml:"spread"`
 	Membership Membership `yaml:"membership"`
@@ -80,6 +81,19 @@
 	ControlAddress string `yaml:"control_address"`
 }
 
+// Deployment is what a deployment states about itself; 0 where it states nothing. Settings that
+// are not given follow from it.
+type Deployment struct {
+	// StopGrace is the time from the signal to stop a process until it is killed.
+	StopGrace time.Duration `yaml:"stop_grace"`
+	// ChangeBound is the time after which an accepted configuration has to be in force.
+	ChangeBound time.Duration `yaml:"change_bound"`
+	// SettleTime is the time after a failure from which on ChangeBound holds again.
+	SettleTime time.Duration `yaml:"settle_time"`
+	// RetryRatio is the largest share of retries among the calls of a service.
+	RetryRatio float64 `yaml:"retry_ratio"`
+}
+
 // Platform configures the connection to the platform's append-only log.
 type Platform struct {
 	// Adapter names the adapter for a platform with its own protocol. Empty means
--- a/internal/coordination/leaving/machine.go
+++ b/internal/coordination/leaving/machine.go
@@ -58,8 +58,8 @@
 // not, Confirm tells once the target itself says that it is ready.
 func (m *Machine) MayTake(now time.Time, process call.TargetProcess) bool {
 	switch {
-	case process.Instance == "":
-		return true // targets without IDs report in order
+	case process.Instance == "" || process.StartedMS == 0:
+		return true // such targets announce themselves in order
 	case m.known && m.newest.Same(process):
 		return true
 	case process.StartedMS > m.startedAt.UnixMilli():
--- a/internal/coordination/leaving/machine_test.go
+++ b/internal/coordination/leaving/machine_test.go
@@ -34,6 +34,7 @@
 		"killed, report cannot be older":      {nil, old, maxReportDelay, true},
 		"killed, report may be older":         {nil, old, maxReportDelay - time.Millisecond, false},
 		"killed, target without ID":           {nil, call.TargetProcess{}, 0, true},
+		"killed, target without start time":   {nil, call.TargetProcess{Instance: "i-1"}, 0, true},
 		"process was ready":                   {&History{Newest: old, At: ended}, old, 0, true},
 		"process left":                        {&History{Newest: old, Left: true, At: ended}, old, 0, false},
 		"process left, newer one":             {&History{Newest: old, Left: true, At: ended}, newer, 0, true},
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -14,6 +14,7 @@
 	SettingsRejected = Event{105, log.ErrorLevel, "settings rejected"}
 	AcceptFailed     = Event{108, log.WarnLevel, "connections could not be accepted: the node tries again"}
 	PanicRecovered   = Event{109, log.ErrorLevel, "a part of the node's work failed by a fault of the program: that work is given up"}
+	SettingDerived   = Event{111, log.InfoLevel, "setting follows from what the deployment states"}
 	NodeFailed       = Event{110, log.ErrorLevel, "a part of the node failed: the node finishes the work in flight and ends"}
 )
 
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -63,6 +63,8 @@
 
 	metrics  *metrics.Set
 	stopping atomic.Bool
+	// stopDeadline is when a planned stop has to be over; set when it begins.
+	stopDeadline time.Time
 
 	callersServer *http.Server
 	callerConns   *callerconn.Tracker
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -32,7 +32,13 @@
 	// lastResponseTimeout bounds the wait for the responses of the admin, announcement
 	// and readiness servers at the end of a shutdown.
 	lastResponseTimeout = 500 * time.Millisecond
-	poolSweepInterval   = time.Second
+	// tailTimeout bounds everything after calls.drain_timeout: leaving, the last responses and
+	// the handover of the target's history. A platform's grace period has to last as long.
+	tailTimeout = 500 * time.Millisecond
+	// leaveShare and responsesShare are the parts of tailTimeout that leaving and the last
+	// responses take at most when the drain has taken its whole time.
+	leaveShare, responsesShare = 0.4, 0.4
+	poolSweepInterval          = time.Second
 	// acceptGrace is how long connections are accepted after the leave delay: closing the
 	// port resets those that are open and not accepted yet.
 	acceptGrace = 100 * time.Millisecond
@@ -90,6 +96,7 @@
 	case <-ctx.Done():
 	case <-parts.failed:
 	}
+	n.stopDeadline = time.Now().Add(n.settings.Calls.DrainTimeout + tailTimeout)
 	n.drain()
 	stop()
 	err := parts.wait()
@@ -136,7 +143,7 @@
 // responses within lastResponseTimeout: a target or an operator that gets none cannot
 // know what the node has taken over.
 func (n *node) closeOtherServers() {
-	ctx, cancel := context.WithTimeout(context.Background(), lastResponseTimeout)
+	ctx, cancel := n.stopContext(lastResponseTimeout, responsesShare)
 	defer cancel()
 	var group sync.WaitGroup
 	for _, server := range []*http.Server{n.adminServer, n.announceServer, n.readyServer} {
@@ -185,11 +192,24 @@
 	group.Go(func() { n.logIncomplete("gate", n.calls.Drain(ctx)) })
 	group.Go(func() { n.logIncomplete("callers", n.drainCallers(ctx)) })
 	group.Wait()
-	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	leaveCtx, cancelLeave := n.stopContext(leaveTimeout, leaveShare)
 	defer cancelLeave()
 	n.members.Leave(leaveCtx)
 }
 
+// stopContext returns the context of a part of the end of a stop. It lasts for limit, or for the
+// share of tailTimeout if that is all that is left to the part by the stop's deadline.
+func (n *node) stopContext(limit time.Duration, share float64) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), min(limit, partOfStop(time.Until(n.stopDeadline), share)))
+}
+
+// partOfStop returns the time that a part of the end of a stop may take: what is left, less the
+// shares of the parts after it.
+func partOfStop(left time.Duration, share float64) time.Duration {
+	part := time.Duration(share * float64(tailTimeout))
+	return max(part, left-(tailTimeout-part))
+}
+
 // drainCallers accepts the connections that have been opened, then no more, and returns when
 // the last one has ended or ctx ends. http.Server.Shutdown would close connections without
 // a response to a request that is being read.
@@ -210,7 +230,7 @@
 	if !known {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), historyTimeout)
+	ctx, cancel := n.stopContext(historyTimeout, 1-leaveShare-responsesShare)
 	defer cancel()
 	n.members.WriteTargetHistory(ctx, history)
 }
--- a/internal/strictyaml/document.go
+++ b/internal/strictyaml/document.go
@@ -54,6 +54,12 @@
 	return ok
 }
 
+// Given reports whether the file or an override has the key.
+func (d *Document) Given(key string) bool {
+	_, overridden := d.sources[key]
+	return overridden || d.HasKey(key)
+}
+
 // Valid reports whether neither the keys nor the groups that contain them have a
 // problem. Without keys it reports whether there are no problems at all.
 func (d *Document) Valid(keys ...string) bool {
