A half-close in the turn of a pipelined request did not end it

Cause: respondAhead watched the caller's input only once the response was there, so that an end of input that came in the request's turn was reported to nobody. Change: the watch begins with the turn. Test that fails before: TestHalfCloseInTurnOfPipelinedRequest (timed out).

--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -162,12 +162,12 @@
 	defer a.end()
 	callerconn.FromContext(request.Context()).RequestRead()
 	defer context.AfterFunc(request.Context(), a.callerRequest.end)()
+	defer r.watchInput(a.callerRequest)()
 	r.serveBehind(a.callerRequest)
 	<-a.done
 	if a.panicked != nil {
 		panic(a.panicked)
 	}
-	defer r.watchInput(a.callerRequest)()
 	if got := a.result.response; got != nil {
 		got.resume()
 	}
--- a/internal/node/calls/pipeline_test.go
+++ b/internal/node/calls/pipeline_test.go
@@ -305,6 +305,22 @@
 	caller.expectClosed()
 }
 
+// TestHalfCloseInTurnOfPipelinedRequest closes the sending side once the turn of a request has
+// come that was started before.
+func TestHalfCloseInTurnOfPipelinedRequest(t *testing.T) {
+	target := newPipelineTarget()
+	f, caller := newPipeline(t, target.ServeHTTP)
+	caller.send(get("/read/0"), get("/read/1"))
+	f.waitFor("both run", func() bool { return len(target.running()) == 2 })
+	target.finish("/read/0")
+	caller.expect("/read/0")
+	time.Sleep(50 * time.Millisecond) // the turn of the second one has come
+	caller.NoErr(caller.conn.(*net.TCPConn).CloseWrite())
+	f.waitFor("it ends", func() bool { return target.ended.Load() == 1 })
+	caller.Equal(caller.receive().status, http.StatusGatewayTimeout)
+	caller.expectClosed()
+}
+
 // TestMalformedRequestBehindRunningOne checks that the first one is answered, and what follows
 // is refused.
 func TestMalformedRequestBehindRunningOne(t *testing.T) {
