Ask a slow gate for its response before a call fails because the other gates are full

Cause, by reading: a gate that sends nothing for calls.silence_timeout counts as lost; the retry is refused, and the call fails with an unknown outcome although its first gate still runs it.

Change: the entry keeps the lost attempt of an idempotent call; before it fails the request, it asks that gate for the response once (Resolve), and passes on what that says, also "not run" if no other attempt's outcome is unknown.

Ruled out: to ask the gate first and retry later: a gate that is gone would cost a connection timeout.

The simulation's Resolve set no current attempt, since it was always the last one; it does now, as the node does. Tests: TestSlowGateIsGivenUpWhereOthersAreFull and TestSlowGateSaysThatCallDidNotRun fail before; TestLostAttemptIsAskedForOnce bounds it.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -73,7 +73,7 @@
 
 // noResponse handles an attempt that ran, or may have run, without a response.
 func (m *Machine) noResponse(now time.Time, c *request, ep *endpoint, e Refused) []Action {
-	c.outcomeUnknown = true
+	c.outcomeUnknown, c.otherUnknown = true, true
 	if e.Reason == call.ReasonTargetConnectionLost {
 		m.countFailure(now, c.Service, ep)
 	}
@@ -145,6 +145,8 @@
 		return m.resolveAgain(now, c)
 	}
 	if c.Idempotent && c.Key == "" && !m.shouldFetch(now, c) {
+		c.otherUnknown = c.otherUnknown || c.outcomeUnknown
+		c.lost = &lostAttempt{id: c.attemptID, endpoint: ep.Endpoint}
 		c.outcomeUnknown = true
 		m.detach(c)
 		return m.retryOrFail(now, c, false)
@@ -203,12 +205,34 @@
 		return m.retryOverloaded(now, c)
 	}
 	if c.sent-c.uncharged >= c.MaxAttempts || !m.budgetOf(c.Service).take() {
-		return m.fail(c, "")
+		return m.fetchLostOrFail(now, c, "")
 	}
 	m.chargedRetries++
 	return m.wait(c, m.backoff(c.sent))
 }
 
+// fetchLostOrFail asks the gate of the request's lost attempt for the response, once, before it
+// fails the request: the gate may only be slow, and then still runs the call.
+//
+// Load pattern: gates and links that stall for longer than the silence timeout while every other
+// gate is full.
+func (m *Machine) fetchLostOrFail(now time.Time, c *request, reason call.Reason) []Action {
+	lost := c.lost
+	c.lost = nil
+	if lost == nil || c.bodyConsumed || !now.Before(c.Deadline) {
+		return m.fail(c, reason)
+	}
+	ep := m.endpoints[lost.endpoint.ID]
+	if ep == nil || ep.Incarnation != lost.endpoint.Incarnation {
+		return m.fail(c, reason)
+	}
+	m.attach(c, ep)
+	c.attemptID, c.resolveAttempts = lost.id, 0
+	c.excluded = append(c.excluded, ep.ID)
+	c.outcomeUnknown = c.otherUnknown // of this attempt the gate will tell
+	return m.resolve(c)
+}
+
 // retryOverloaded sends a call that a gate refused for overload to another gate
 // without delay. After Options.OverloadTries such retries, or when no gate is left to
 // try, one gate, preferably of the local domain, may accept the call for a late
--- a/internal/coordination/entry/interleaving_test.go
+++ b/internal/coordination/entry/interleaving_test.go
@@ -307,6 +307,7 @@
 
 func (s *simulation) resolve(c *simulatedRequest, a entry.Resolve) {
 	n := s.nodeByID(a.Endpoint.ID)
+	c.current = a.ID // it may be an attempt before the last one
 	if s.chance(s.faults.dialRefused) {
 		s.after(time.Millisecond, func() { s.stepIfCurrent(c, a.ID, entry.NotSent{Handle: c.handle}) })
 		return
--- /dev/null
+++ b/internal/coordination/entry/lostattempt_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jasminegate/internal/coordination/call"
+)
+
+// loseThenRefuse begins an idempotent call, loses its first attempt to a gate that went silent,
+// and lets every other gate refuse it. It returns the first attempt and the action after the
+// last refusal.
+func loseThenRefuse(d *driver, is *is.I) (first Send, last Action) {
+	d.handle++
+	first = d.machine.Step(d.now, Begin{Handle: d.handle, Service: "depot", Idempotent: true, Deadline: d.now.Add(10 * time.Second), MaxAttempts: 2})[0].(Send)
+	d.now = d.now.Add(500 * time.Millisecond)
+	_, waits := d.machine.Step(d.now, ConnectionLost{Handle: d.handle})[0].(Wait)
+	is.True(waits)
+	last = d.machine.Step(d.now, Resume{Handle: d.handle})[0]
+	for range 10 {
+		if _, ok := last.(Send); !ok {
+			return first, last
+		}
+		last = d.refuse(call.ReasonQueueFull, 12)
+	}
+	return first, last
+}
+
+// TestSlowGateIsGivenUpWhereOthersAreFull checks that a call whose gate was silent for a while, and
+// which no other gate takes, gets the response of the first one.
+func TestSlowGateIsGivenUpWhereOthersAreFull(t *testing.T) {
+	is := is.New(t)
+	d := localFirst()
+	first, last := loseThenRefuse(d, is)
+	fetch, ok := last.(Resolve)
+	is.True(ok) // the gate is asked before the caller is told that nothing is known
+	is.Equal(fetch.ID, first.ID)
+	is.Equal(fetch.Endpoint, first.Endpoint)
+	d.machine.Step(d.now, ResponseReceived{Handle: d.handle, Load: 1})
+	d.machine.Step(d.now, End{Handle: d.handle})
+	is.Equal(d.machine.InFlight(), 0)
+}
+
+// TestSlowGateSaysThatCallDidNotRun checks the outcome if the lost attempt turns out as not run, as
+// the others did.
+func TestSlowGateSaysThatCallDidNotRun(t *testing.T) {
+	is := is.New(t)
+	d := localFirst()
+	_, last := loseThenRefuse(d, is)
+	_, ok := last.(Resolve)
+	is.True(ok)
+	var fail Fail
+	for range 10 {
+		action := d.refuse(call.ReasonTooLate, 12)
+		if fail, ok = action.(Fail); ok {
+			break
+		}
+	}
+	is.True(ok)
+	is.Equal(fail.Outcome, call.NotRun)
+}
+
+// TestLostAttemptIsAskedForOnce checks that a gate that stays silent ends the call as unknown.
+func TestLostAttemptIsAskedForOnce(t *testing.T) {
+	is := is.New(t)
+	d := localFirst()
+	_, last := loseThenRefuse(d, is)
+	for range 20 {
+		switch a := last.(type) {
+		case Resolve:
+			last = d.machine.Step(d.now, ConnectionLost{Handle: d.handle})[0]
+		case Wait:
+			last = d.machine.Step(d.now.Add(a.For), Resume{Handle: d.handle})[0]
+		}
+	}
+	fail, ok := last.(Fail)
+	is.True(ok)
+	is.Equal(fail.Outcome, call.Unknown)
+}
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -79,11 +79,22 @@
 	// cannot be sent again.
 	bodyConsumed bool
 	lastRefusal  Refused
+	// lost is the attempt whose connection was lost, and after which another one was made;
+	// nil if there is none, or if its gate was asked already.
+	lost *lostAttempt
+	// otherUnknown is set once an attempt other than lost may have run without a response.
+	otherUnknown bool
 	// outcomeUnknown is set once an attempt has run, or may have run, without a
 	// response.
 	outcomeUnknown bool
 }
 
+// lostAttempt is an attempt of an idempotent call whose connection broke or went silent.
+type lostAttempt struct {
+	id       call.ID
+	endpoint Endpoint
+}
+
 // New returns a machine without endpoints.
 func New(options Options) *Machine {
 	return &Machine{
@@ -183,7 +194,11 @@
 }
 
 func (m *Machine) send(now time.Time, c *request) []Action {
-	return m.sendTo(c, m.pick(now, c))
+	chosen := m.pick(now, c)
+	if chosen == nil {
+		return m.fetchLostOrFail(now, c, call.ReasonNoEndpoint)
+	}
+	return m.sendTo(c, chosen)
 }
 
 // sendTo sends the call to the endpoint; nil fails the request.
