Large responses take turns on the instance's link, and are refused if they cannot be sent in time

Cause: the eight library machines have 7 Mbit/s each, downloads ask for 60 to 89 Mbit/s of those 56. Nothing knew that a link was full: short calls and heartbeats waited behind downloads, entries took the slow gates for lost, sent calls again, and the targets ran what could not be delivered.

Ruled out by a test: fair shares of the link.

--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -41,6 +41,8 @@
 	// unclaimed is set for a call with a key that was admitted without a claim, for the
 	// gate machine to refuse; see keyed.Admit.RefusesCalls.
 	unclaimed bool
+	// link is the call's use of the instance's link, nil for one of the own entry.
+	link *linkUse
 	// runCtx ends at the deadline or when the call is cancelled.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -126,6 +128,8 @@
 	ctx, span := r.startGateSpan(stream.Context(), frame.Start)
 	defer span.End()
 	c := r.newGateCall(frame)
+	c.link = r.linkUseOf(stream, c.start.Route, c.wantedWithin(r.options.Now()))
+	defer c.link.end()
 	r.adoptReport(frame.Start.TargetReport)
 	if refused := r.admitKey(stream, c); refused != nil {
 		c.cancelRun()
@@ -168,10 +172,15 @@
 // refuseReasonOf returns why this node must not run the call, or an empty reason.
 func (r *Runner) refuseReasonOf(c *gateCall) call.Reason {
 	reason := r.refuseReason(c.start)
-	if reason == "" && c.unclaimed {
+	switch {
+	case reason != "":
+		return reason
+	case c.unclaimed:
 		return call.ReasonLeaving
+	case c.link.refused():
+		return call.ReasonTooLate
 	}
-	return reason
+	return ""
 }
 
 // refuseReason returns why this node takes no calls like this one, or an empty reason.
@@ -250,7 +259,7 @@
 	switch {
 	case decided.replay != nil:
 		c.cancelRun()
-		return r.sendResponse(stream, decided.replay, heartbeat)
+		return r.sendResponse(stream, decided.replay, heartbeat, c.link)
 	case !decided.start:
 		c.cancelRun()
 		r.counters.refused.Add(1)
@@ -267,23 +276,38 @@
 			return err
 		}
 	}
-	return r.sendResponse(stream, c.response, heartbeat)
+	return r.sendResponse(stream, c.response, heartbeat, c.link)
+}
+
+// wantedWithin returns the time left in which the entry wants the response.
+func (c *gateCall) wantedWithin(now time.Time) time.Duration {
+	if c.start.InTime && !c.softDeadline.IsZero() {
+		return c.softDeadline.Sub(now)
+	}
+	return c.deadline.Sub(now)
 }
 
-// sendResponse sends the frames of a response, with heartbeats while none is
-// available.
-func (r *Runner) sendResponse(stream serverStream, response *responseBuffer, heartbeat *time.Ticker) error {
+// sendResponse sends the frames of a response as the link allows, with heartbeats while there is
+// none to send.
+func (r *Runner) sendResponse(stream serverStream, response *responseBuffer, heartbeat *time.Ticker, use *linkUse) error {
 	for index := 0; ; {
 		frame, changed, ok := response.frameAt(index)
 		switch {
 		case !ok:
 			return stream.Send(&wire.AnswerFrame{Aborted: string(call.ReasonConnectionLost)})
 		case frame != nil:
-			if err := stream.Send(frame); err != nil {
+			err := r.awaitLink(stream, heartbeat, use.send(time.Now(), frame))
+			if err == nil {
+				err = stream.Send(frame)
+			}
+			if err != nil {
 				response.abandon()
 				return err
 			}
 			if frame.Last || frame.Aborted != "" {
+				if frame.Last {
+					use.markComplete()
+				}
 				return nil
 			}
 			index++
@@ -303,6 +327,27 @@
 	}
 }
 
+// awaitLink waits until the link has room for a frame, and sends heartbeats meanwhile.
+func (r *Runner) awaitLink(stream serverStream, heartbeat *time.Ticker, wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return nil
+		case <-heartbeat.C:
+			if err := stream.Send(&wire.AnswerFrame{}); err != nil {
+				return err
+			}
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
 // refusalFrame returns the only frame of a call that gets no response from a
 // target.
 func (r *Runner) refusalFrame(outcome call.Outcome, reason call.Reason, retryAfter time.Duration) *wire.AnswerFrame {
--- a/internal/node/calls/resolve.go
+++ b/internal/node/calls/resolve.go
@@ -25,6 +25,14 @@
 	return r.keyed.serve(ctx, request)
 }
 
+const (
+	// fetchedRoute stands for the route of a call whose response is fetched.
+	fetchedRoute = ""
+	// maxFetchTime is longer than any response waits for the link: a fetch is never refused
+	// for lack of room.
+	maxFetchTime = time.Hour
+)
+
 // serveFetch sends the response of an earlier call, or its outcome if there is
 // no response.
 func (r *Runner) serveFetch(stream serverStream, start *wire.CallStart) error {
@@ -36,7 +44,9 @@
 	go r.watchFetch(stream, id)
 	heartbeat := time.NewTicker(r.options.Settings.SilenceTimeout / heartbeatsPerSilence)
 	defer heartbeat.Stop()
-	return r.sendResponse(stream, found.response, heartbeat)
+	use := r.linkUseOf(stream, fetchedRoute, maxFetchTime)
+	defer use.end()
+	return r.sendResponse(stream, found.response, heartbeat, use)
 }
 
 // watchFetch reports to the gate machine that the entry which fetches the response has
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -56,7 +56,9 @@
 	// Tracer starts a span for each hop; nil disables tracing.
 	Tracer     trace.Tracer
 	RandomSeed uint64
-	Now        func() time.Time
+	// BandwidthMbps is the bandwidth of the instance's link in Mbit/s, 0 if unknown.
+	BandwidthMbps float64
+	Now           func() time.Time
 	// BootTime is a clock that also advances while the host is suspended.
 	BootTime func() time.Time
 }
@@ -84,6 +86,7 @@
 	runningRequests runningRequests
 	failedLog       failedRequestLog
 	signals         *targetSignals
+	link            *linkPacer
 	// aheadSlots has a slot for each request that may be in work before its turn.
 	aheadSlots *semaphore.Weighted
 	// baseCtx ends with Run, and with it the calls at the target.
@@ -114,6 +117,7 @@
 		options.OnTargetLeaving = func(Target) {}
 	}
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
+	r.link = newLinkPacer(options.BandwidthMbps)
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.entry = newEntryLoop(options)
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -194,6 +194,7 @@
 		Logger:          n.logger,
 		Tracer:          n.telemetry.tracer,
 		RandomSeed:      seed,
+		BandwidthMbps:   n.settings.Node.BandwidthMbps,
 		Now:             time.Now,
 		BootTime:        clock.BootTime,
 	})
