The time that a call spent on its way to the gate counts as used

Cause: a call carries the time that is left as a span, and the gate counted it from when it read the call; what links and stalled instances held up was given to the target once more.

Change: an entry stamps a call with its boot-time clock; the gate takes the least difference to its own clock, for each incarnation of an entry, as the shortest way, and takes what exceeds it off the time left (internal/coordination/transit). A call without time left is refused as not run. The field is optional: calls of older releases count as before.

Ruled out: wall clocks (they step), round-trip times of probes (they say nothing of this message). Not covered: a caller that leaves early; its cancellation is held up as long as its call was.

TestDelayIsWhatExceedsTheShortestWay: clocks an hour apart. go test -race ./internal/node/calls ./internal/coordination/... passes.

--- /dev/null
+++ b/internal/coordination/transit/machine_test.go
@@ -0,0 +1,38 @@
+package transit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestDelayIsWhatExceedsTheShortestWay sends messages from a sender whose clock is an hour ahead.
+func TestDelayIsWhatExceedsTheShortestWay(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	const ahead = time.Hour
+	send := func(incarnation uint64, at, way time.Duration) time.Duration {
+		sent := start.Add(at)
+		return m.Delay("n-1", incarnation, sent.Add(ahead), sent.Add(way))
+	}
+	is.Equal(send(1, 0, 20*time.Millisecond), time.Duration(0)) // nothing to compare with
+	is.Equal(send(1, time.Second, 2*time.Millisecond), time.Duration(0))
+	is.Equal(send(1, 2*time.Second, 2*time.Millisecond), time.Duration(0))
+	is.Equal(send(1, 3*time.Second, 702*time.Millisecond), 700*time.Millisecond)
+	is.Equal(send(1, 4*time.Second, 3*time.Millisecond), time.Millisecond)
+	is.Equal(send(2, 5*time.Second, 800*time.Millisecond), time.Duration(0)) // another process
+}
+
+func TestSendersAreBounded(t *testing.T) {
+	m := New()
+	for i := range 3 * maxSenders {
+		m.Delay(fmt.Sprint("n-", i), 1, start, start)
+		if len(m.senders) > maxSenders {
+			t.Fatalf("%d senders are remembered", len(m.senders))
+		}
+	}
+}
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -68,6 +68,7 @@
 	start := c.callStart(action)
 	start.TimeoutMs = c.timeoutMs(r.options.Now())
 	start.AimMs = c.softDeadlineMs(r.options.Now())
+	start.SentMs = uint64(r.options.BootTime().UnixMilli())
 	if action.TargetReport != nil {
 		start.TargetReport = toWireReport(r.options.Now(), *action.TargetReport)
 	}
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -50,7 +50,8 @@
 
 func (r *Runner) newGateCall(frame *wire.CallFrame) *gateCall {
 	start := frame.Start
-	timeout := time.Duration(start.TimeoutMs) * time.Millisecond
+	delay := r.transit.delay(start, r.options.BootTime())
+	timeout := time.Duration(start.TimeoutMs)*time.Millisecond - delay
 	c := &gateCall{
 		start:        start,
 		id:           fromWireID(start.Id),
@@ -63,7 +64,7 @@
 		response:     newResponseBuffer(r.options.Settings.BufferBytes),
 	}
 	if start.AimMs > 0 {
-		c.softDeadline = r.options.Now().Add(time.Duration(start.AimMs) * time.Millisecond)
+		c.softDeadline = r.options.Now().Add(time.Duration(start.AimMs)*time.Millisecond - delay)
 	}
 	c.runCtx, c.cancelRun = context.WithTimeout(r.baseCtx, timeout)
 	if c.streaming {
@@ -177,7 +178,7 @@
 		return reason
 	case c.unclaimed:
 		return call.ReasonLeaving
-	case c.link.refused():
+	case c.link.refused(), !r.options.Now().Before(c.deadline):
 		return call.ReasonTooLate
 	}
 	return ""
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -20,6 +20,7 @@
 	"jasminegate/internal/coordination/entry"
 	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/coordination/membership"
+	"jasminegate/internal/coordination/transit"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/wire"
@@ -87,6 +88,7 @@
 	failedLog       failedRequestLog
 	signals         *targetSignals
 	link            *linkPacer
+	transit         transitDelays
 	// aheadSlots has a slot for each request that may be in work before its turn.
 	aheadSlots *semaphore.Weighted
 	// baseCtx ends with Run, and with it the calls at the target.
@@ -118,6 +120,7 @@
 	}
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.link = newLinkPacer(options.BandwidthMbps)
+	r.transit.machine = transit.New()
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.entry = newEntryLoop(options)
