--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -8,20 +8,21 @@
 )
 
 const (
-	// stopReserve is the part of deployment.stop_grace that is left when the drain times out: for leaving,
-	// for the last responses, and for the end of the process.
+	// stopReserve is the part of deployment.stop_grace that is left when the drain times out:
+	// for leaving, for the last responses, and for the end of the process.
 	stopReserve = 700 * time.Millisecond
 	// maxLeaveDelay is a platform's time for noticing that a node is not ready: two checks, one
 	// a second, and half a second for the second one's response. leaveShare bounds it to a
 	// part of deployment.stop_grace.
 	maxLeaveDelay = 2500 * time.Millisecond
 	leaveShare    = 0.45
-	// retryShare is the part of deployment.retry_ratio that nodes use. The rest is for calls that arrive
-	// twice without a retry of theirs, and for the difference between windows.
+	// retryShare is the part of deployment.retry_ratio that nodes use. The rest is for calls that
+	// arrive twice without a retry of theirs, and for the difference between windows.
 	retryShare = 0.75
 	// readReserve is what a change needs besides the wait of the read that is under way when
 	// the log recovers: the request timeout, and the distribution to the nodes.
 	readReserve = 2500 * time.Millisecond
+	// minReadWait and maxReadWait bound the wait of a read.
 	minReadWait = 500 * time.Millisecond
 	maxReadWait = 5 * time.Second
 )
@@ -34,8 +35,7 @@
 	From string
 }
 
-// derivation is the rule for one setting. apply returns false if too
-// little is stated.
+// derivation is the rule for one setting. apply returns false if too little is stated.
 type derivation struct {
 	key, from string
 	apply     func(*Settings, Deployment) bool
@@ -43,21 +43,21 @@
 
 // derivations are applied in order; a setting that is given by hand is left alone.
 var derivations = []derivation{
-	{"calls.drain_timeout", "deployment.stop_grace", func(s *Settings, b Deployment) bool {
-		s.Calls.DrainTimeout = b.StopGrace - stopReserve
-		return b.StopGrace > 0
+	{"calls.drain_timeout", "deployment.stop_grace", func(s *Settings, d Deployment) bool {
+		s.Calls.DrainTimeout = d.StopGrace - stopReserve
+		return d.StopGrace > 0
 	}},
-	{"calls.leave_delay", "deployment.stop_grace", func(s *Settings, b Deployment) bool {
-		s.Calls.LeaveDelay = min(maxLeaveDelay, time.Duration(leaveShare*float64(b.StopGrace)))
-		return b.StopGrace > 0
+	{"calls.leave_delay", "deployment.stop_grace", func(s *Settings, d Deployment) bool {
+		s.Calls.LeaveDelay = min(maxLeaveDelay, time.Duration(leaveShare*float64(d.StopGrace)))
+		return d.StopGrace > 0
 	}},
-	{"calls.retry_ratio", "deployment.retry_ratio", func(s *Settings, b Deployment) bool {
-		s.Calls.RetryRatio = math.Round(retryShare*b.RetryRatio*1000) / 1000
-		return b.RetryRatio > 0
+	{"calls.retry_ratio", "deployment.retry_ratio", func(s *Settings, d Deployment) bool {
+		s.Calls.RetryRatio = math.Round(retryShare*d.RetryRatio*1000) / 1000
+		return d.RetryRatio > 0
 	}},
-	{"platform.read_wait", "deployment.change_bound, deployment.settle_time", func(s *Settings, b Deployment) bool {
-		s.Platform.ReadWait = min(maxReadWait, max(minReadWait, b.ChangeBound+b.SettleTime-readReserve))
-		return b.ChangeBound > 0 && b.SettleTime > 0
+	{"platform.read_wait", "deployment.change_bound, deployment.settle_time", func(s *Settings, d Deployment) bool {
+		s.Platform.ReadWait = min(maxReadWait, max(minReadWait, d.ChangeBound+d.SettleTime-readReserve))
+		return d.ChangeBound > 0 && d.SettleTime > 0
 	}},
 }
 
