A log line after the log is closed ended the process by a panic

Change: the asynchronous writer is a bounded ring with a state "closed", which owns a copy of each line; a line after Close is dropped and counted, a second Close waits for the first. Why it works: nothing closes the channel, and Close excludes writers while it sets the state. Tests, failing before: TestLineAfterCloseEndsProcess (panic: send on closed channel). With the race detector: TestLinesOfManyGoroutinesShareBuffers.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,7 +4,6 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
@@ -35,26 +34,22 @@
 	}}
 }
 
-// maxBufferedLines is the number of lines that can be buffered for a slow reader of the
-// log.
-const maxBufferedLines = 2048
-
 // NewLossy is like New, but writes lines asynchronously and never blocks on out.
 // Lines that arrive while the buffer is full are dropped and counted. The caller
 // must call Close.
 func NewLossy(out io.Writer, level, node string) *Logger {
-	l := New(out, level, node)
-	l.writer = &lossyWriter{async: log.AsyncWriter{Writer: l.logger.Writer, ChannelSize: maxBufferedLines, DiscardOnFull: true}}
-	l.logger.Writer = l.writer
+	writer := newLossyWriter(out)
+	l := New(writer, level, node)
+	l.writer = writer
 	return l
 }
 
-// Close writes the buffered lines. The logger must not be used afterwards.
+// Close writes the buffered lines. Later lines are dropped and counted.
 func (l *Logger) Close() error {
 	if l.writer == nil {
 		return nil
 	}
-	return l.writer.async.Close()
+	return l.writer.Close()
 }
 
 // DroppedLines returns the number of lines dropped because the buffer was full.
@@ -65,22 +60,6 @@
 	return l.writer.dropped.Load()
 }
 
-// lossyWriter writes lines in another goroutine, and counts the lines that it drops
-// because the buffer is full.
-type lossyWriter struct {
-	async   log.AsyncWriter
-	dropped atomic.Uint64
-}
-
-// WriteEntry implements log.Writer.
-func (w *lossyWriter) WriteEntry(entry *log.Entry) (int, error) {
-	n, err := w.async.WriteEntry(entry)
-	if err != nil {
-		w.dropped.Add(1)
-	}
-	return n, err
-}
-
 // SetLevel changes the minimum level of the events that are written.
 func (l *Logger) SetLevel(level string) { l.logger.SetLevel(log.ParseLevel(level)) }
 
