A node whose port was still taken ended at once

Seen: not by callers; by reading the ways in which a node never starts. A process that is killed and started again may find its port held for a moment; net.Listen's first error ended the node with exit code 1, and the platform restarts it into the same state. Change: a taken port is tried again every 50 ms for up to 10 s, with event 112 at the first failure; other errors of listening end the start at once, as before, with the address and the remedy. Why it works: the holder is gone after a moment, or the operator gets the same clear error later. Test, failing before: TestTakenPortEndsNode (the process ended without a line; EOF). After: passes.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -15,6 +15,7 @@
 	AcceptFailed     = Event{108, log.WarnLevel, "connections could not be accepted: the node tries again"}
 	PanicRecovered   = Event{109, log.ErrorLevel, "a part of the node's work failed by a fault of the program: that work is given up"}
 	SettingDerived   = Event{111, log.InfoLevel, "setting follows from what the deployment states"}
+	PortTaken        = Event{112, log.WarnLevel, "port is taken: the node tries again"}
 	NodeFailed       = Event{110, log.ErrorLevel, "a part of the node failed: the node finishes the work in flight and ends"}
 )
 
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -1,11 +1,23 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"net"
+	"syscall"
+	"time"
 
 	"github.com/joomcode/errorx"
 
 	"jasminegate/internal/config"
+	"jasminegate/internal/logging"
+)
+
+const (
+	// portWait is how long a node waits for a port that is still taken, for example by the
+	// process that it replaces, and portRetryInterval the time between two attempts.
+	portWait          = 10 * time.Second
+	portRetryInterval = 50 * time.Millisecond
 )
 
 // Errors of the startup of a node.
@@ -30,7 +42,11 @@
 	ready    net.Listener
 }
 
-func listen(settings config.Node) (*listeners, error) {
+// listen opens the ports. It fails with ErrAddress if one cannot be opened, or is still taken
+// after portWait.
+func listen(ctx context.Context, settings config.Node, logger *logging.Logger) (*listeners, error) {
+	ctx, cancel := context.WithTimeout(ctx, portWait)
+	defer cancel()
 	opened := &listeners{}
 	for _, port := range []struct {
 		key     string
@@ -47,7 +63,7 @@
 		if port.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", port.address)
+		listener, err := listenWhenFree(ctx, port.key, port.address, logger)
 		if err != nil {
 			opened.close()
 			return nil, ErrAddress.New("%s %q: %v: choose a free address of this instance", port.key, port.address, err)
@@ -57,6 +73,24 @@
 	return opened, nil
 }
 
+// listenWhenFree opens the port. While it is taken, it tries again until ctx ends.
+func listenWhenFree(ctx context.Context, key, address string, logger *logging.Logger) (net.Listener, error) {
+	for attempt := 1; ; attempt++ {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		if attempt == 1 {
+			logger.Event(logging.PortTaken).Str("key", key).Str("address", address).Err(err).Send()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(portRetryInterval):
+		}
+	}
+}
+
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.callers, l.admin, l.control, l.calls, l.announce, l.ready} {
 		if listener != nil {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -63,7 +63,7 @@
 	if newAdapter == nil {
 		return ErrAdapter.New("platform.adapter %q is not known: use %s or leave it out", settings.Platform.Adapter, adapterNames(adapters))
 	}
-	listeners, err := listen(settings.Node)
+	listeners, err := listen(ctx, settings.Node, logger)
 	if err != nil {
 		return err
 	}
