A node whose log reader had gone was ended by SIGPIPE at its next line

Seen: not by callers; by reading the ways in which a node ends by itself. The Go runtime ends a process by SIGPIPE when it writes to a closed standard output or standard error, so that a collector of logs that ends takes all nodes of its instances with it. Change: a node ignores the signal; the write fails, and the writer of the log goes on. The other commands keep the usual behaviour in a pipeline. Test, failing before: TestClosedLogPipeEndsNode ("process already finished" at the second signal). After: passes.

--- a/internal/cli/lonelynode_test.go
+++ b/internal/cli/lonelynode_test.go
@@ -95,4 +95,3 @@
 	}
 	n.t.Fatal("the node does not serve")
 }
-
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -46,6 +46,9 @@
 }
 
 func runNode(ctx context.Context, streams Streams, adapters map[string]node.AdapterFactory, path string, overrides []config.Override) error {
+	// The runtime ends a process that writes to a closed standard output, unless the signal is
+	// ignored. A node goes on without its log.
+	signal.Ignore(syscall.SIGPIPE)
 	settings, derived, err := config.LoadDerived(path, overrides...)
 	if err != nil {
 		return logProblems(streams, path, err)
