SIGHUP in the first milliseconds of a node ended it

Seen: not by callers; by reading the ways in which a node ends by itself. SIGHUP asks a node to load its settings again. Until the node asked for the signal, after the runtime's and the packages' start (about 7 ms on this machine) and the reading of the settings, its default handling ended the process without a line of its log. Settings that change while nodes restart bring both together. Other commands end at SIGHUP as before. Ruled out: signal.Notify in main or in a package's init: 3 to 6 ms of the runtime's start remain.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -22,12 +22,14 @@
   jasminegate node --config /etc/jasminegate/node.yaml
   JASMINEGATE_NODE_ID=web-1 jasminegate node --config node.yaml --telemetry.log_level debug`
 
+const nodeCommandName = "node"
+
 func nodeCommand(streams Streams, adapters map[string]node.AdapterFactory) *ffcli.Command {
 	flags := newFlags("jasminegate node", streams)
 	path := flags.String("config", "", "settings `FILE` (required)")
 	overrides := config.RegisterFlags(flags)
 	return &ffcli.Command{
-		Name:       "node",
+		Name:       nodeCommandName,
 		ShortUsage: "jasminegate node --config FILE [flags]",
 		ShortHelp:  "Run the node beside a target.",
 		LongHelp:   nodeHelp,
@@ -49,15 +51,15 @@
 	// The runtime ends a process that writes to a closed standard output, unless the signal is
 	// ignored. A node goes on without its log.
 	signal.Ignore(syscall.SIGPIPE)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	settings, derived, err := config.LoadDerived(path, overrides...)
 	if err != nil {
 		return logProblems(streams, path, err)
 	}
 	logger := logging.NewLossy(streams.Out, settings.Telemetry.LogLevel, settings.Node.ID)
 	defer logger.Close()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	go reloadOnSignal(ctx, reloads, logger, func() (config.Settings, error) { return config.Load(path, overrides...) })
 	for _, d := range derived {
 		logger.Event(logging.SettingDerived).Str("key", d.Key).Str("value", d.Value).Str("from", d.From).Send()
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/joomcode/errorx"
 	"github.com/peterbourgon/ff/v3"
@@ -35,7 +37,7 @@
 	if err := root.Parse(args); err != nil {
 		return reportParse(err, streams)
 	}
-	err := root.Run(ctx)
+	err := runUntilHangup(ctx, root, args)
 	if errors.Is(err, errHelpShown) {
 		return ExitOK
 	}
@@ -45,6 +47,16 @@
 	return exitCodeOf(err)
 }
 
+// runUntilHangup ends a command at SIGHUP, except for a node, which loads its settings again.
+func runUntilHangup(ctx context.Context, root *ffcli.Command, args []string) error {
+	if len(args) > 0 && args[0] == nodeCommandName {
+		return root.Run(ctx)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+	defer stop()
+	return root.Run(ctx)
+}
+
 func reportParse(err error, streams Streams) ExitCode {
 	if errors.Is(err, flag.ErrHelp) {
 		return ExitOK
