One statement of the deployment that a node could not use kept the whole fleet from starting

Cause: settings are checked strictly, and the platform fills in some of them for all nodes alike. A bound out of the accepted range, an empty or new placeholder, or no bound at all (the group is then empty) refused the settings; the *derived* calls.drain_timeout and calls.leave_delay were refused for a grace under 1.27 s. Class: what a deployment states about itself was treated like what a person wrote. Which of the two a key is now follows from its group: deployment is stated. Change: a problem of the group deployment costs only what follows from it: event 113, defaults, and an error of jasminegate config check, which stays strict. Ranges there are wide, and what follows is clamped to what the node accepts; a short grace keeps 35 % instead of 700 ms for the end of a stop. The template states the heartbeat and the link's bandwidth there as well. Ruled out: accepting anything anywhere. Other groups, addresses and names are refused as before. TestDeploymentThatCannotBeKept wanted a grace of 500 ms and a ratio of 1.5 to be refused, which is this fault; it wants 25 h, -1 s and 101 refused now, and TestDerivedSettingsPassTheCheck draws a range of 0.003 to 40 times in place of 0.3 to 4. Tests, failing before by the same refusals: TestStatementOfDeploymentKeepsNodeFromStarting, TestEmptyGroupOfDeploymentKeepsNodeFromStarting, three rows of TestTemplateCarriesDeploymentsBounds. After: go test ./internal/config ./platform ./internal/cli ./internal/node passes.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -75,10 +75,13 @@
 			if err != nil {
 				return err
 			}
-			settings, derived, err := config.LoadDerived(files[0], overrides.List...)
+			loaded, err := config.LoadAll(files[0], overrides.List...)
+			if err == nil {
+				err = loaded.Strict()
+			}
 			result := checkResult{File: files[0]}
 			if err == nil && *effective {
-				result.Effective = effectiveSettings(settings, derived)
+				result.Effective = effectiveSettings(loaded.Settings, loaded.Derived)
 			}
 			return result.report(streams, *format, err)
 		},
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -54,14 +54,18 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	defer signal.Stop(reloads)
-	settings, derived, err := config.LoadDerived(path, overrides...)
+	loaded, err := config.LoadAll(path, overrides...)
 	if err != nil {
 		return logProblems(streams, path, err)
 	}
+	settings := loaded.Settings
 	logger := logging.NewLossy(streams.Out, settings.Telemetry.LogLevel, settings.Node.ID)
 	defer logger.Close()
 	go reloadOnSignal(ctx, reloads, logger, func() (config.Settings, error) { return config.Load(path, overrides...) })
-	for _, d := range derived {
+	for _, problem := range loaded.Ignored {
+		logger.Event(logging.StatementIgnored).Str("problem", problem.String()).Send()
+	}
+	for _, d := range loaded.Derived {
 		logger.Event(logging.SettingDerived).Str("key", d.Key).Str("value", d.Value).Str("from", d.From).Send()
 	}
 	return node.Run(ctx, settings, adapters, logger)
--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -11,6 +11,8 @@
 	// stopReserve is the part of deployment.stop_grace that is left when the drain times out:
 	// for leaving, for the last responses, and for the end of the process.
 	stopReserve = 700 * time.Millisecond
+	// stopReserveShare bounds stopReserve to a part of a short deployment.stop_grace.
+	stopReserveShare = 0.35
 	// maxLeaveDelay is a platform's time for noticing that a node is not ready: two checks, one
 	// a second, and half a second for the second one's response. leaveShare bounds it to a
 	// part of deployment.stop_grace.
@@ -44,7 +46,7 @@
 // derivations are applied in order; a setting that is given by hand is left alone.
 var derivations = []derivation{
 	{"calls.drain_timeout", "deployment.stop_grace", func(s *Settings, d Deployment) bool {
-		s.Calls.DrainTimeout = d.StopGrace - stopReserve
+		s.Calls.DrainTimeout = longestDrain(d.StopGrace)
 		return d.StopGrace > 0
 	}},
 	{"calls.leave_delay", "deployment.stop_grace", func(s *Settings, d Deployment) bool {
@@ -52,13 +54,27 @@
 		return d.StopGrace > 0
 	}},
 	{"calls.retry_ratio", "deployment.retry_ratio", func(s *Settings, d Deployment) bool {
-		s.Calls.RetryRatio = math.Round(retryShare*d.RetryRatio*1000) / 1000
+		s.Calls.RetryRatio = min(1, math.Round(retryShare*d.RetryRatio*1000)/1000)
 		return d.RetryRatio > 0
 	}},
 	{"platform.read_wait", "deployment.change_bound, deployment.settle_time", func(s *Settings, d Deployment) bool {
 		s.Platform.ReadWait = min(maxReadWait, max(minReadWait, d.ChangeBound+d.SettleTime-readReserve))
 		return d.ChangeBound > 0 && d.SettleTime > 0
 	}},
+	{"platform.heartbeat", "deployment.heartbeat", func(s *Settings, d Deployment) bool {
+		s.Platform.Heartbeat = min(maxHeartbeat, max(minHeartbeat, d.Heartbeat))
+		return d.Heartbeat > 0
+	}},
+	{"node.bandwidth_mbps", "deployment.bandwidth_mbps", func(s *Settings, d Deployment) bool {
+		s.Node.BandwidthMbps = min(maxBandwidth, d.BandwidthMbps)
+		return d.BandwidthMbps > 0
+	}},
+}
+
+// longestDrain returns the longest calls.drain_timeout for a grace.
+func longestDrain(grace time.Duration) time.Duration {
+	reserve := min(stopReserve, time.Duration(stopReserveShare*float64(grace)))
+	return min(maxDrainTimeout, max(minDrainTimeout, grace-reserve))
 }
 
 // derive sets the settings that follow from what the deployment states, and returns them.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 
 	"github.com/joomcode/errorx"
 
@@ -17,6 +18,9 @@
 // Override is one setting from a flag or an environment variable.
 type Override = strictyaml.Override
 
+// deploymentGroup is the group of keys that the platform states, and not a person.
+const deploymentGroup = "deployment"
+
 // Errors of Load.
 var (
 	Errors = errorx.NewNamespace("config")
@@ -25,19 +29,37 @@
 	ErrUnreadable = errorx.NewType(Errors, "unreadable")
 )
 
-// Load is LoadDerived without the list of derived settings.
+// Loaded are the settings of a node, and what was done to what the deployment states.
+type Loaded struct {
+	Settings Settings
+	// Derived are the settings that follow from the group deployment.
+	Derived []Derived
+	// Ignored are the problems of that group. The keys that they name count as not stated.
+	Ignored []Problem
+}
+
+// Strict returns the ignored problems as *Problems, or nil.
+func (l Loaded) Strict() error {
+	if len(l.Ignored) == 0 {
+		return nil
+	}
+	return &Problems{List: l.Ignored}
+}
+
+// Load reads the settings file and returns the settings of LoadAll.
 func Load(path string, overrides ...Override) (Settings, error) {
-	settings, _, err := LoadDerived(path, overrides...)
-	return settings, err
+	loaded, err := LoadAll(path, overrides...)
+	return loaded.Settings, err
 }
 
-// LoadDerived reads the settings file, applies the overrides, the defaults and what follows
-// from the deployment's bounds, and validates the result. It also returns the settings that
-// follow. It fails with ErrUnreadable or *Problems.
-func LoadDerived(path string, overrides ...Override) (Settings, []Derived, error) {
+// LoadAll reads the settings file, applies the overrides, the defaults and what follows from
+// the deployment's bounds, and validates the result. A problem of the group deployment is not an
+// error: the platform states it, and one statement that is not understood must not keep a fleet
+// from starting. LoadAll fails with ErrUnreadable or *Problems.
+func LoadAll(path string, overrides ...Override) (Loaded, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, nil, ErrUnreadable.New("settings %s: %v: give the path of a readable settings file", path, err)
+		return Loaded{}, ErrUnreadable.New("settings %s: %v: give the path of a readable settings file", path, err)
 	}
 	return parse(path, data, overrides)
 }
@@ -45,26 +67,45 @@
 // Parse is like Load for settings in memory. Problems name file as their
 // source. It fails with *Problems.
 func Parse(file string, data []byte, overrides ...Override) (Settings, error) {
-	settings, _, err := parse(file, data, overrides)
-	return settings, err
+	loaded, err := parse(file, data, overrides)
+	return loaded.Settings, err
 }
 
-func parse(file string, data []byte, overrides []Override) (Settings, []Derived, error) {
-	settings := Defaults()
-	document := strictyaml.Decode(file, data, &settings)
+func parse(file string, data []byte, overrides []Override) (Loaded, error) {
+	loaded := Loaded{Settings: Defaults()}
+	settings := &loaded.Settings
+	document := strictyaml.Decode(file, data, settings)
 	for _, override := range overrides {
-		document.Override(&settings, override)
+		document.Override(settings, override)
 	}
-	var derived []Derived
 	if document.Parsed() {
-		derived = derive(&settings, document.Given)
-		check(document, &settings)
+		loaded.Ignored = ignoreBadStatements(document, settings)
+		loaded.Derived = derive(settings, document.Given)
+		check(document, settings)
 	}
 	if err := document.Err(); err != nil {
-		return Settings{}, nil, err
+		return Loaded{}, err
 	}
 	settings.Node.Seeds = otherSeeds(settings.Node)
-	return settings, derived, nil
+	return loaded, nil
+}
+
+// ignoreBadStatements takes the problems of the group deployment out of the document and resets
+// the values that they name.
+func ignoreBadStatements(document *strictyaml.Document, settings *Settings) []Problem {
+	for _, rule := range rules {
+		if !strings.HasPrefix(rule.key, deploymentGroup+".") {
+			continue
+		}
+		if text, remedy := rule.check(settings); text != "" {
+			document.Reject(rule.key, text, remedy)
+		}
+	}
+	ignored := document.TakeProblems(deploymentGroup)
+	for _, problem := range ignored {
+		document.Reset(settings, Defaults(), problem.Key)
+	}
+	return ignored
 }
 
 // otherSeeds returns the seeds without the node's own entry, so that all nodes
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -18,6 +18,17 @@
 // adapters.
 const maxNameBytes = 64
 
+// Bounds of settings that also follow from what the deployment states, and of the times that it
+// may state.
+const (
+	minDrainTimeout = 100 * time.Millisecond
+	maxDrainTimeout = time.Hour
+	minHeartbeat    = 10 * time.Millisecond
+	maxHeartbeat    = time.Minute
+	maxBandwidth    = 100_000.0 // Mbit/s
+	maxStatedTime   = 24 * time.Hour
+)
+
 // acceptedURL describes the accepted URLs.
 const acceptedURL = "an HTTP URL"
 
@@ -44,12 +55,14 @@
 	requiredName("node.domain", func(s *Settings) string { return s.Node.Domain }),
 	optionalName("node.service", func(s *Settings) string { return s.Node.Service }),
 	optionalName("platform.adapter", func(s *Settings) string { return s.Platform.Adapter }),
-	between("node.bandwidth_mbps", func(s *Settings) float64 { return s.Node.BandwidthMbps }, 0, 100_000),
-	zeroOrBetween("deployment.stop_grace", func(s *Settings) time.Duration { return s.Deployment.StopGrace }, time.Second, time.Hour),
-	zeroOrBetween("deployment.change_bound", func(s *Settings) time.Duration { return s.Deployment.ChangeBound }, 100*time.Millisecond, time.Hour),
-	zeroOrBetween("deployment.settle_time", func(s *Settings) time.Duration { return s.Deployment.SettleTime }, 100*time.Millisecond, time.Hour),
-	between("deployment.retry_ratio", func(s *Settings) float64 { return s.Deployment.RetryRatio }, 0, 1),
-	between("platform.heartbeat", func(s *Settings) time.Duration { return s.Platform.Heartbeat }, 10*time.Millisecond, time.Minute),
+	between("node.bandwidth_mbps", func(s *Settings) float64 { return s.Node.BandwidthMbps }, 0, maxBandwidth),
+	zeroOrBetween("deployment.stop_grace", func(s *Settings) time.Duration { return s.Deployment.StopGrace }, time.Millisecond, maxStatedTime),
+	zeroOrBetween("deployment.change_bound", func(s *Settings) time.Duration { return s.Deployment.ChangeBound }, time.Millisecond, maxStatedTime),
+	zeroOrBetween("deployment.settle_time", func(s *Settings) time.Duration { return s.Deployment.SettleTime }, time.Millisecond, maxStatedTime),
+	between("deployment.retry_ratio", func(s *Settings) float64 { return s.Deployment.RetryRatio }, 0, 100),
+	zeroOrBetween("deployment.heartbeat", func(s *Settings) time.Duration { return s.Deployment.Heartbeat }, time.Millisecond, maxStatedTime),
+	between("deployment.bandwidth_mbps", func(s *Settings) float64 { return s.Deployment.BandwidthMbps }, 0, 100_000_000),
+	between("platform.heartbeat", func(s *Settings) time.Duration { return s.Platform.Heartbeat }, minHeartbeat, maxHeartbeat),
 	{"platform.url", acceptedURL, checkPlatformURL},
 	between("platform.request_timeout", func(s *Settings) time.Duration { return s.Platform.RequestTimeout }, 10*time.Millisecond, time.Minute),
 	between("platform.read_wait", func(s *Settings) time.Duration { return s.Platform.ReadWait }, 10*time.Millisecond, 10*time.Minute),
@@ -72,7 +85,7 @@
 	sizeBetween("calls.ledger_bytes", func(s *Settings) int64 { return s.Calls.LedgerBytes }, 64<<10, 1<<30),
 	between("calls.ledger_retention", func(s *Settings) time.Duration { return s.Calls.LedgerRetention }, time.Second, 24*time.Hour),
 	between("calls.leave_delay", func(s *Settings) time.Duration { return s.Calls.LeaveDelay }, 0, time.Minute),
-	between("calls.drain_timeout", func(s *Settings) time.Duration { return s.Calls.DrainTimeout }, 100*time.Millisecond, time.Hour),
+	between("calls.drain_timeout", func(s *Settings) time.Duration { return s.Calls.DrainTimeout }, minDrainTimeout, maxDrainTimeout),
 	between("calls.idle_timeout", func(s *Settings) time.Duration { return s.Calls.IdleTimeout }, 100*time.Millisecond, time.Hour),
 	between("calls.silence_timeout", func(s *Settings) time.Duration { return s.Calls.SilenceTimeout }, 10*time.Millisecond, time.Minute),
 	{"telemetry.log_level", strings.Join(logLevels, ", "), checkLogLevel},
@@ -116,9 +129,9 @@
 	{
 		keys: []string{"calls.drain_timeout", "deployment.stop_grace"},
 		violated: func(s *Settings) bool {
-			return s.Deployment.StopGrace > 0 && s.Calls.DrainTimeout > s.Deployment.StopGrace-stopReserve
+			return s.Deployment.StopGrace > 0 && s.Calls.DrainTimeout > longestDrain(s.Deployment.StopGrace)
 		},
-		text:   fmt.Sprintf("is less than %s below deployment.stop_grace", stopReserve),
+		text:   fmt.Sprintf("is less than %s, or %.0f %% of it if that is less, below deployment.stop_grace", stopReserve, 100*stopReserveShare),
 		remedy: "lower it or leave it out, so that the node can leave and answer before it is killed",
 	},
 	{
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -81,8 +81,8 @@
 	ControlAddress string `yaml:"control_address"`
 }
 
-// Deployment is what a deployment states about itself; 0 where it states nothing. Settings that
-// are not given follow from it.
+// Deployment is what a deployment states about itself; 0 where it states nothing, or nothing that
+// can be used. Settings that are not given follow from it.
 type Deployment struct {
 	// StopGrace is the time from the signal to stop a process until it is killed.
 	StopGrace time.Duration `yaml:"stop_grace"`
@@ -92,6 +92,10 @@
 	SettleTime time.Duration `yaml:"settle_time"`
 	// RetryRatio is the largest share of retries among the calls of a service.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// Heartbeat is the interval at which targets announce themselves.
+	Heartbeat time.Duration `yaml:"heartbeat"`
+	// BandwidthMbps is the bandwidth of the instance's link in Mbit/s.
+	BandwidthMbps float64 `yaml:"bandwidth_mbps"`
 }
 
 // Platform configures the connection to the platform's append-only log.
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -16,6 +16,7 @@
 	PanicRecovered   = Event{109, log.ErrorLevel, "a part of the node's work failed by a fault of the program: that work is given up"}
 	SettingDerived   = Event{111, log.InfoLevel, "setting follows from what the deployment states"}
 	PortTaken        = Event{112, log.WarnLevel, "port is taken: the node tries again"}
+	StatementIgnored = Event{113, log.ErrorLevel, "what the deployment states cannot be used: the node starts as if it were not stated"}
 	NodeFailed       = Event{110, log.ErrorLevel, "a part of the node failed: the node finishes the work in flight and ends"}
 )
 
--- a/internal/strictyaml/problems.go
+++ b/internal/strictyaml/problems.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 )
 
@@ -45,3 +46,34 @@
 	}
 	return strings.Join(lines, "\n")
 }
+
+// TakeProblems removes the problems of the group and of the keys below it from the document, and
+// returns them.
+func (d *Document) TakeProblems(group string) []Problem {
+	var taken, kept []Problem
+	for _, problem := range d.problems {
+		if problem.Key == group || strings.HasPrefix(problem.Key, group+".") {
+			delete(d.keysWithProblem, problem.Key)
+			taken = append(taken, problem)
+			continue
+		}
+		kept = append(kept, problem)
+	}
+	d.problems = kept
+	return taken
+}
+
+// Reset sets the key's value in the struct that into points to as it is in from. A key that the
+// struct does not have is left alone.
+func (d *Document) Reset(into, from any, key string) {
+	target, source := reflect.ValueOf(into).Elem(), reflect.ValueOf(from)
+	for _, name := range strings.Split(key, ".") {
+		field, ok := fieldOf(target, name)
+		if !ok {
+			return
+		}
+		source, _ = fieldOf(source, name)
+		target = field
+	}
+	target.Set(source)
+}
