--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -32,6 +32,7 @@
 	CheckpointWritten     = Event{207, log.InfoLevel, "checkpoint written"}
 	PlatformRequestFailed = Event{208, log.DebugLevel, "request to the platform log failed"}
 	TicketUndecodable     = Event{210, log.WarnLevel, "configuration on the platform cannot be translated: the previous configuration stays in force"}
+	ConfigurationAdjusted = Event{212, log.WarnLevel, "configuration has values that this release cannot use as they are written: the nearest ones that it can are in force"}
 	RouteKindUnknown      = Event{211, log.WarnLevel, "kind of a route is not known: its calls are taken for not idempotent"}
 	CheckpointUnusable    = Event{209, log.WarnLevel, "checkpoint cannot be used: the node reads an older one"}
 )
