--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"os"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -10,6 +11,9 @@
 	"jasminegate/internal/standin/target"
 )
 
+// crashExitCode is the exit code of a target that a request has crashed.
+const crashExitCode = 70
+
 func targetCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("standin target", flag.ExitOnError)
 	address := flags.String("address", "127.0.0.1:0", "address to listen on")
@@ -34,6 +38,7 @@
 		ShortHelp:  "simulate an HTTP target that announces itself to its node",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
+			options.Crash = func() { os.Exit(crashExitCode) }
 			options.Mode.Reporting = target.Reporting(*reporting)
 			server, err := target.Start(*address, options)
 			if err != nil {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -45,6 +45,9 @@
 	TTL time.Duration
 	// Mode is the initial mode.
 	Mode Mode
+	// Crash ends the process at once. Requests with the parameter crash_ms call it; nil means
+	// that they do not crash the target.
+	Crash func()
 	// Now is the clock of the ledger, the reports and the cold start; nil means
 	// time.Now.
 	Now func() time.Time
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -34,12 +34,14 @@
 	serviceTime time.Duration
 	bodyTime    time.Duration // time over which the body is written
 	abortAfter  int           // bytes of the body after which the connection is aborted; -1 means never
+	crashAfter  time.Duration // time of the run after which the target crashes; negative means never
 }
 
 func parseWorkParams(values url.Values, mode Mode) (workParams, error) {
 	params := workParams{}
 	serviceMS := 0
 	bodyMS := 0
+	crashMS := -1
 	fields := []struct {
 		name     string
 		fallback int
@@ -51,6 +53,7 @@
 		{"service_ms", mode.ServiceMS, maxServiceMS, &serviceMS},
 		{"body_ms", 0, maxServiceMS, &bodyMS},
 		{"abort_after", -1, maxResponseBytes, &params.abortAfter},
+		{"crash_ms", -1, maxServiceMS, &crashMS},
 	}
 	for _, field := range fields {
 		*field.value = field.fallback
@@ -66,6 +69,7 @@
 	}
 	params.serviceTime = time.Duration(serviceMS) * time.Millisecond
 	params.bodyTime = time.Duration(bodyMS) * time.Millisecond
+	params.crashAfter = time.Duration(crashMS) * time.Millisecond
 	return params, nil
 }
 
@@ -94,6 +98,9 @@
 	}
 	defer t.releaseSlot()
 	run := t.ledger.start(r.Header.Get(HeaderCallID), r.Header.Get(HeaderTestID))
+	if params.crashAfter >= 0 && t.options.Crash != nil {
+		time.AfterFunc(params.crashAfter, t.options.Crash)
+	}
 	if !t.process(ctx, params, mode) {
 		t.ledger.cancel(run)
 		http.Error(w, "cancelled", http.StatusGatewayTimeout)
