A request that crashes its targets is refused at all nodes after two or three crashes

Cause: nothing remembered a request beyond one call; each attempt of a caller, and each retry of an entry, went to the next target that was ready. A crash takes all other calls at that target with it. Change: the gate notes a crash with each request that ran (method, path with query, body, caller's service), tells all nodes at once, and drops the note when the request ends well anywhere. A request that was started again although a crash under it was known, and under which a target crashed again, is in quarantine: after two crashes if no other suspect ran there, otherwise after three. It is refused at the entry with 503, not run, for calls.quarantine_time (10 min). One attempt of a caller costs two targets at most. Nodes compare digests of their notes once a second while there are any, a started node at once; quarantines are written to the platform's compacted log for a fleet that is started whole. Why it works: no clock or order is needed, notes of two nodes merge to the same in any order; a popular read that is merely there ends well elsewhere and is cleared. What a crash is: the target's connection broke and nothing listens at its address. A response that is lost, a reset, a cut or a planned stop is none.

--- a/internal/cli/lonelynode_test.go
+++ b/internal/cli/lonelynode_test.go
@@ -37,11 +37,7 @@
 	paths, err := fleet.Build(ctx, t.TempDir(), "jasminegate")
 	n.NoErr(err)
 	n.program = paths[0]
-	addresses := make([]any, 4)
-	for i := range addresses {
-		addresses[i] = freeAddress(t)
-	}
-	n.admin = addresses[1].(string)
+	n.admin = freeAddress(t)
 	settings := fmt.Sprintf(`node:
   id: n-1
   domain: zone-1
@@ -51,7 +47,7 @@
   calls_address: "%s"
 platform:
   url: "http://127.0.0.1:9"
-`, addresses...)
+`, freeAddress(t), n.admin, freeAddress(t), freeAddress(t))
 	path := filepath.Join(t.TempDir(), "node.yaml")
 	n.NoErr(os.WriteFile(path, []byte(strings.NewReplacer(replace...).Replace(settings)), 0o600))
 	n.cmd = exec.CommandContext(ctx, n.program, "node", "--config", path)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -191,6 +191,8 @@
 	// before it counts the connection as lost. It then resolves the call over a new
 	// connection, or sends it again if it is idempotent and has no key.
 	SilenceTimeout time.Duration `yaml:"silence_timeout"`
+	// QuarantineTime is how long a request under which targets crash is refused. If 0, none is.
+	QuarantineTime time.Duration `yaml:"quarantine_time"`
 }
 
 // Telemetry configures logs, traces and profiling.
@@ -233,6 +235,7 @@
 			DrainTimeout:    30 * time.Second,
 			IdleTimeout:     30 * time.Second,
 			SilenceTimeout:  500 * time.Millisecond,
+			QuarantineTime:  10 * time.Minute,
 		},
 		Telemetry: Telemetry{LogLevel: "info", TraceRatio: 0.01},
 	}
--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -105,7 +105,10 @@
 	ReasonRetryBudgetSpent Reason = "retry-budget-spent"
 	ReasonAnswerTooLarge   Reason = "answer-too-large"
 	ReasonKeyReused        Reason = "key-reused"
-	ReasonMalformed        Reason = "malformed"
+	// ReasonQuarantined means that targets crashed under the same request, which is refused
+	// until its quarantine ends.
+	ReasonQuarantined Reason = "quarantined"
+	ReasonMalformed   Reason = "malformed"
 	// ReasonKeyClaimed means that another gate, or an earlier incarnation of this
 	// one, may have claimed the idempotency key: a conflicting claim is recorded and
 	// was not confirmed as released, or claims are contested.
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"jasminegate/internal/coordination/call"
@@ -314,7 +315,7 @@
 	m.detach(c)
 	c.outcomeUnknown = c.outcomeUnknown || c.resolving
 	if !c.outcomeUnknown {
-		c.lastRefusal = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: shutdownRetryAfter}
+		c.lastRefusal = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: cmp.Or(e.RetryAfter, shutdownRetryAfter)}
 	}
 	return m.fail(c, e.Reason)
 }
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -100,11 +100,14 @@
 	BodyConsumed bool
 }
 
-// GiveUp ends the request instead of the Send or Wait that Step returned last: this
-// node is shutting down and makes no further attempts.
+// GiveUp ends the request instead of the Send or Wait that Step returned last: no
+// further attempt is made, because this node is shutting down or for another Reason.
 type GiveUp struct {
 	Handle uint64
 	Reason call.Reason
+	// RetryAfter is when to send the request again if it was not run; 0 is the delay of a
+	// node that shuts down.
+	RetryAfter time.Duration
 }
 
 // Resume reports that the time of a Wait has passed.
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -52,6 +52,7 @@
 	TargetLeaving       = Event{311, log.InfoLevel, "target stated in a response that it is leaving"}
 	TargetSignalInvalid = Event{312, log.WarnLevel, "target sent a rate limit that cannot be used: the last one stays in force"}
 	TargetHeld          = Event{313, log.InfoLevel, "report of a ready target is held: it may have been sent before a leaving that an earlier incarnation of the node acknowledged"}
+	TargetCrashed       = Event{314, log.WarnLevel, "target is gone while it ran calls"}
 	NodeSuperseded      = Event{307, log.ErrorLevel, "a later incarnation runs under this node's ID: calls are refused; stop this process or set another node.id"}
 )
 
@@ -65,5 +66,7 @@
 	// is refused before the history sync is complete.
 	KeyHistoryIncomplete = Event{405, log.InfoLevel, "gate refused a call with an idempotency key: too few of the gates that may have recorded an earlier claim on the key could confirm that there is none"}
 	CallerCutOff         = Event{406, log.InfoLevel, "caller's connection ended without the whole response to its request"}
+	RequestQuarantined   = Event{407, log.WarnLevel, "request is in quarantine: targets crashed while they ran it, and it is refused"}
+	QuarantineEnded      = Event{408, log.InfoLevel, "request is no longer in quarantine"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -65,7 +65,7 @@
 	_, span := r.startAttemptSpan(c.ctx, action.Endpoint.ID, action.ID)
 	defer span.End()
 	c.gates = append(c.gates, action.Endpoint.ID)
-	start := c.callStart(action)
+	start := r.callStart(c, action)
 	start.TimeoutMs = c.timeoutMs(r.options.Now())
 	start.AimMs = c.softDeadlineMs(r.options.Now())
 	start.SentMs = uint64(r.options.BootTime().UnixMilli())
@@ -334,6 +334,9 @@
 // response. Of start it uses the delay, the load and the report.
 func (a *attempt) endRefused(outcome call.Outcome, reason string, start *wire.AnswerStart) entry.Event {
 	a.end(true)
+	if start.TargetCrashed {
+		a.request.crashes++
+	}
 	return entry.Refused{
 		Handle:       a.handle,
 		Outcome:      outcome,
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -57,6 +57,8 @@
 	uploads sync.WaitGroup
 	// begun is set once the entry machine has accepted the request.
 	begun bool
+	// crashes counts the targets that crashed while they ran the request.
+	crashes int
 	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
 	// attempt is the last one that was opened; nil before.
@@ -245,6 +247,7 @@
 		Nested:        r.nested(request),
 		Priority:      uint32(c.route.Priority),
 		ContentLength: c.contentLength(request),
+		Content:       contentFingerprint(request, c.route.Host, r.options.Service, c.body),
 	}
 	if c.key != "" {
 		start.Fingerprint = fingerprint(request, c.route.Name, c.body)
@@ -273,7 +276,7 @@
 // callStart returns the CallStart of one attempt, without the times left, which
 // send adds. InTime is RequireSoftDeadline on the wire, and AimMs the time left
 // until the soft deadline.
-func (c *callerRequest) callStart(action entry.Send) *wire.CallStart {
+func (r *Runner) callStart(c *callerRequest, action entry.Send) *wire.CallStart {
 	t := c.template
 	return &wire.CallStart{
 		Id: toWireID(action.ID), GateIncarnation: action.Endpoint.Incarnation,
@@ -281,6 +284,7 @@
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
 		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength, RetriedIfLost: action.RetriedIfLost,
+		Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
 	}
 }
 
@@ -306,6 +310,9 @@
 // dispatch performs the entry machine's actions until there is a response for the caller,
 // or none will come.
 func (r *Runner) dispatch(c *callerRequest) dispatchResult {
+	if q := r.checkQuarantine(c); q != nil {
+		return dispatchResult{failure: &entry.Fail{Outcome: call.NotRun, Reason: call.ReasonQuarantined, RetryAfter: q.wait}}
+	}
 	begin := entry.Begin{
 		Handle: c.handle, Route: c.route.Name, Destinations: c.route.EffectiveDestinations(), Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, MaxAttempts: c.attempts, Key: c.key,
@@ -337,6 +344,10 @@
 		action = r.entry.submit(event)
 		if c.attemptsCtx.Err() != nil && leadsToAttempt(action) {
 			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()})
+		} else if leadsToAttempt(action) {
+			if q := r.checkQuarantine(c); q != nil {
+				action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: call.ReasonQuarantined, RetryAfter: q.wait})
+			}
 		}
 	}
 	return dispatchResult{}
@@ -439,7 +450,9 @@
 		r.refuse(w, request, p)
 		return
 	}
-	action.RetryAfter = c.limitRetryAfter(r.options.Now(), action.RetryAfter)
+	if action.Reason != call.ReasonQuarantined {
+		action.RetryAfter = c.limitRetryAfter(r.options.Now(), action.RetryAfter)
+	}
 	r.refuseAfterAttempts(w, request, failure(action), action.Gates)
 }
 
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -132,6 +132,10 @@
 	c.link = r.linkUseOf(stream, c.start.Route, c.wantedWithin(r.options.Now()))
 	defer c.link.end()
 	r.adoptReport(frame.Start.TargetReport)
+	if refused := r.quarantineFrame(frame.Start); refused != nil {
+		c.cancelRun()
+		return stream.Send(refused)
+	}
 	if refused := r.admitKey(stream, c); refused != nil {
 		c.cancelRun()
 		return stream.Send(refused)
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -20,6 +20,7 @@
 	"jasminegate/internal/coordination/entry"
 	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/coordination/membership"
+	"jasminegate/internal/coordination/quarantine"
 	"jasminegate/internal/coordination/transit"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
@@ -53,7 +54,12 @@
 	// OnTargetLeaving is called when the target states that it is leaving; the target
 	// then gets no new calls. Nil ignores it.
 	OnTargetLeaving func(Target)
-	Logger          *logging.Logger
+	// ShareQuarantine sends records of the quarantine to all nodes, and PersistQuarantine writes
+	// one to the platform, or deletes it there if it refuses nothing; neither blocks, and nil
+	// does nothing.
+	ShareQuarantine   func([]quarantine.Record)
+	PersistQuarantine func(quarantine.Record)
+	Logger            *logging.Logger
 	// Tracer starts a span for each hop; nil disables tracing.
 	Tracer     trace.Tracer
 	RandomSeed uint64
@@ -89,6 +95,7 @@
 	signals         *targetSignals
 	link            *linkPacer
 	transit         transitDelays
+	quarantine      *quarantineKeeper
 	// aheadSlots has a slot for each request that may be in work before its turn.
 	aheadSlots *semaphore.Weighted
 	// baseCtx ends with Run, and with it the calls at the target.
@@ -121,6 +128,7 @@
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.link = newLinkPacer(options.BandwidthMbps)
 	r.transit.machine = transit.New()
+	r.quarantine = newQuarantineKeeper(options)
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.entry = newEntryLoop(options)
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -49,15 +49,21 @@
 		return gate.NotSent
 	}
 	defer r.runningRequests.begin(wireHeaderValue(c.start.Headers, r.options.Contract.RequestID))()
+	if refused := r.quarantineFrame(c.start); refused != nil {
+		_ = c.response.add(r.baseCtx, refused)
+		return gate.NotSent
+	}
 	t := r.target.Load()
+	run := r.quarantine.start(c.start, wireHeaderValue(c.start.Headers, r.options.Contract.CallerService), wireHeaderValue(c.start.Headers, r.options.Contract.RequestID))
 	request, err := r.targetRequest(ctx, c, t)
 	if err != nil {
+		run.end(false)
 		r.recordOutcome(c, call.NotRun, call.ReasonMalformed)
 		return gate.NotSent
 	}
 	response, conn, err := t.roundTrip(request, c, func() { r.gate.notify(gate.Resent{ID: c.id}) })
 	if err != nil {
-		return r.recordFailure(c, t, conn.sent(), err)
+		return r.recordFailure(c, t, run, conn.sent(), err)
 	}
 	defer response.Body.Close()
 	t.conns.observeKeepAlive(response.Header)
@@ -65,16 +71,24 @@
 	r.observeSignals(t, request, response, class)
 	switch class {
 	case notRunResponse:
+		run.end(false)
 		delay := targetRetryAfter(r.options.Now(), response.Header)
 		_ = c.response.add(r.baseCtx, r.refusalFrame(call.NotRun, call.ReasonTargetShed, delay))
 		return gate.RejectedByTarget
 	case mismatchedResponse:
+		run.end(false)
 		conn.discard()
 		r.options.Logger.Event(logging.ResponseMismatch).Str("route", c.start.Route).Int("status", int64(response.StatusCode)).Send()
 		r.recordOutcome(c, call.Unknown, call.ReasonTargetConnectionLost)
 		return gate.Failed
 	}
-	return r.recordResponse(c, response)
+	result := r.recordResponse(c, response)
+	if result == gate.Failed && c.runCtx.Err() == nil {
+		run.lose(t)
+	} else {
+		run.end(result == gate.Completed || result == gate.Shed)
+	}
+	return result
 }
 
 func (r *Runner) targetRequest(ctx context.Context, c *gateCall, t *target) (*http.Request, error) {
@@ -182,15 +196,19 @@
 }
 
 // recordFailure records the outcome of a request that got no response.
-func (r *Runner) recordFailure(c *gateCall, t *target, sent bool, err error) gate.Result {
+func (r *Runner) recordFailure(c *gateCall, t *target, run *targetRun, sent bool, err error) gate.Result {
 	if !sent {
+		run.end(false)
 		r.recordOutcome(c, call.NotRun, call.ReasonTargetUnreachable)
 		return gate.NotSent
 	}
 	if c.runCtx.Err() == nil {
-		r.recordOutcome(c, call.Unknown, call.ReasonTargetConnectionLost)
+		frame := r.refusalFrame(call.Unknown, call.ReasonTargetConnectionLost, 0)
+		frame.Start.TargetCrashed = run.lose(t)
+		_ = c.response.add(r.baseCtx, frame)
 		return gate.Failed
 	}
+	run.cancel()
 	if errors.Is(c.runCtx.Err(), context.DeadlineExceeded) {
 		t.conns.closeIdle()
 		r.recordOutcome(c, call.Unknown, call.ReasonDeadline)
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -60,6 +60,7 @@
 	configuration *configuration.Runner
 	calls         *calls.Runner
 	targets       *targetRegistry
+	quarantine    *quarantineSpread
 
 	metrics  *metrics.Set
 	stopping atomic.Bool
@@ -148,6 +149,7 @@
 	if seed == 0 {
 		seed = n.self.Incarnation
 	}
+	n.quarantine = newQuarantineSpread(n)
 	// Closures call n.configuration and n.calls, which are set later.
 	n.members = members.New(members.Options{
 		Self:           n.self,
@@ -181,23 +183,26 @@
 		Now:               time.Now,
 	})
 	n.calls = calls.New(calls.Options{
-		Self:            n.self,
-		Settings:        n.settings.Calls,
-		Contract:        adapter.Contract,
-		Service:         n.settings.Node.Service,
-		Pool:            n.callsPool,
-		View:            n.members.View,
-		Snapshot:        n.configuration.Snapshot,
-		Serving:         n.members.Serving,
-		PeerLoad:        n.members.PeerLoad,
-		OnTargetLeaving: func(target calls.Target) { n.targets.markLeaving(target) },
-		Logger:          n.logger,
-		Tracer:          n.telemetry.tracer,
-		RandomSeed:      seed,
-		BandwidthMbps:   n.settings.Node.BandwidthMbps,
-		Now:             time.Now,
-		BootTime:        clock.BootTime,
+		Self:              n.self,
+		Settings:          n.settings.Calls,
+		Contract:          adapter.Contract,
+		Service:           n.settings.Node.Service,
+		Pool:              n.callsPool,
+		View:              n.members.View,
+		Snapshot:          n.configuration.Snapshot,
+		Serving:           n.members.Serving,
+		PeerLoad:          n.members.PeerLoad,
+		OnTargetLeaving:   func(target calls.Target) { n.targets.markLeaving(target) },
+		ShareQuarantine:   n.quarantine.share,
+		PersistQuarantine: n.quarantine.persist,
+		Logger:            n.logger,
+		Tracer:            n.telemetry.tracer,
+		RandomSeed:        seed,
+		BandwidthMbps:     n.settings.Node.BandwidthMbps,
+		Now:               time.Now,
+		BootTime:          clock.BootTime,
 	})
+	n.calls.LearnQuarantine(quarantineFromWire(time.Now(), n.registrations.Quarantine()))
 }
 
 func (n *node) composeServers(adapter Adapter) {
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -203,6 +203,8 @@
 	members []membership.Member
 	// histories are, by node ID, those that nodes left behind at their planned stops.
 	histories map[string]leaving.History
+	// quarantine are the requests in quarantine.
+	quarantine []*wire.QuarantineRecord
 }
 
 // ReadDirectory reads the records of all nodes. The errors are those of the directory.
@@ -212,7 +214,42 @@
 		return Registrations{}, err
 	}
 	rosters := decodeRosters(batch.Records, logger)
-	return Registrations{ReadAt: now, members: membersOf(rosters), histories: historiesOf(rosters)}, nil
+	return Registrations{ReadAt: now, members: membersOf(rosters), histories: historiesOf(rosters), quarantine: quarantineOf(rosters)}, nil
+}
+
+// Quarantine returns the requests that were in quarantine when the directory was read.
+func (r Registrations) Quarantine() []*wire.QuarantineRecord { return r.quarantine }
+
+func quarantineOf(rosters []*wire.Roster) []*wire.QuarantineRecord {
+	var records []*wire.QuarantineRecord
+	for _, roster := range rosters {
+		if record := roster.GetQuarantined(); record != nil {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+// quarantineKeyPrefix begins the keys of requests in quarantine. No node's ID has a slash.
+const quarantineKeyPrefix = "quarantine/"
+
+// WriteQuarantine records a request in quarantine for nodes that start, or deletes the record of the
+// fingerprint if record is nil. It does nothing without a compacted log.
+func (r *Runner) WriteQuarantine(ctx context.Context, fingerprint string, record *wire.QuarantineRecord) {
+	if r.options.Directory == nil {
+		return
+	}
+	var data []byte
+	if record != nil {
+		var err error
+		if data, err = proto.Marshal(&wire.Roster{Quarantined: record}); err != nil {
+			r.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
+			return
+		}
+	}
+	if err := r.options.Directory.Put(ctx, platformlog.StreamMembers, quarantineKeyPrefix+fingerprint, data); err != nil {
+		r.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
+	}
 }
 
 // TargetHistory returns what the previous incarnation of the node handed over at its planned
