--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -92,6 +92,7 @@
 			ticketCommand(streams),
 			configCommand(streams),
 			statusCommand(streams),
+			quarantineCommand(streams),
 			explainCommand(streams),
 			versionCommand(streams),
 		},
--- a/internal/coordination/quarantine/machine.go
+++ b/internal/coordination/quarantine/machine.go
@@ -76,8 +76,12 @@
 	Observed bool
 }
 
-// Allow says that a request is no longer in quarantine.
-type Allow struct{ Record Record }
+// Allow says that a request is no longer in quarantine. Observed is as in Refuse, for a request
+// that ended well here or was lifted here.
+type Allow struct {
+	Record   Record
+	Observed bool
+}
 
 func (Share) action()  {}
 func (Refuse) action() {}
@@ -189,7 +193,7 @@
 	m.records[record.Fingerprint] = cleared
 	actions := []Action{Share{Records: []Record{cleared}}}
 	if record.Refused() {
-		actions = append(actions, Allow{Record: cleared})
+		actions = append(actions, Allow{Record: cleared, Observed: true})
 	}
 	return actions
 }
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -36,7 +36,8 @@
 	logging.NodeStarted, logging.NodeStopping, logging.NodeStopped, logging.NodeFenced, logging.NodeUnfenced,
 	logging.SnapshotInstalled, logging.UpdateRefused, logging.PlatformUnreachable, logging.PlatformReachable, logging.TicketUndecodable,
 	logging.MemberJoined, logging.MemberSuspect, logging.MemberDead, logging.MemberLeft,
-	logging.TargetReady, logging.TargetDraining, logging.TargetExpired, logging.TargetRateLimit, logging.TargetLeaving,
+	logging.TargetReady, logging.TargetDraining, logging.TargetExpired, logging.TargetRateLimit, logging.TargetLeaving, logging.TargetCrashed,
+	logging.RequestQuarantined, logging.QuarantineEnded,
 	logging.PeerConnectionsDropped,
 }
 
--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -63,6 +63,15 @@
 	set.NewGauge("jasminegate_target_rate_limit", func() float64 {
 		return n.calls.Stats().TargetSignals.RateLimit
 	})
+	set.NewGauge("jasminegate_target_crashes_total", func() float64 {
+		return float64(n.calls.QuarantineStats().TargetCrashes)
+	})
+	set.NewGauge(`jasminegate_quarantine_requests{state="refused"}`, func() float64 {
+		return float64(n.calls.QuarantineStats().Refused)
+	})
+	set.NewGauge(`jasminegate_quarantine_requests{state="suspected"}`, func() float64 {
+		return float64(n.calls.QuarantineStats().Suspected)
+	})
 	n.addCallMetrics(set)
 	n.addConfigurationMetrics(set)
 	return set
--- a/internal/node/calls/quarantine.go
+++ b/internal/node/calls/quarantine.go
@@ -195,7 +195,9 @@
 			}
 		case quarantine.Allow:
 			k.logRecord(logging.QuarantineEnded, a.Record)
-			k.persist(a.Record)
+			if a.Observed {
+				k.persist(a.Record)
+			}
 		}
 	}
 }
@@ -227,9 +229,38 @@
 	}
 }
 
-// LiftQuarantine lets the request through again, and drops the crashes noted with it.
-func (r *Runner) LiftQuarantine(fingerprint uint64) {
+// LiftQuarantine lets the request through again, and drops the crashes noted with it. It reports
+// whether any were.
+func (r *Runner) LiftQuarantine(fingerprint uint64) bool {
+	if r.quarantine.known(fingerprint) == 0 {
+		return false
+	}
 	r.quarantine.step(quarantine.Lifted{Fingerprint: fingerprint})
+	return true
+}
+
+// QuarantineStats are counted for metrics.
+type QuarantineStats struct {
+	// TargetCrashes is how often the local target crashed while it ran calls.
+	TargetCrashes uint64
+	// Refused is how many requests are in quarantine, and Suspected how many others a crash is
+	// noted with.
+	Refused, Suspected int
+}
+
+// QuarantineStats returns the current counts.
+func (r *Runner) QuarantineStats() QuarantineStats {
+	stats := QuarantineStats{TargetCrashes: r.quarantine.crashes.Load()}
+	records, _ := r.QuarantineRecords()
+	for _, record := range records {
+		switch {
+		case record.Refused():
+			stats.Refused++
+		case len(record.Crashes) > 0:
+			stats.Suspected++
+		}
+	}
+	return stats
 }
 
 // refusedByQuarantine is how long a request is in quarantine.
--- a/internal/processtest/crashing_test.go
+++ b/internal/processtest/crashing_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"jasminegate/internal/protocol/adminapi"
 	"jasminegate/internal/standin/fleet"
 	"jasminegate/internal/standin/load"
 )
@@ -139,3 +142,39 @@
 		t.Errorf("%d targets crashed while the nodes were restarted; %d allowed", after, crashesAllowed)
 	}
 }
+
+// quarantineOf returns the requests that the node refuses because of crashes.
+func (h *harness) quarantineOf(node *fleet.Node) []adminapi.QuarantinedRequest {
+	h.t.Helper()
+	body, err := node.AdminRequest(h.ctx(), http.MethodGet, adminapi.PathQuarantine, nil)
+	h.must(err)
+	var list adminapi.QuarantineList
+	h.must(json.Unmarshal(body, &list))
+	return slices.DeleteFunc(list.Requests, func(r adminapi.QuarantinedRequest) bool { return !r.Refused })
+}
+
+// TestOperatorCannotLiftQuarantine lists the quarantine at each node and lifts it at one.
+func TestOperatorCannotLiftQuarantine(t *testing.T) {
+	h := startHarness(t, fleetPlan(2))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.watchCrashes(ctx)
+	sending, stopSending := context.WithCancel(ctx)
+	go h.sendCrashing(sending)
+	for _, node := range h.Nodes {
+		h.await(node.ID+" to refuse the request", func() bool { return len(h.quarantineOf(node)) == 1 })
+	}
+	stopSending()
+	listed := h.quarantineOf(h.Nodes[0])[0]
+	if listed.Method != http.MethodGet || listed.URI != crashingURI || listed.Crashes < 2 || listed.RemainingMS <= 0 {
+		t.Errorf("listed as %+v", listed)
+	}
+	_, err := h.Nodes[1].AdminRequest(h.ctx(), http.MethodDelete, adminapi.QuarantinePath(listed.ID), nil)
+	h.must(err)
+	for _, node := range h.Nodes {
+		h.await(node.ID+" to let the request through", func() bool { return len(h.quarantineOf(node)) == 0 })
+	}
+	if _, err := h.Nodes[1].AdminRequest(h.ctx(), http.MethodDelete, adminapi.QuarantinePath(listed.ID), nil); err == nil {
+		t.Error("a quarantine that was lifted is lifted again without an error")
+	}
+}
--- a/internal/protocol/adminapi/paths.go
+++ b/internal/protocol/adminapi/paths.go
@@ -11,10 +11,13 @@
 	PathTicket  = "/tickets/{number}"
 	PathStatus  = "/status"
 	PathTarget  = "/target"
-	PathHealth  = "/healthz"
-	PathReady   = "/readyz"
-	PathMetrics = "/metrics"
-	PathProfile = "/debug/pprof/"
+	// PathQuarantine lists requests in quarantine; PathQuarantined is one of them.
+	PathQuarantine  = "/quarantine"
+	PathQuarantined = "/quarantine/{id}"
+	PathHealth      = "/healthz"
+	PathReady       = "/readyz"
+	PathMetrics     = "/metrics"
+	PathProfile     = "/debug/pprof/"
 )
 
 // QueryContent is the query parameter of PathTicket that selects the ticket with
--- a/internal/transport/adminclient/client.go
+++ b/internal/transport/adminclient/client.go
@@ -72,6 +72,20 @@
 	return status, err
 }
 
+// Quarantine returns the requests under which targets crashed.
+func (c *Client) Quarantine(ctx context.Context) (adminapi.QuarantineList, error) {
+	var list adminapi.QuarantineList
+	err := c.do(ctx, http.MethodGet, adminapi.PathQuarantine, nil, &list)
+	return list, err
+}
+
+// LiftQuarantine lets the request with the ID through again, at all nodes, and returns the others.
+func (c *Client) LiftQuarantine(ctx context.Context, id string) (adminapi.QuarantineList, error) {
+	var list adminapi.QuarantineList
+	err := c.do(ctx, http.MethodDelete, adminapi.QuarantinePath(url.PathEscape(id)), nil, &list)
+	return list, err
+}
+
 // do sends one request and decodes the response into result.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, result any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
