A refusal by one gate's quarantine, and the end of a target that leaves, were not heeded

Callers would have seen: a call whose entry does not know of the quarantine yet went on to the next gates, one of which may not know it either; and calls cut off at the end of a target that had announced its leaving were noted as a crash. Change: an entry keeps to the first refusal of that kind, with its retry delay; a target that drains or says that it leaves does not crash. After: go test ./internal/node/calls -run TestQuarantined, ./platform -run 'Quarantine|Crash' pass.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -337,6 +337,9 @@
 	if start.TargetCrashed {
 		a.request.crashes++
 	}
+	if call.Reason(reason) == call.ReasonQuarantined {
+		a.request.refusedByGate = &refusedByQuarantine{wait: time.Duration(start.RetryAfterMs) * time.Millisecond}
+	}
 	return entry.Refused{
 		Handle:       a.handle,
 		Outcome:      outcome,
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -57,8 +57,10 @@
 	uploads sync.WaitGroup
 	// begun is set once the entry machine has accepted the request.
 	begun bool
-	// crashes counts the targets that crashed while they ran the request.
-	crashes int
+	// crashes counts the targets that crashed while they ran the request. refusedByGate is set
+	// once a gate has refused it because of its quarantine.
+	crashes       int
+	refusedByGate *refusedByQuarantine
 	// bodyRead is set once the body was read to its end.
 	bodyRead atomic.Bool
 	// attempt is the last one that was opened; nil before.
--- a/internal/node/calls/quarantine.go
+++ b/internal/node/calls/quarantine.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/coordination/quarantine"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/wire"
@@ -274,7 +275,24 @@
 	if c.crashes >= maxCrashesPerRequest {
 		return &refusedByQuarantine{}
 	}
-	return nil
+	return c.refusedByGate
+}
+
+// stopsAsPlanned reports whether the target has said that it leaves. Its end is no crash then.
+func (r *Runner) stopsAsPlanned(t *target) bool {
+	current := r.target.Load()
+	announced := current != nil && current.Process().Same(t.Process()) && current.State == membership.TargetDraining
+	return announced || r.signals.get().Leaving
+}
+
+// loseRun notes that the target broke the connection of the run, and reports whether the target
+// crashed.
+func (r *Runner) loseRun(run *targetRun, t *target) bool {
+	if r.stopsAsPlanned(t) {
+		run.end(false)
+		return false
+	}
+	return run.lose(t)
 }
 
 // quarantineFrame refuses a call in quarantine, or returns nil.
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -84,7 +84,7 @@
 	}
 	result := r.recordResponse(c, response)
 	if result == gate.Failed && c.runCtx.Err() == nil {
-		run.lose(t)
+		r.loseRun(run, t)
 	} else {
 		run.end(result == gate.Completed || result == gate.Shed)
 	}
@@ -204,7 +204,7 @@
 	}
 	if c.runCtx.Err() == nil {
 		frame := r.refusalFrame(call.Unknown, call.ReasonTargetConnectionLost, 0)
-		frame.Start.TargetCrashed = run.lose(t)
+		frame.Start.TargetCrashed = r.loseRun(run, t)
 		_ = c.response.add(r.baseCtx, frame)
 		return gate.Failed
 	}
