Notes of crashes under a request whose URI is not UTF-8 reached no other node

Found by reading the diff. And a run whose handler panicked stayed among those that run, and would have been suspected in each later crash. Change: what is not UTF-8 is replaced; the end of each run is noted, also after a panic. Test, failing before: TestCutURIKeepsRecordsFromOtherNodes (the text is not valid).

--- a/internal/node/calls/quarantine.go
+++ b/internal/node/calls/quarantine.go
@@ -114,6 +114,8 @@
 	id        uint64
 	startedAt time.Time
 	requestID string
+	// ended is set once the end of the run was noted.
+	ended bool
 }
 
 // start notes that a run begins.
@@ -124,20 +126,35 @@
 	}
 	k.step(quarantine.Started{
 		Run: r.id, Fingerprint: start.Content, Known: int(start.Crashes),
-		Description: quarantine.Description{Method: start.Method, URI: start.Uri[:min(len(start.Uri), maxDescribedURIBytes)], Caller: caller},
+		Description: quarantine.Description{Method: start.Method, URI: describedURI(start.Uri), Caller: caller},
 	})
 	return r
 }
 
+// describedURI returns the beginning of a URI, as text that a message can carry: a URI may have any
+// bytes, and may be cut within a character.
+func describedURI(uri string) string {
+	return strings.ToValidUTF8(uri[:min(len(uri), maxDescribedURIBytes)], "?")
+}
+
 // end notes that the run ended. answered says that the target sent its whole response.
 func (r *targetRun) end(answered bool) {
+	r.ended = true
 	if r.keeper.enabled {
 		r.keeper.step(quarantine.Ended{Run: r.id, Answered: answered})
 	}
 }
 
+// endAfterPanic notes the end of a run that nothing else has ended.
+func (r *targetRun) endAfterPanic() {
+	if !r.ended {
+		r.end(false)
+	}
+}
+
 // cancel notes that the run was cancelled. The target may still crash under it.
 func (r *targetRun) cancel() {
+	r.ended = true
 	if r.keeper.enabled {
 		r.keeper.step(quarantine.Lost{Run: r.id})
 	}
@@ -146,6 +163,7 @@
 // lose notes that the connection to the target broke, and reports whether the target crashed.
 func (r *targetRun) lose(t *target) bool {
 	k := r.keeper
+	r.ended = true
 	if !k.enabled {
 		return false
 	}
--- a/internal/node/calls/quarantine_test.go
+++ b/internal/node/calls/quarantine_test.go
@@ -2,16 +2,31 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/wire"
 )
 
+// TestCutURIKeepsRecordsFromOtherNodes: a message with text that is not UTF-8 cannot be sent.
+func TestCutURIKeepsRecordsFromOtherNodes(t *testing.T) {
+	is := is.New(t)
+	for _, uri := range []string{"/" + strings.Repeat("é", maxDescribedURIBytes), "/\xff\xfe", strings.Repeat("a", 2*maxDescribedURIBytes)} {
+		described := describedURI(uri)
+		is.True(utf8.ValidString(described))
+		is.True(len(described) <= maxDescribedURIBytes)
+		_, err := proto.Marshal(&wire.QuarantineRecord{Uri: described})
+		is.NoErr(err)
+	}
+}
+
 // countingGate refuses every call because of its quarantine.
 type countingGate struct {
 	fakeGate
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -55,6 +55,7 @@
 	}
 	t := r.target.Load()
 	run := r.quarantine.start(c.start, wireHeaderValue(c.start.Headers, r.options.Contract.CallerService), wireHeaderValue(c.start.Headers, r.options.Contract.RequestID))
+	defer run.endAfterPanic()
 	request, err := r.targetRequest(ctx, c, t)
 	if err != nil {
 		run.end(false)
