--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -277,6 +277,7 @@
 // controlServer routes the control service's methods to the members and the
 // configuration runner.
 type controlServer struct {
+	wire.DRPCControlUnimplementedServer
 	node *node
 }
 
