Check a call immediately before it is written to its target

Its connection to the target may take up to a second then, and the process may stand still; the timeout for the target was computed before that. The HTTP client may also return before its goroutine writes: such a call was reported as not run and could be written afterwards.

Change: targetConn.Write asks before the first byte of a request whether the call was cancelled, its entry's connection lost or its time over, and writes nothing then; the call is reported as not run, with the reason. The timeout header is set once the connection is there. A call that ended unwritten is never written later.

--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"jasminegate/internal/coordination/call"
@@ -46,6 +47,10 @@
 	// runCtx ends at the deadline or when the call is cancelled.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
+	// abandoned is set once the entry has cancelled the call or its connection was lost.
+	abandoned atomic.Bool
+	// writeRefused is why the call was not written to the target; nil if nothing kept it.
+	writeRefused atomic.Pointer[call.Reason]
 }
 
 func (r *Runner) newGateCall(frame *wire.CallFrame) *gateCall {
@@ -210,6 +215,7 @@
 			return
 		}
 		if frame.Cancel {
+			c.abandoned.Store(true)
 			c.failBody(io.ErrUnexpectedEOF)
 			r.gate.notify(gate.Cancelled{ID: c.id})
 			continue
--- a/internal/node/calls/recover.go
+++ b/internal/node/calls/recover.go
@@ -31,6 +31,7 @@
 
 // loseEntry treats a call as one whose entry's connection was lost.
 func (r *Runner) loseEntry(c *gateCall) {
+	c.abandoned.Store(true)
 	c.failBody(io.ErrUnexpectedEOF)
 	r.gate.notify(gate.Disconnected{ID: c.id})
 }
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -62,7 +62,8 @@
 		r.recordOutcome(c, call.NotRun, call.ReasonMalformed)
 		return gate.NotSent
 	}
-	response, conn, err := t.roundTrip(request, c, func() { r.gate.notify(gate.Resent{ID: c.id}) })
+	check := r.newWriteCheck(c, request.Header)
+	response, conn, err := t.roundTrip(request, c, check, func() { r.gate.notify(gate.Resent{ID: c.id}) })
 	if err != nil {
 		return r.recordFailure(c, t, run, conn.sent(), err)
 	}
@@ -125,8 +126,7 @@
 		header["User-Agent"] = []string{""}
 	}
 	contract := r.options.Contract
-	remaining := max(1, c.deadline.Sub(r.options.Now()).Milliseconds())
-	setIfPresent(header, contract.Timeout, strconv.FormatInt(remaining, 10))
+	setIfPresent(header, contract.Timeout, c.remainingMs(r.options.Now()))
 	// AttemptsLeft counts the attempts after this one. The header includes this
 	// one, since it must be above 0 in a nested call.
 	setIfPresent(header, contract.Attempts, strconv.FormatUint(uint64(c.start.AttemptsLeft)+1, 10))
@@ -137,70 +137,33 @@
 }
 
 // roundTrip sends the request, and sends it once more, over a new connection, if no
-// byte of it was written, its body is not streamed and its context has not ended. used tracks
+// byte of it was written, its body is not streamed and the call may still be written. used tracks
 // the connection of the last try. resent is called when the HTTP client sends the
 // request again by itself.
-func (t *target) roundTrip(request *http.Request, c *gateCall, resent func()) (response *http.Response, used *writeTracker, err error) {
+func (t *target) roundTrip(request *http.Request, c *gateCall, check writeCheck, resent func()) (response *http.Response, used *writeTracker, err error) {
 	transport := t.conns.transportFor(c.start.Idempotent, c.streaming || len(c.buffered) > 0)
 	for try := 0; try < maxUnsentTries; try++ {
 		if try == maxUnsentTries-1 {
 			// Other connections of the pool may have ended too.
 			transport = t.conns.singleUse
 		}
-		used = &writeTracker{resent: resent}
+		used = &writeTracker{check: check, resent: resent}
 		traced := request.WithContext(httptrace.WithClientTrace(request.Context(), used.trace()))
 		traced.Body = c.targetBody()
 		response, err = transport.RoundTrip(traced)
-		if err == nil || used.sent() || c.streaming || request.Context().Err() != nil {
+		used.end()
+		if err == nil || used.sent() || used.refused.Load() || c.streaming || request.Context().Err() != nil {
 			break
 		}
 	}
 	return response, used, err
 }
 
-// writeTracker detects whether bytes of a request were written to its
-// connection.
-type writeTracker struct {
-	conn   *targetConn
-	before int64
-	// sentBefore is set once bytes were written to a connection before conn.
-	sentBefore bool
-	// resent is called when the request gets another connection after bytes of it
-	// were written to the last one.
-	resent func()
-}
-
-func (w *writeTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*targetConn); ok {
-			if w.sent() {
-				w.sentBefore = true
-				w.resent()
-			}
-			conn.take(w)
-			w.conn = conn
-			w.before = conn.written.Load()
-		}
-	}}
-}
-
-func (w *writeTracker) sent() bool {
-	return w.sentBefore || w.conn != nil && w.conn.written.Load() > w.before
-}
-
-// discard closes a connection on which bytes arrived that belong to no request. After a
-// response without a body it is in the pool again, and may have another user.
-func (w *writeTracker) discard() {
-	if w.conn != nil {
-		w.conn.discard(w)
-	}
-}
-
 // recordFailure records the outcome of a request that got no response.
 func (r *Runner) recordFailure(c *gateCall, t *target, run *targetRun, sent bool, err error) gate.Result {
 	if !sent {
 		run.end(false)
-		r.recordOutcome(c, call.NotRun, call.ReasonTargetUnreachable)
+		r.recordOutcome(c, call.NotRun, c.notSentReason())
 		return gate.NotSent
 	}
 	if c.runCtx.Err() == nil {
--- a/internal/node/calls/targetconn.go
+++ b/internal/node/calls/targetconn.go
@@ -62,13 +62,19 @@
 	return n, err
 }
 
-// Write counts the bytes written, those of a failed write included.
+// Write counts the bytes written, those of a failed write included. It fails without writing
+// if its request must not be written any more.
 func (c *targetConn) Write(data []byte) (int, error) {
-	if c.user.Load() == discarded {
+	user := c.user.Load()
+	if user == discarded {
 		return 0, net.ErrClosed
 	}
+	if err := user.beginWrite(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(data)
 	c.written.Add(int64(n))
+	user.endWrite(n)
 	return n, err
 }
 
--- a/internal/node/calls/targetconns.go
+++ b/internal/node/calls/targetconns.go
@@ -43,10 +43,13 @@
 	// singleUse opens a connection for each request: on a reused connection the HTTP
 	// client would send a request without a body again by itself.
 	singleUse *http.Transport
+	// dialTCP opens connections.
+	dialTCP func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func newTargetConns(limit int) *targetConns {
-	c := &targetConns{limit: int64(limit)}
+	dialer := net.Dialer{Timeout: targetDialTimeout}
+	c := &targetConns{limit: int64(limit), dialTCP: dialer.DialContext}
 	c.pooled.Store(c.newTransport(targetIdleTimeout))
 	c.recent = c.newTransport(recentUse)
 	c.singleUse = c.newTransport(0)
@@ -128,8 +131,7 @@
 			return nil, errConnectionLimit.New("%d connections to the target are open, which is the limit: raise the connections of the service, or those that the target announces", c.limit)
 		}
 	}
-	dialer := net.Dialer{Timeout: targetDialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
+	conn, err := c.dialTCP(ctx, network, address)
 	if err != nil {
 		c.open.Add(-1)
 		return nil, err
--- /dev/null
+++ b/internal/node/calls/writecheck.go
@@ -0,0 +1,60 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"jasminegate/internal/coordination/call"
+)
+
+// newWriteCheck returns the last check of the call, immediately before it is written to the
+// target. Time may have passed since it was started: while a connection was opened, and while the
+// process had no processor time.
+func (r *Runner) newWriteCheck(c *gateCall, header http.Header) writeCheck {
+	return writeCheck{
+		connected: func() { setIfPresent(header, r.options.Contract.Timeout, c.remainingMs(r.options.Now())) },
+		mayWrite:  func() error { return r.mayWrite(c) },
+	}
+}
+
+// mayWrite returns an error if nobody waits for the response any more.
+func (r *Runner) mayWrite(c *gateCall) error {
+	switch {
+	case c.abandoned.Load():
+		return c.refuseWrite(call.ReasonCancelled)
+	case r.options.BootTime().After(c.bootDeadline):
+		// As in callTarget: the claim of the call's key may have expired.
+		return c.refuseWrite(call.ReasonDeadline)
+	case !r.options.Now().Before(c.deadline):
+		return c.refuseWrite(call.ReasonTooLate)
+	}
+	return nil
+}
+
+// refuseWrite records why the call is not written, and returns the error for the HTTP client.
+func (c *gateCall) refuseWrite(reason call.Reason) error {
+	c.writeRefused.Store(&reason)
+	return errWriteRefused.New("the call is not written to the target: %s", reason)
+}
+
+// notSentReason returns why no byte of the call was written to the target.
+func (c *gateCall) notSentReason() call.Reason {
+	if refused := c.writeRefused.Load(); refused != nil {
+		return *refused
+	}
+	switch err := c.runCtx.Err(); {
+	case errors.Is(err, context.DeadlineExceeded):
+		return call.ReasonTooLate
+	case err != nil:
+		return call.ReasonCancelled
+	}
+	return call.ReasonTargetUnreachable
+}
+
+// remainingMs returns the milliseconds left until the deadline, at least 1, as decimal text.
+func (c *gateCall) remainingMs(now time.Time) string {
+	return strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10)
+}
--- /dev/null
+++ b/internal/node/calls/writetracker.go
@@ -0,0 +1,103 @@
+package calls
+
+import (
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// writeCheck decides whether a request may still be written to the target.
+type writeCheck struct {
+	// connected is called once the request has a connection, before its headers are encoded.
+	connected func()
+	// mayWrite is called immediately before the first byte is written. It may wait.
+	mayWrite func() error
+}
+
+// States of a writeTracker.
+const (
+	// writeOpen means that no byte is written yet.
+	writeOpen int32 = iota
+	// writeBegun means that bytes are being written, or were.
+	writeBegun
+	// writeEnded means that no byte was written and none may be written any more.
+	writeEnded
+)
+
+// writeTracker detects whether bytes of a request were written to its
+// connection.
+type writeTracker struct {
+	conn   *targetConn
+	before int64
+	// sentBefore is set once bytes were written to a connection before conn.
+	sentBefore bool
+	// check is asked before the first byte; its functions may be nil. refused is set once it
+	// has refused the request.
+	check   writeCheck
+	refused atomic.Bool
+	state   atomic.Int32
+	// resent is called when the request gets another connection after bytes of it
+	// were written to the last one.
+	resent func()
+}
+
+func (w *writeTracker) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*targetConn); ok {
+			if w.sent() {
+				w.sentBefore = true
+				w.resent()
+			}
+			w.state.CompareAndSwap(writeBegun, writeOpen)
+			conn.take(w)
+			w.conn = conn
+			w.before = conn.written.Load()
+		}
+		if w.check.connected != nil {
+			w.check.connected()
+		}
+	}}
+}
+
+// beginWrite is called before each write. It fails if the request must not be written.
+func (w *writeTracker) beginWrite() error {
+	if w == nil || w.state.Load() == writeBegun {
+		return nil
+	}
+	if w.check.mayWrite != nil {
+		if err := w.check.mayWrite(); err != nil {
+			w.refused.Store(true)
+			return err
+		}
+	}
+	if !w.state.CompareAndSwap(writeOpen, writeBegun) {
+		return errWriteRefused.New("the call ended before it was written to the target")
+	}
+	return nil
+}
+
+// endWrite is called after each write, with the number of bytes written.
+func (w *writeTracker) endWrite(n int) {
+	if w != nil && n == 0 && !w.counted() {
+		w.state.CompareAndSwap(writeBegun, writeOpen)
+	}
+}
+
+// end keeps a request of which no byte was written from being written later: the HTTP client
+// may return before the goroutine that writes for it.
+func (w *writeTracker) end() { w.state.CompareAndSwap(writeOpen, writeEnded) }
+
+// sent reports whether bytes of the request were written, or are being written.
+func (w *writeTracker) sent() bool { return w.state.Load() == writeBegun || w.counted() }
+
+// counted reports whether bytes of the request are counted as written.
+func (w *writeTracker) counted() bool {
+	return w.sentBefore || w.conn != nil && w.conn.written.Load() > w.before
+}
+
+// discard closes a connection on which bytes arrived that belong to no request. After a
+// response without a body it is in the pool again, and may have another user.
+func (w *writeTracker) discard() {
+	if w.conn != nil {
+		w.conn.discard(w)
+	}
+}
