Entries ask the kernel for the age of requests and closes

The time left was computed before the connection to the gate was opened or checked, which may take a second.

Change: callerconn.Conn.Peer reads TCP_INFO: the age of the last data, and whether and for how long the caller has closed its sending side, or reset the connection. Time limits count from the arrival of the request, the 300 ms after a close from the arrival of the close. Before each attempt, and after its connection is open, the entry checks caller and deadline; the times in CallStart are those of the moment of sending. A gate whose call was not sent for that reason is not ejected. Without TCP_INFO all ages are 0 and nothing changes.

Ruled out: poll for POLLRDHUP, which does not say when the caller closed, so that a caller that left could not be told from a half-close.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -115,9 +115,11 @@
 		return nil
 	}
 	ep := c.endpoint
-	if e.ConnectionLimitReached {
+	switch {
+	case e.GateReached:
+	case e.ConnectionLimitReached:
 		ep.avoidUntil = now.Add(overloadAvoidTime)
-	} else {
+	default:
 		m.eject(now, c.Service, ep)
 	}
 	if c.resolving {
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -90,6 +90,9 @@
 	// ConnectionLimitReached says that this node already has as many connections to
 	// the gate as it may open.
 	ConnectionLimitReached bool
+	// GateReached says that the gate could have taken the call, which was not sent because
+	// its caller has left or its time is over.
+	GateReached bool
 }
 
 // ConnectionLost reports that the connection of an attempt, or of the Resolve for
--- a/internal/coordination/entry/lostattempt_test.go
+++ b/internal/coordination/entry/lostattempt_test.go
@@ -79,3 +79,17 @@
 	is.True(ok)
 	is.Equal(fail.Outcome, call.Unknown)
 }
+
+// TestGateOfUnsentCallIsEjected ends a call that was not sent because its caller had left: its gate
+// must get the next one.
+func TestGateOfUnsentCallIsEjected(t *testing.T) {
+	is := is.New(t)
+	for _, reached := range []bool{true, false} {
+		m := New(Options{Node: "n-1", Incarnation: 1, Seed: 1})
+		now := time.Unix(0, 0)
+		m.Step(now, SetEndpoints{Endpoints: []Endpoint{{ID: "g-1", Incarnation: 1, Service: "depot", Slots: 1}, {ID: "g-2", Incarnation: 1, Service: "depot", Slots: 1}}})
+		first := m.Step(now, Begin{Handle: 1, Service: "depot", Deadline: now.Add(time.Second), MaxAttempts: 1})[0].(Send)
+		m.Step(now, NotSent{Handle: 1, GateReached: reached})
+		is.Equal(now.Before(m.endpoints[first.Endpoint.ID].ejectedUntil), !reached)
+	}
+}
--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -106,7 +106,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.inputTimer == nil && !a.taken {
-		a.inputTimer = time.AfterFunc(inputClosedGrace, a.endAfterInputClosed)
+		a.inputTimer = time.AfterFunc(graceLeft(callerconn.FromContext(a.ctx)), a.endAfterInputClosed)
 	}
 }
 
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -66,16 +66,21 @@
 	defer span.End()
 	c.gates = append(c.gates, action.Endpoint.ID)
 	start := r.callStart(c, action)
+	a, err := r.open(c, action.Endpoint, action.NewConnection, c.deadline)
+	if err != nil {
+		return nil, notSent(c.handle, err)
+	}
+	if !r.mayAttempt(c) {
+		a.end(false)
+		return nil, entry.NotSent{Handle: c.handle, GateReached: true}
+	}
+	// Opening the connection may have taken a while: the times are those of now.
 	start.TimeoutMs = c.timeoutMs(r.options.Now())
 	start.AimMs = c.softDeadlineMs(r.options.Now())
 	start.SentMs = uint64(r.options.BootTime().UnixMilli())
 	if action.TargetReport != nil {
 		start.TargetReport = toWireReport(r.options.Now(), *action.TargetReport)
 	}
-	a, err := r.open(c, action.Endpoint, action.NewConnection, c.deadline)
-	if err != nil {
-		return nil, notSent(c.handle, err)
-	}
 	return a.exchange(&wire.CallFrame{Start: start, Data: c.body.buffered, Last: c.body.rest == nil})
 }
 
--- a/internal/node/calls/callerinput.go
+++ b/internal/node/calls/callerinput.go
@@ -28,7 +28,7 @@
 	conn.OnInputClosed(func() {
 		mu.Lock()
 		defer mu.Unlock()
-		timer = time.AfterFunc(inputClosedGrace, c.endAfterInputClosed)
+		timer = time.AfterFunc(graceLeft(conn), c.endAfterInputClosed)
 	})
 	return func() {
 		conn.OnInputClosed(nil)
@@ -40,6 +40,12 @@
 	}
 }
 
+// graceLeft returns what is left of inputClosedGrace after the caller's close, which may have been
+// read late.
+func graceLeft(conn *callerconn.Conn) time.Duration {
+	return max(0, inputClosedGrace-conn.Peer().CloseAge)
+}
+
 // endAfterInputClosed makes no further attempt and cancels the call where it is queued.
 // One that runs is cancelled only if it is idempotent: breaking off another one would not
 // undo it, and its caller may still read the response.
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -69,6 +69,8 @@
 	responseStarted bool
 	// closeAnnounced is set if the response says that the connection is closed after it.
 	closeAnnounced bool
+	// callerCheckedAt is when the kernel was last asked for the state of the caller's connection.
+	callerCheckedAt time.Time
 
 	mu        sync.Mutex
 	bodyError error
@@ -126,8 +128,9 @@
 		return nil, refused
 	}
 	conn := callerconn.FromContext(ctx)
-	receivedAt := now
-	if at := conn.ArrivedAt(); !at.IsZero() {
+	// The bytes may have waited in the socket's buffer, or behind another request.
+	receivedAt := now.Add(-conn.Peer().DataAge)
+	if at := conn.ArrivedAt(); !at.IsZero() && time.Since(at) > now.Sub(receivedAt) {
 		receivedAt = now.Add(-time.Since(at))
 	}
 	c, refused := r.newCallerRequest(index, receivedAt, request)
@@ -329,6 +332,10 @@
 		var event entry.Event
 		switch a := action.(type) {
 		case entry.Send:
+			if !r.mayAttempt(c) {
+				action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.noAttemptReason(c)})
+				continue
+			}
 			got, event = r.send(c, a)
 		case entry.Resolve:
 			got, event = r.resolveAttempt(c, a)
--- a/internal/transport/callerconn/ahead.go
+++ b/internal/transport/callerconn/ahead.go
@@ -79,11 +79,11 @@
 	closeAnnounced bool
 }
 
-// keep appends bytes that have just arrived.
-func (in *input) keep(data []byte) {
+// keep appends bytes that arrived at the given time.
+func (in *input) keep(data []byte, at time.Time) {
 	in.pipelined = true
 	in.pending = append(in.pending, data...)
-	in.arrivals = append(in.arrivals, arrival{end: len(in.pending), at: time.Now()})
+	in.arrivals = append(in.arrivals, arrival{end: len(in.pending), at: at})
 }
 
 // take moves pending bytes to data.
@@ -136,7 +136,7 @@
 	n, ended := in.scanner.scan(data)
 	in.headEnded = ended
 	if n < len(data) {
-		in.keep(data[n:])
+		in.keep(data[n:], time.Now())
 		in.pipelined = false // it may be the body
 	}
 	return n
@@ -332,10 +332,12 @@
 	}
 }
 
+// keep keeps bytes that were just read. They may have arrived earlier.
 func (c *Conn) keep(data []byte) {
+	at := time.Now().Add(-c.Peer().DataAge)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.input.keep(data)
+	c.input.keep(data, at)
 }
 
 func (c *Conn) pendingBytes() int {
--- /dev/null
+++ b/internal/transport/callerconn/peer_test.go
@@ -0,0 +1,61 @@
+package callerconn
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestLateReadHidesWhenCallerClosed lets a request and a close wait in the socket's buffer: the
+// ages count from their arrival, although nothing was read.
+func TestLateReadHidesWhenCallerClosed(t *testing.T) {
+	const unread = 300 * time.Millisecond
+	// The kernel counts in ticks.
+	const tick = 10 * time.Millisecond
+	leaves := map[string]func(*net.TCPConn) error{
+		"closes":      func(c *net.TCPConn) error { return c.Close() },
+		"half-closes": func(c *net.TCPConn) error { return c.CloseWrite() },
+		"resets":      func(c *net.TCPConn) error { _ = c.SetLinger(0); return c.Close() },
+		"stays":       func(*net.TCPConn) error { return nil },
+	}
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer caller.Close()
+			conn, err := NewTracker(func() Limits { return Limits{Header: longLimit, Idle: longLimit} }).Listen(listener).Accept()
+			is.NoErr(err)
+			defer conn.Close()
+			c := conn.(*Conn)
+			_, err = io.WriteString(caller, request)
+			is.NoErr(err)
+			time.Sleep(unread)
+			is.NoErr(leave(caller.(*net.TCPConn)))
+			time.Sleep(unread)
+			peer := c.Peer()
+			is.True(peer.DataAge >= 2*unread-tick || peer.Reset)
+			is.Equal(peer.Closed, name == "closes" || name == "half-closes")
+			is.Equal(peer.Reset, name == "resets")
+			if peer.Closed {
+				is.True(peer.CloseAge >= unread-tick && peer.CloseAge <= peer.DataAge-unread+tick)
+			}
+		})
+	}
+}
+
+// TestPeerOfUnusualConnections checks that nothing is assumed where the kernel cannot be asked.
+func TestPeerOfUnusualConnections(t *testing.T) {
+	is := is.New(t)
+	is.Equal((*Conn)(nil).Peer(), Peer{})
+	c := NewTracker(func() Limits { return Limits{} }).add(endedConn{})
+	c.onStateChange(http.StateActive)
+	is.Equal(c.Peer(), Peer{})
+}
