Gates have callers confirmed before they start calls that were held up

The first call of an entry's incarnation had no reference for its time on the way, which counted as 0, and a first call that was held up spoiled the reference for the calls after it.

Change: CallStart.confirm_after_ms says for how long the caller may be taken as present, 350 ms less the time since its close. Heartbeats of a call that waits ask the entry for a confirmation (AnswerFrame.confirm, CallFrame.confirmed_ms); before the first byte goes to the target a call without a fresh one asks and waits, up to the silence timeout, and is refused as not run otherwise. A gate without a reference asks before it admits the call; the response bounds the difference of the clocks, also once they have drifted apart. The own entry's clock is the gate's. A cancel or recall keeps a call that was started, but not written yet, from being written. Calls of entries of earlier releases are served as before.

Without confirm_after_ms TestFirstCallHeldUpOnItsWayRuns, TestCallRunsBeforeItsCancelArrives and TestQueuedCallRunsBeforeItsCancelArrives fail; without the raise of the reference TestDriftOfClocksCountsAsDelay does.

--- a/internal/coordination/transit/machine.go
+++ b/internal/coordination/transit/machine.go
@@ -25,18 +25,44 @@
 // New returns a machine that knows no sender.
 func New() *Machine { return &Machine{senders: make(map[string]sender)} }
 
+// Known reports whether there is a reference for the sender's incarnation.
+func (m *Machine) Known(id string, incarnation uint64) bool {
+	known, ok := m.senders[id]
+	return ok && known.incarnation == incarnation
+}
+
 // Delay returns for how long a message was held up. Both times are of clocks that never step:
 // sent of the sender's, received of this node's. The first message of a sender's
 // incarnation has no delay.
 func (m *Machine) Delay(id string, incarnation uint64, sent, received time.Time) time.Duration {
 	difference := received.Sub(sent)
-	known, ok := m.senders[id]
-	if !ok || known.incarnation != incarnation || difference < known.least {
-		if !ok && len(m.senders) >= maxSenders {
-			clear(m.senders)
-		}
-		m.senders[id] = sender{incarnation: incarnation, least: difference}
+	if !m.Known(id, incarnation) || difference < m.senders[id].least {
+		m.set(id, incarnation, difference)
 		return 0
 	}
-	return max(0, difference-known.least)
+	return max(0, difference-m.senders[id].least)
+}
+
+// clockResolution is that of the times which are sent.
+const clockResolution = time.Millisecond
+
+// Exchanged learns from a question to the sender, asked and its response received by this node's
+// clock, answered by the sender's, and returns for how long the response was held up. The
+// difference of the clocks lies between asked less answered and received less answered (Cristian,
+// "Probabilistic clock synchronization", 1989). A reference below that is of clocks that have
+// drifted apart.
+func (m *Machine) Exchanged(id string, incarnation uint64, asked, answered, received time.Time) time.Duration {
+	delay := m.Delay(id, incarnation, answered, received)
+	if least := asked.Sub(answered) - clockResolution; m.senders[id].least < least {
+		m.set(id, incarnation, least)
+		return max(0, received.Sub(answered)-least)
+	}
+	return delay
+}
+
+func (m *Machine) set(id string, incarnation uint64, least time.Duration) {
+	if _, ok := m.senders[id]; !ok && len(m.senders) >= maxSenders {
+		clear(m.senders)
+	}
+	m.senders[id] = sender{incarnation: incarnation, least: least}
 }
--- a/internal/coordination/transit/machine_test.go
+++ b/internal/coordination/transit/machine_test.go
@@ -36,3 +36,31 @@
 		}
 	}
 }
+
+// TestFirstMessageWasHeldUpUnseen asks a sender after its first message, which was held up: the
+// response tells for how long.
+func TestFirstMessageWasHeldUpUnseen(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	const ahead, heldUp, way = time.Hour, 900 * time.Millisecond, 2 * time.Millisecond
+	is.True(!m.Known("n-1", 1))
+	is.Equal(m.Delay("n-1", 1, start.Add(ahead), start.Add(heldUp)), time.Duration(0))
+	asked := start.Add(heldUp)
+	is.True(m.Exchanged("n-1", 1, asked, asked.Add(way+ahead), asked.Add(2*way)) <= clockResolution)
+	is.True(m.Known("n-1", 1))
+	is.True(!m.Known("n-1", 2))
+	is.Equal(m.Delay("n-1", 1, start.Add(ahead), start.Add(heldUp)), heldUp-way)
+}
+
+// TestDriftOfClocksCountsAsDelay lets the sender's clock fall behind after the reference was taken:
+// an exchange corrects the reference.
+func TestDriftOfClocksCountsAsDelay(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	const drift, way = time.Second, 2 * time.Millisecond
+	m.Delay("n-1", 1, start, start.Add(way))
+	at := start.Add(time.Hour)
+	is.Equal(m.Delay("n-1", 1, at.Add(-drift), at.Add(way)), drift)
+	is.True(m.Exchanged("n-1", 1, at, at.Add(way-drift), at.Add(2*way)) <= 2*way+clockResolution)
+	is.True(m.Delay("n-1", 1, at.Add(-drift), at.Add(way)) <= 2*way+clockResolution)
+}
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -78,6 +78,7 @@
 	start.TimeoutMs = c.timeoutMs(r.options.Now())
 	start.AimMs = c.softDeadlineMs(r.options.Now())
 	start.SentMs = uint64(r.options.BootTime().UnixMilli())
+	start.ConfirmAfterMs = c.confirmAfterMs()
 	if action.TargetReport != nil {
 		start.TargetReport = toWireReport(r.options.Now(), *action.TargetReport)
 	}
@@ -196,6 +197,9 @@
 		if frame.Started {
 			a.noteStarted()
 		}
+		if frame.Confirm {
+			a.confirmCaller()
+		}
 		if frame.Start != nil || len(frame.Data) > 0 || frame.Last || frame.Aborted != "" {
 			return frame, nil
 		}
--- a/internal/node/calls/callercheck.go
+++ b/internal/node/calls/callercheck.go
@@ -25,8 +25,12 @@
 // checkCaller ends the request if the kernel knows that its caller has reset the connection, or
 // closed its sending side longer than inputClosedGrace ago.
 func (c *callerRequest) checkCaller() {
-	c.callerCheckedAt = time.Now()
+	now := time.Now()
 	peer := callerconn.FromContext(c.ctx).Peer()
+	c.callerCheckedAt, c.callerClosedAt = now, time.Time{}
+	if peer.Closed {
+		c.callerClosedAt = now.Add(-peer.CloseAge)
+	}
 	switch {
 	case peer.Reset:
 		c.cancel(errCallerLeft.New("caller reset its connection: the call is cancelled"))
@@ -42,3 +46,16 @@
 	}
 	return r.giveUpReason()
 }
+
+// closedFor returns for how long the caller's sending side was closed when it was last checked.
+func (c *callerRequest) closedFor() time.Duration {
+	if c.callerClosedAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.callerClosedAt)
+}
+
+// confirmAfterMs returns for how long from now on the caller may be taken as present.
+func (c *callerRequest) confirmAfterMs() uint32 {
+	return uint32(max(time.Millisecond, confirmAfter-c.closedFor()).Milliseconds())
+}
--- a/internal/node/calls/callerinput.go
+++ b/internal/node/calls/callerinput.go
@@ -50,6 +50,7 @@
 // One that runs is cancelled only if it is idempotent: breaking off another one would not
 // undo it, and its caller may still read the response.
 func (c *callerRequest) endAfterInputClosed() {
+	c.inputEnded.Store(true)
 	c.stopAttempts()
 	if c.route.Idempotent {
 		c.cancel(errInputClosed.New("caller closed its sending side: the call is cancelled"))
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -71,6 +71,10 @@
 	closeAnnounced bool
 	// callerCheckedAt is when the kernel was last asked for the state of the caller's connection.
 	callerCheckedAt time.Time
+	// callerClosedAt is when the caller closed its sending side; zero if it was open then.
+	callerClosedAt time.Time
+	// inputEnded is set once the grace period after that is over.
+	inputEnded atomic.Bool
 
 	mu        sync.Mutex
 	bodyError error
--- /dev/null
+++ b/internal/node/calls/confirm_test.go
@@ -0,0 +1,142 @@
+package calls
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jasminegate/internal/coordination/transit"
+	"jasminegate/internal/protocol/headers"
+	"jasminegate/internal/protocol/wire"
+)
+
+// delayed reports whether a connection delays a write.
+func (d *faultDialer) delayed() bool {
+	found := false
+	d.each(func(c *faultConn) { found = found || c.hasDelayed() })
+	return found
+}
+
+// TestFirstCallHeldUpOnItsWayRuns holds up the first call of an entry's process between entry and
+// gate until its caller's time has passed. The gate has nothing to compare its time with.
+func TestFirstCallHeldUpOnItsWayRuns(t *testing.T) {
+	const heldUp = 500 * time.Millisecond
+	dialer := &faultDialer{}
+	dialer.delayNew.Store(true)
+	var runs atomic.Int64
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial}, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	time.AfterFunc(heldUp, func() {
+		dialer.delayNew.Store(false)
+		dialer.each((*faultConn).releaseHeld)
+	})
+	got := f.call(0, "GET", "/read", "", headers.Timeout, "300")
+	f.is.True(got.status >= 500)
+	gate := f.nodes[1].runner
+	f.waitFor("the gate has the call", func() bool { return gate.streamsServed.Load() > 0 })
+	f.waitFor("the gate has ended the call", func() bool { return gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0 })
+	f.is.Equal(runs.Load(), int64(0))
+	f.is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
+	f.is.Equal(runs.Load(), int64(1))
+}
+
+// TestCallRunsBeforeItsCancelArrives holds back a call and the cancel that follows it. The gate gets
+// the call first, and must not start it before it gets the cancel.
+func TestCallRunsBeforeItsCancelArrives(t *testing.T) {
+	for name, request := range map[string]string{
+		"idempotent":     "GET /read HTTP/1.1\r\nHost: a.example\r\n\r\n",
+		"not idempotent": "POST /file HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			dialer := &faultDialer{}
+			var runs atomic.Int64
+			f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial}, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+			f.serveCallers(0)
+			f.is.Equal(f.call(0, "POST", "/file", "b").status, http.StatusOK)
+			dialer.each((*faultConn).delayWrites)
+			conn := f.sendRaw(request)
+			f.waitFor("the call is sent", dialer.delayed)
+			sent := map[*faultConn]int{}
+			dialer.each(func(c *faultConn) { sent[c] = c.delayedBytes() })
+			f.is.NoErr(conn.Close())
+			time.Sleep(inputClosedGrace + 200*time.Millisecond)
+			gate := f.nodes[1].runner
+			dialer.each(func(c *faultConn) { c.releaseFirst(sent[c]) })
+			f.waitFor("the gate has the call", func() bool { return gate.Load() == 1 || runs.Load() > 1 })
+			time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
+			dialer.each((*faultConn).releaseHeld)
+			f.waitFor("the gate has ended the call", func() bool { return gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0 })
+			f.is.Equal(runs.Load(), int64(1))
+		})
+	}
+}
+
+// TestQueuedCallRunsBeforeItsCancelArrives lets the caller of a queued call leave while the link
+// from entry to gate holds bytes back. The call must not run when its turn comes.
+func TestQueuedCallRunsBeforeItsCancelArrives(t *testing.T) {
+	dialer := &faultDialer{}
+	proceed := make(chan struct{})
+	started := make(chan string, 10)
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, slots: 1}, func(_ http.ResponseWriter, r *http.Request) {
+		started <- r.URL.Path
+		if r.URL.Path == "/file/first" {
+			<-proceed
+		}
+	})
+	f.serveCallers(0)
+	first := make(chan callResult, 1)
+	go func() { first <- f.call(0, "POST", "/file/first", "b") }()
+	f.is.Equal(<-started, "/file/first")
+	conn := f.sendRaw("GET /read/second HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	gate := f.nodes[1].runner
+	f.waitFor("the second call is queued", func() bool { return gate.gate.queued.Load() == 1 })
+	dialer.each((*faultConn).delayWrites)
+	f.is.NoErr(conn.Close())
+	time.Sleep(inputClosedGrace + confirmAfter)
+	close(proceed)
+	f.waitFor("the second call's turn has come", func() bool { return gate.gate.queued.Load() == 0 })
+	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
+	dialer.each((*faultConn).releaseHeld)
+	f.is.Equal((<-first).status, http.StatusOK)
+	f.waitFor("the gate has ended the calls", func() bool { return gate.gate.load.Load() == 0 })
+	f.is.Equal(len(started), 0) // the second call runs
+}
+
+// TestConfirmedCallIsRefused queues calls for longer than a proof is valid: they run, as their
+// callers wait.
+func TestConfirmedCallIsRefused(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		t.Run(fmt.Sprintf("remote %v", remote), func(t *testing.T) {
+			f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: remote, slots: 1, settings: shortSilenceTimeout}, func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(confirmAfter)
+				_, _ = io.WriteString(w, "done")
+			})
+			const calls = 5
+			results := make(chan callResult, calls)
+			for range calls {
+				go func() { results <- f.call(0, "POST", "/file", "b") }()
+			}
+			for range calls {
+				f.is.Equal((<-results).status, http.StatusOK)
+			}
+		})
+	}
+}
+
+// TestCallOfEarlierReleaseIsRefused checks that the call of an entry that gives no proofs counts as
+// confirmed.
+func TestCallOfEarlierReleaseIsRefused(t *testing.T) {
+	p := newCallerProof(&wire.CallStart{}, time.Unix(0, 0), func() { t.Error("the entry is asked") })
+	if now := time.Unix(1000, 0); !p.fresh(now) || p.due(now) {
+		t.Fatal("the call needs a proof")
+	}
+	d := transitDelays{machine: transit.New()}
+	if _, known := d.delay(&wire.CallStart{Id: &wire.CallID{Entry: "n-1"}, SentMs: 1}, time.Unix(1000, 0)); known {
+		t.Fatal("the first call's delay is known")
+	}
+	if _, known := d.delay(&wire.CallStart{Id: &wire.CallID{Entry: "n-1"}, SentMs: 1}, time.Unix(1000, 0)); !known {
+		t.Fatal("the second call's delay is not known")
+	}
+}
--- a/internal/node/calls/conn_test.go
+++ b/internal/node/calls/conn_test.go
@@ -13,6 +13,8 @@
 	mu    sync.Mutex
 	conns []*faultConn
 	dials atomic.Int64
+	// delayNew makes new connections delay their writes.
+	delayNew atomic.Bool
 }
 
 func (d *faultDialer) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -22,7 +24,7 @@
 		return nil, err
 	}
 	d.dials.Add(1)
-	wrapped := &faultConn{Conn: conn, closed: make(chan struct{})}
+	wrapped := &faultConn{Conn: conn, closed: make(chan struct{}), holding: d.delayNew.Load()}
 	d.mu.Lock()
 	d.conns = append(d.conns, wrapped)
 	d.mu.Unlock()
@@ -111,11 +113,7 @@
 }
 
 // hasDelayed reports whether a write is delayed.
-func (c *faultConn) hasDelayed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.held) > 0
-}
+func (c *faultConn) hasDelayed() bool { return c.delayedBytes() > 0 }
 
 // releaseHeld sends the delayed writes.
 func (c *faultConn) releaseHeld() {
@@ -125,3 +123,19 @@
 	_, _ = c.Conn.Write(c.held)
 	c.held = nil
 }
+
+// releaseFirst sends the first delayed bytes.
+func (c *faultConn) releaseFirst(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	size = min(size, len(c.held))
+	_, _ = c.Conn.Write(c.held[:size])
+	c.held = c.held[size:]
+}
+
+// delayedBytes returns how many bytes are delayed.
+func (c *faultConn) delayedBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held)
+}
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,15 +48,25 @@
 	// runCtx ends at the deadline or when the call is cancelled.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
-	// abandoned is set once the entry has cancelled the call or its connection was lost.
+	// receivedAt is when the call arrived, by BootTime. delayKnown is set if it is known for how
+	// long it was on its way.
+	receivedAt time.Time
+	delayKnown bool
+	// proof says until when the caller is known to wait.
+	proof *callerProof
+	// reports orders what the entry's frames tell the gate machine behind the call's arrival.
+	reports arrivalReports
+	// abandoned is set once the entry has cancelled or recalled the call or its connection was
+	// lost: what is not written to the target by then is not run.
 	abandoned atomic.Bool
 	// writeRefused is why the call was not written to the target; nil if nothing kept it.
 	writeRefused atomic.Pointer[call.Reason]
 }
 
-func (r *Runner) newGateCall(frame *wire.CallFrame) *gateCall {
+func (r *Runner) newGateCall(frame *wire.CallFrame, ask func()) *gateCall {
 	start := frame.Start
-	delay := r.transit.delay(start, r.options.BootTime())
+	receivedAt := r.options.BootTime()
+	delay, known := r.transit.delay(start, receivedAt)
 	timeout := time.Duration(start.TimeoutMs)*time.Millisecond - delay
 	c := &gateCall{
 		start:        start,
@@ -67,6 +78,9 @@
 		streaming:    !frame.Last,
 		decisions:    make(chan decision, 1),
 		response:     newResponseBuffer(r.options.Settings.BufferBytes),
+		receivedAt:   receivedAt,
+		delayKnown:   known,
+		proof:        newCallerProof(start, receivedAt.Add(-delay), ask),
 	}
 	if start.AimMs > 0 {
 		c.softDeadline = r.options.Now().Add(time.Duration(start.AimMs)*time.Millisecond - delay)
@@ -78,6 +92,17 @@
 	return c
 }
 
+// subtract takes a delay that became known late off the call's times.
+func (c *gateCall) subtract(delay time.Duration, base context.Context) {
+	c.deadline = c.deadline.Add(-delay)
+	c.bootDeadline = c.bootDeadline.Add(-delay)
+	if !c.softDeadline.IsZero() {
+		c.softDeadline = c.softDeadline.Add(-delay)
+	}
+	c.cancelRun()
+	c.runCtx, c.cancelRun = context.WithDeadline(base, c.deadline)
+}
+
 // targetBody returns the body for the target, or nil if it is empty. A body cannot
 // be rewound, which keeps the HTTP client from sending the request again by
 // itself; without a body, targetConns.singleUse does so for non-idempotent calls.
@@ -133,10 +158,15 @@
 func (r *Runner) serveCall(stream serverStream, frame *wire.CallFrame) error {
 	ctx, span := r.startGateSpan(stream.Context(), frame.Start)
 	defer span.End()
-	c := r.newGateCall(frame)
+	c := r.newGateCall(frame, func() { _ = stream.Send(&wire.AnswerFrame{Confirm: true}) })
+	go r.receiveFrames(stream, c)
+	r.adoptReport(frame.Start.TargetReport)
+	if !r.awaitReference(c) {
+		c.cancelRun()
+		return stream.Send(r.refusalFrame(call.NotRun, call.ReasonTooLate, fullRingRetryAfter))
+	}
 	c.link = r.linkUseOf(stream, c.start.Route, c.wantedWithin(r.options.Now()))
 	defer c.link.end()
-	r.adoptReport(frame.Start.TargetReport)
 	if refused := r.quarantineFrame(frame.Start); refused != nil {
 		c.cancelRun()
 		return stream.Send(refused)
@@ -150,7 +180,7 @@
 		r.gate.releaseKey(c)
 		return stream.Send(r.refusalFrame(call.NotRun, call.ReasonQueueFull, fullRingRetryAfter))
 	}
-	go r.receiveFrames(stream, c)
+	c.reports.arrived(r.gate.notify)
 	return r.awaitDecision(ctx, stream, c)
 }
 
@@ -215,19 +245,61 @@
 			return
 		}
 		if frame.Cancel {
-			c.abandoned.Store(true)
+			c.abandon()
 			c.failBody(io.ErrUnexpectedEOF)
-			r.gate.notify(gate.Cancelled{ID: c.id})
+			c.reports.add(gate.Cancelled{ID: c.id}, r.gate.notify)
 			continue
 		}
 		if frame.Recall {
-			r.gate.notify(gate.CancelledIfQueued{ID: c.id})
+			c.abandon()
+			c.reports.add(gate.CancelledIfQueued{ID: c.id}, r.gate.notify)
+			continue
+		}
+		if frame.ConfirmedMs != 0 {
+			r.noteConfirmed(c, frame)
 			continue
 		}
 		c.writeBody(frame)
 	}
 }
 
+// abandon keeps a call that is not written to the target yet from being written.
+func (c *gateCall) abandon() {
+	c.abandoned.Store(true)
+	c.proof.signal()
+}
+
+// arrivalReports holds the events of a call's frames back until the gate machine has its arrival.
+type arrivalReports struct {
+	mu      sync.Mutex
+	passed  bool
+	pending []gate.Event
+}
+
+// add passes the event on, or keeps it for arrived.
+func (a *arrivalReports) add(event gate.Event, notify func(gate.Event)) {
+	a.mu.Lock()
+	if !a.passed {
+		a.pending = append(a.pending, event)
+		a.mu.Unlock()
+		return
+	}
+	a.mu.Unlock()
+	notify(event)
+}
+
+// arrived passes on the events that were kept.
+func (a *arrivalReports) arrived(notify func(gate.Event)) {
+	a.mu.Lock()
+	a.passed = true
+	pending := a.pending
+	a.pending = nil
+	a.mu.Unlock()
+	for _, event := range pending {
+		notify(event)
+	}
+}
+
 func (c *gateCall) writeBody(frame *wire.CallFrame) {
 	if !c.streaming {
 		return
@@ -258,7 +330,7 @@
 		case decided := <-c.decisions:
 			return r.applyDecision(ctx, stream, c, decided, heartbeat)
 		case <-heartbeat.C:
-			_ = stream.Send(&wire.AnswerFrame{})
+			_ = stream.Send(&wire.AnswerFrame{Confirm: c.proof.due(r.options.BootTime())})
 		case <-r.gate.done:
 			c.cancelRun()
 			return stream.Context().Err()
--- a/internal/node/calls/recover.go
+++ b/internal/node/calls/recover.go
@@ -31,9 +31,9 @@
 
 // loseEntry treats a call as one whose entry's connection was lost.
 func (r *Runner) loseEntry(c *gateCall) {
-	c.abandoned.Store(true)
+	c.abandon()
 	c.failBody(io.ErrUnexpectedEOF)
-	r.gate.notify(gate.Disconnected{ID: c.id})
+	c.reports.add(gate.Disconnected{ID: c.id}, r.gate.notify)
 }
 
 // recoverRequest is deferred by the handler of a caller's request with what recover returned:
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -127,7 +127,7 @@
 	}
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.link = newLinkPacer(options.BandwidthMbps)
-	r.transit.machine = transit.New()
+	r.transit.self, r.transit.machine = options.Self, transit.New()
 	r.quarantine = newQuarantineKeeper(options)
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -42,10 +42,8 @@
 
 // callTarget sends the request to the target and records the response.
 func (r *Runner) callTarget(ctx context.Context, c *gateCall) gate.Result {
-	if r.options.BootTime().After(c.bootDeadline) {
-		// The host was suspended while the call was queued. The claim of its
-		// key may have expired, and another call may have the key by now.
-		r.recordOutcome(c, call.NotRun, call.ReasonDeadline)
+	if r.mayWrite(c) != nil {
+		r.recordOutcome(c, call.NotRun, c.notSentReason())
 		return gate.NotSent
 	}
 	defer r.runningRequests.begin(wireHeaderValue(c.start.Headers, r.options.Contract.RequestID))()
--- a/internal/node/calls/unclaimed_test.go
+++ b/internal/node/calls/unclaimed_test.go
@@ -28,14 +28,14 @@
 	runner := f.nodes[0].runner
 	start := &wire.CallStart{Id: &wire.CallID{Entry: "node-9", EntryIncarnation: 1, Counter: 1}, Key: "k", Service: "depot", TimeoutMs: 1000}
 
-	admitted := runner.newGateCall(&wire.CallFrame{Start: start, Last: true})
+	admitted := runner.newGateCall(&wire.CallFrame{Start: start, Last: true}, func() {})
 	defer admitted.cancelRun()
 	is.True(runner.applyKeyDecision(admitted, keyed.Admitted{}) == nil)
 	is.Equal(runner.refuseReason(start), call.Reason(""))               // the gate is ready now
 	is.Equal(runner.arrival(admitted).RefuseReason, call.ReasonLeaving) // and refuses the call all the same
 
 	f.nodes[0].stop()
-	undecided := runner.newGateCall(&wire.CallFrame{Start: start, Last: true})
+	undecided := runner.newGateCall(&wire.CallFrame{Start: start, Last: true}, func() {})
 	defer undecided.cancelRun()
 	refused := runner.admitKey(silentStream{context.Background()}, undecided)
 	is.True(refused != nil)
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -26,12 +26,17 @@
 	case c.abandoned.Load():
 		return c.refuseWrite(call.ReasonCancelled)
 	case r.options.BootTime().After(c.bootDeadline):
-		// As in callTarget: the claim of the call's key may have expired.
+		// The host was suspended. The claim of the call's key may have expired, and
+		// another call may have the key by now.
 		return c.refuseWrite(call.ReasonDeadline)
 	case !r.options.Now().Before(c.deadline):
 		return c.refuseWrite(call.ReasonTooLate)
+	case r.awaitProof(c):
+		return nil
+	case c.abandoned.Load():
+		return c.refuseWrite(call.ReasonCancelled)
 	}
-	return nil
+	return c.refuseWrite(call.ReasonTooLate)
 }
 
 // refuseWrite records why the call is not written, and returns the error for the HTTP client.
--- a/internal/node/calls/writecheck_test.go
+++ b/internal/node/calls/writecheck_test.go
@@ -60,7 +60,7 @@
 // TestCancelledCallIsWritten cancels a call while its connection to the target is opened, at a gate
 // that does not get to the event of the cancel. It must not be written afterwards.
 func TestCancelledCallIsWritten(t *testing.T) {
-	c := &gateCall{deadline: time.Now().Add(time.Hour), bootDeadline: clock.BootTime().Add(time.Hour)}
+	c := &gateCall{deadline: time.Now().Add(time.Hour), bootDeadline: clock.BootTime().Add(time.Hour), proof: &callerProof{}}
 	r := &Runner{options: Options{Now: time.Now, BootTime: clock.BootTime}}
 	raw, other := net.Pipe()
 	defer raw.Close()
