--- /dev/null
+++ b/internal/node/calls/callercheck.go
@@ -0,0 +1,61 @@
+package calls
+
+import (
+	"time"
+
+	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/transport/callerconn"
+)
+
+// callerCheckValid is for how long the state of a caller's connection need not be read again. It
+// is below the 500 ms within which work for callers that left must end by far, and spares most
+// requests a second system call.
+const callerCheckValid = 20 * time.Millisecond
+
+// mayAttempt reports whether the caller may still wait for a response, and time is left. It asks
+// the kernel: a close may be queued behind a request that was read late. If the caller is known to
+// have left it ends the request as the close would once it is read.
+func (r *Runner) mayAttempt(c *callerRequest) bool {
+	if time.Since(c.callerCheckedAt) > callerCheckValid {
+		c.checkCaller()
+	}
+	return c.attemptsCtx.Err() == nil && c.ctx.Err() == nil && r.options.Now().Before(c.deadline)
+}
+
+// checkCaller ends the request if the kernel knows that its caller has reset the connection, or
+// closed its sending side longer than inputClosedGrace ago.
+func (c *callerRequest) checkCaller() {
+	now := time.Now()
+	peer := callerconn.FromContext(c.ctx).Peer()
+	c.callerCheckedAt, c.callerClosedAt = now, time.Time{}
+	if peer.Closed {
+		c.callerClosedAt = now.Add(-peer.CloseAge)
+	}
+	switch {
+	case peer.Reset:
+		c.cancel(errCallerLeft.New("caller reset its connection: the call is cancelled"))
+	case peer.Closed && peer.CloseAge >= inputClosedGrace && c.bodyComplete():
+		c.endAfterInputClosed()
+	}
+}
+
+// noAttemptReason returns why mayAttempt reported false.
+func (r *Runner) noAttemptReason(c *callerRequest) call.Reason {
+	if c.attemptsCtx.Err() == nil {
+		return call.ReasonDeadline
+	}
+	return r.giveUpReason()
+}
+
+// closedFor returns for how long the caller's sending side was closed when it was last checked.
+func (c *callerRequest) closedFor() time.Duration {
+	if c.callerClosedAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.callerClosedAt)
+}
+
+// confirmAfterMs returns for how long from now on the caller may be taken as present.
+func (c *callerRequest) confirmAfterMs() uint32 {
+	return uint32(max(time.Millisecond, confirmAfter-c.closedFor()).Milliseconds())
+}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -69,6 +69,12 @@
 	responseStarted bool
 	// closeAnnounced is set if the response says that the connection is closed after it.
 	closeAnnounced bool
+	// callerCheckedAt is when the kernel was last asked for the state of the caller's connection.
+	callerCheckedAt time.Time
+	// callerClosedAt is when the caller closed its sending side; zero if it was open then.
+	callerClosedAt time.Time
+	// inputEnded is set once the grace period after that is over.
+	inputEnded atomic.Bool
 
 	mu        sync.Mutex
 	bodyError error
@@ -126,8 +132,9 @@
 		return nil, refused
 	}
 	conn := callerconn.FromContext(ctx)
-	receivedAt := now
-	if at := conn.ArrivedAt(); !at.IsZero() {
+	// The bytes may have waited in the socket's buffer, or behind another request.
+	receivedAt := now.Add(-conn.Peer().DataAge)
+	if at := conn.ArrivedAt(); !at.IsZero() && time.Since(at) > now.Sub(receivedAt) {
 		receivedAt = now.Add(-time.Since(at))
 	}
 	c, refused := r.newCallerRequest(index, receivedAt, request)
@@ -329,6 +336,10 @@
 		var event entry.Event
 		switch a := action.(type) {
 		case entry.Send:
+			if !r.mayAttempt(c) {
+				action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.noAttemptReason(c)})
+				continue
+			}
 			got, event = r.send(c, a)
 		case entry.Resolve:
 			got, event = r.resolveAttempt(c, a)
