Callers that leave no longer eject the gates of their calls

Cause: when a caller closed its connection, the entry machine was told that the connection of the attempt was lost. The gate became suspect, the next call to it dialled a new connection, and a second caller that left then ejected the gate for 0.5 to 1 s. When capacity is short many callers leave, and half of a service's healthy gates could be ejected. Change: the event of an attempt that ended with its caller is not passed on; End follows and releases the attempt.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -343,6 +343,9 @@
 			r.noteResponse(c, got)
 			return dispatchResult{response: got}
 		}
+		if c.ctx.Err() != nil {
+			break // the attempt ended with the caller: that says nothing about the gate
+		}
 		action = r.entry.submit(event)
 		if c.attemptsCtx.Err() != nil && leadsToAttempt(action) {
 			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()})
