Pipelined responses are written before the caller gives up a request before them

Cause: a pipelining caller gives up a request by closing its connection. The 504 of a slow request was written at the caller's stated time or later, that is, after the close, and the ready responses behind it were lost. Change: a request with others behind it in work ends a twentieth of the caller's time earlier (10 to 100 ms), and before a ready response behind it is given up. A queued one is recalled first and answered not-run. Callers that state no time are served as before. Ruled out: serial starts (requests run from their arrival), a missing flush (net/http flushes before it ends its read), a late 504 at the gate. Without the mechanism TestCallerThatGivesUpCutsOffReadyResponses fails in both cases; without the recall TestRequestThatNoTargetGotEndsAsUnknown fails.

--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -98,6 +98,7 @@
 	a.result = a.runner.dispatch(a.callerRequest)
 	if got := a.result.response; got != nil {
 		got.pause()
+		callerconn.FromContext(a.ctx).ResponseReady(a, a.responseLimit())
 	}
 }
 
@@ -163,6 +164,7 @@
 	callerconn.FromContext(request.Context()).RequestRead()
 	defer context.AfterFunc(request.Context(), a.callerRequest.end)()
 	defer r.watchInput(a.callerRequest)()
+	defer r.watchBehind(a.callerRequest)()
 	r.serveBehind(a.callerRequest)
 	<-a.done
 	if a.panicked != nil {
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -57,6 +57,8 @@
 	uploads sync.WaitGroup
 	// begun is set once the entry machine has accepted the request.
 	begun bool
+	// yield ends the request early for responses behind it on its connection.
+	yield yieldState
 	// crashes counts the targets that crashed while they ran the request. refusedByGate is set
 	// once a gate has refused it because of its quarantine.
 	crashes       int
@@ -108,6 +110,7 @@
 	defer r.endRequest(c)
 	defer c.abortBodyRead()
 	defer r.watchInput(c)()
+	defer r.watchBehind(c)()
 	r.serveBehind(c)
 	r.respond(w, request, c, r.dispatch(c))
 	c.drainBody(request.Body)
@@ -341,11 +344,17 @@
 		}
 		if got != nil {
 			r.noteResponse(c, got)
-			return dispatchResult{response: got}
+			if c.finishBeforeYield(got) {
+				return dispatchResult{response: got}
+			}
+			break
 		}
 		if c.ctx.Err() != nil {
 			break // the attempt ended with the caller: that says nothing about the gate
 		}
+		if c.recalled(event) && r.attemptsCtx.Err() == nil {
+			event = entry.GiveUp{Handle: c.handle, Reason: call.ReasonCancelled}
+		}
 		action = r.entry.submit(event)
 		if c.attemptsCtx.Err() != nil && leadsToAttempt(action) {
 			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()})
@@ -358,6 +367,13 @@
 	return dispatchResult{}
 }
 
+// recalled reports whether the event is the refusal of an attempt that this request recalled. The
+// gate gives the reason of an entry that stops; here it says nothing about the gate.
+func (c *callerRequest) recalled(event entry.Event) bool {
+	refused, ok := event.(entry.Refused)
+	return ok && refused.Outcome == call.NotRun && refused.Reason == call.ReasonLeaving && c.attemptsCtx.Err() != nil
+}
+
 // noteResponse tells the entry machine of a response.
 func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
 	r.entry.notify(entry.ResponseReceived{
@@ -381,8 +397,12 @@
 	}
 }
 
-// respondToLeft ends a request whose caller has left.
+// respondToLeft ends a request whose caller has left, or that was ended for responses behind it.
 func (r *Runner) respondToLeft(w http.ResponseWriter, request *http.Request, c *callerRequest) {
+	if c.yielded() {
+		r.fail(w, request, c, c.yieldFailure())
+		return
+	}
 	r.noteCutOff(request, c, c.cutOffCause())
 	if c.cutOffCause() == callerconn.CallerClosed {
 		r.announceClose(w, request)
--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -12,7 +12,9 @@
 	errCallerLeft       = errorx.NewType(Errors, "caller-left")
 	errUploadFailed     = errorx.NewType(Errors, "upload")
 	// errInputClosed means that the caller of an idempotent call closed its sending side.
-	errInputClosed     = errorx.NewType(Errors, "input-closed")
+	errInputClosed = errorx.NewType(Errors, "input-closed")
+	// errYielded means that a request was ended for responses behind it on its connection.
+	errYielded         = errorx.NewType(Errors, "yielded")
 	errBodyTooLarge    = errorx.NewType(Errors, "bounds")
 	errConnectionLimit = errorx.NewType(Errors, "connections")
 	// errNoResponse means that what a target sends cannot become a response.
--- a/internal/transport/callerconn/ahead.go
+++ b/internal/transport/callerconn/ahead.go
@@ -48,6 +48,9 @@
 	started Started
 	// headBytes is the size of its head.
 	headBytes int
+	// neededBy is when its response, which is ready, has to be written; zero if there is none,
+	// or its caller states no time.
+	neededBy time.Time
 }
 
 // input is what a connection received and did not give to the server yet.
@@ -73,6 +76,9 @@
 	current Started
 	// start starts the requests behind the present one; nil if they wait.
 	start StartFunc
+	// onBehind is called when a request behind the present one is started or its response is
+	// ready.
+	onBehind func(neededBy time.Time)
 	// pipelined is set once bytes arrived behind a request that was not answered.
 	pipelined bool
 	// closeAnnounced is set once a response says that the connection is closed after it.
@@ -176,7 +182,7 @@
 		in.unframed = true
 	}
 	in.scanner, in.headEnded, in.headArrivedAt = headScanner{}, false, time.Time{}
-	in.current, in.start = nil, nil
+	in.current, in.start, in.onBehind = nil, nil, nil
 }
 
 // ExpectBody says how many bytes the body of the present request has, -1 if that is unknown.
@@ -297,15 +303,61 @@
 	c.mu.Lock()
 	closed, inputClosed := c.closed, c.inputClosed
 	if !closed {
-		c.input.ahead = append(c.input.ahead, aheadRequest{started, headBytes})
+		c.input.ahead = append(c.input.ahead, aheadRequest{started: started, headBytes: headBytes})
 	}
+	notify := c.behindNotice()
 	c.mu.Unlock()
+	notify()
 	if inputClosed {
 		started.InputClosed()
 	}
 	return !closed
 }
 
+// OnBehind sets the function that is called, until the present request is answered, whenever a
+// request behind it was started or its response is ready. neededBy is the earliest time at which
+// a ready response behind it has to be written; zero if none is known. It is called at once if a
+// request behind was started already. It must not block. Nil removes it.
+func (c *Conn) OnBehind(notify func(neededBy time.Time)) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	c.input.onBehind = notify
+	call := c.behindNotice()
+	c.mu.Unlock()
+	call()
+}
+
+// ResponseReady reports that the response of a request that was started before its turn is ready
+// and has to be written by the given time, which is zero if it is not known.
+func (c *Conn) ResponseReady(started Started, neededBy time.Time) {
+	c.mu.Lock()
+	for i := range c.input.ahead {
+		if c.input.ahead[i].started == started {
+			c.input.ahead[i].neededBy = neededBy
+		}
+	}
+	notify := c.behindNotice()
+	c.mu.Unlock()
+	notify()
+}
+
+// behindNotice returns the call of onBehind for the present state. The caller holds mu.
+func (c *Conn) behindNotice() func() {
+	notify := c.input.onBehind
+	if notify == nil || len(c.input.ahead) == 0 {
+		return func() {}
+	}
+	var first time.Time
+	for _, request := range c.input.ahead {
+		if at := request.neededBy; !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return func() { notify(first) }
+}
+
 // readAhead keeps what arrives while a request is served that was read to its end, and starts
 // the requests in it. It returns when the server ends the read, with its error, or when the
 // connection has ended.
