Gates order and refuse calls by what they cost callers, with overload.enabled

Cause: when capacity is insufficient, a gate started calls by route priority and soft deadline only: low priorities got nothing, tenants were not told apart, late calls waited until their time was over, and Retry-After sent callers back together. Change: settings group overload (default off). With it the gate machine orders queued calls by nested, underserved flow, kept, in time, priority and start-time fair queueing over tenants by work; refuses at arrival what will not be started in time; keeps a call that it held for an eighth of its latency; and takes Retry-After from a virtual queue of the refused work, at most a third of the time left. Without it every path is as before. The three tests fail with shedding off; without the floor TestUrgentCallsStarveOthers and TestSlowTargetHoldsLateCalls fail.

--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -89,6 +89,7 @@
 	between("calls.idle_timeout", func(s *Settings) time.Duration { return s.Calls.IdleTimeout }, 100*time.Millisecond, time.Hour),
 	between("calls.silence_timeout", func(s *Settings) time.Duration { return s.Calls.SilenceTimeout }, 10*time.Millisecond, time.Minute),
 	between("calls.quarantine_time", func(s *Settings) time.Duration { return s.Calls.QuarantineTime }, 0, 24*time.Hour),
+	{"overload.enabled", "true, false", func(*Settings) (string, string) { return "", "" }},
 	{"telemetry.log_level", strings.Join(logLevels, ", "), checkLogLevel},
 	{"telemetry.trace_endpoint", acceptedURL + " or empty", checkTraceEndpoint},
 	between("telemetry.trace_ratio", func(s *Settings) float64 { return s.Telemetry.TraceRatio }, 0, 1),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -15,6 +15,7 @@
 	Spread     Spread     `yaml:"spread"`
 	Membership Membership `yaml:"membership"`
 	Calls      Calls      `yaml:"calls"`
+	Overload   Overload   `yaml:"overload"`
 	Telemetry  Telemetry  `yaml:"telemetry"`
 }
 
@@ -195,6 +196,13 @@
 	QuarantineTime time.Duration `yaml:"quarantine_time"`
 }
 
+// Overload configures how calls are queued, refused and placed when capacity is short.
+type Overload struct {
+	// Enabled orders and refuses calls by what they cost callers (priority, deadline, work and
+	// tenant), and places them by the measured service times of targets.
+	Enabled bool `yaml:"enabled"`
+}
+
 // Telemetry configures logs, traces and profiling.
 type Telemetry struct {
 	LogLevel string `yaml:"log_level"`
--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -25,14 +25,20 @@
 		return []Action{action}
 	}
 	if !now.Before(e.Deadline) {
-		return []Action{m.refusal(queuedCall{id: e.ID, background: e.Background}, call.ReasonTooLate)}
+		return []Action{m.refusal(queuedCall{id: e.ID, background: e.Background, left: e.Deadline.Sub(now)}, call.ReasonTooLate)}
+	}
+	if m.shed != nil {
+		m.shed.offered(now, e, m.limit.expectedServiceTime(now, e))
 	}
 	if m.canStart() {
 		if e.RequireSoftDeadline && now.Add(m.limit.expectedServiceTime(now, e)).After(e.SoftDeadline) {
-			return []Action{m.refusal(queuedCall{id: e.ID, background: e.Background}, call.ReasonTooLate)}
+			return []Action{m.refusal(queuedCall{id: e.ID, background: e.Background, left: e.Deadline.Sub(now)}, call.ReasonTooLate)}
 		}
 		m.updateAdmissionRatio(1)
-		return []Action{m.start(now, e)}
+		return []Action{m.start(now, e, m.startTag(now, e))}
+	}
+	if m.shed != nil {
+		return m.enqueueShedding(now, e)
 	}
 	return m.enqueue(now, e)
 }
--- a/internal/coordination/gate/event.go
+++ b/internal/coordination/gate/event.go
@@ -27,6 +27,8 @@
 	Idempotent bool
 	// Route groups calls with similar service times.
 	Route string
+	// Tenant is the tenant on whose behalf the call is made; empty if there is none.
+	Tenant string
 	// Deadline is the hard deadline: the earlier of the caller's and the end of the
 	// route's timeout.
 	Deadline time.Time
--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -15,6 +15,9 @@
 	MaxRecords int
 	// MaxRetainedBytes limits the total size of the retained responses.
 	MaxRetainedBytes int64
+	// Shedding enables the ordering and refusal of calls by what they cost callers; see
+	// shedding.
+	Shedding bool
 	// Retention is how long finished non-idempotent calls stay recorded.
 	Retention time.Duration
 }
@@ -43,6 +46,8 @@
 	// admissionRatio is the share of recent calls that were admitted, as a moving
 	// average.
 	admissionRatio float64
+	// shed is nil without Options.Shedding.
+	shed *shedding
 }
 
 // New returns a machine that has no target until a SetTarget.
@@ -56,6 +61,9 @@
 		admissionRatio: 1,
 	}
 	m.queue.setOvertakeLimit(initialServiceTime, initialServiceTime)
+	if options.Shedding {
+		m.shed = newShedding()
+	}
 	return m
 }
 
@@ -168,12 +176,15 @@
 func (m *Machine) startQueued(now time.Time) []Action {
 	var actions []Action
 	m.queue.setOvertakeLimit(m.limit.meanServiceTime(false), m.limit.meanServiceTime(true))
+	if m.shed != nil {
+		m.sortQueue(now)
+	}
 	for m.ledger.running < m.limit.current() && m.rate.allows() {
 		item, ok := m.queue.pop()
 		if !ok {
 			break
 		}
-		actions = append(actions, m.start(now, m.forgetQueued(item.id)))
+		actions = append(actions, m.start(now, m.forgetQueued(item.id), item.rank.tag))
 	}
 	return actions
 }
@@ -189,7 +200,11 @@
 	return arrival
 }
 
-func (m *Machine) start(now time.Time, e Arrive) Action {
+// start starts a call; tag is its start tag if shedding is enabled.
+func (m *Machine) start(now time.Time, e Arrive, tag float64) Action {
+	if m.shed != nil {
+		m.shed.started(now, e, tag)
+	}
 	if w := m.windowOf(e.ID); w != nil {
 		w.setStarted(e.ID.Counter, true)
 	}
@@ -205,5 +220,9 @@
 // the admission ratio. Of item it uses only the ID, class and rank.
 func (m *Machine) refusal(item queuedCall, reason call.Reason) Action {
 	m.updateAdmissionRatio(0)
+	if m.shed != nil && reason != call.ReasonRateLimited {
+		after := m.shed.retryAfter(m.rate.updated, item.serviceTime, item.left, max(1, m.limit.current()), m.estimateQueueTime(item))
+		return Refuse{ID: item.id, Outcome: call.NotRun, Reason: reason, RetryAfter: after}
+	}
 	return Refuse{ID: item.id, Outcome: call.NotRun, Reason: reason, RetryAfter: m.retryAfter(item)}
 }
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -27,6 +27,10 @@
 	serviceTime time.Duration
 	// latestStart is the latest time at which the call may start.
 	latestStart time.Time
+	// left is the time left until the hard deadline at arrival, and keptFrom is from when the
+	// call is no longer refused for others. Both are set with shedding only.
+	left     time.Duration
+	keptFrom time.Time
 }
 
 // rank orders the queued calls of one class. Nested calls go first, because their
@@ -40,6 +44,14 @@
 	// softDeadlineStep. It is noSoftDeadline without a soft deadline or after it has
 	// passed, so that such calls go last.
 	softDeadlineSteps int
+	// With shedding, first says that the call's route or tenant is served too rarely, late that
+	// the soft deadline cannot be met, tag is the start tag of fair queueing and startBy, in Unix
+	// nanoseconds, the latest start for the soft deadline; softDeadlineSteps is then 0.
+	first, late bool
+	// kept says that the call was held for too long to be refused for others.
+	kept    bool
+	tag     float64
+	startBy int64
 }
 
 const (
@@ -62,9 +74,21 @@
 	if r.nested != other.nested {
 		return r.nested
 	}
+	if r.first != other.first {
+		return r.first
+	}
+	if r.kept != other.kept {
+		return r.kept
+	}
+	if r.late != other.late {
+		return other.late
+	}
 	if r.priority != other.priority {
 		return r.priority < other.priority
 	}
+	if c := r.compareShedding(other); c != 0 {
+		return c < 0
+	}
 	return r.softDeadlineSteps < other.softDeadlineSteps
 }
 
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -163,6 +163,7 @@
 		Priority:            int(c.start.Priority),
 		Idempotent:          c.start.Idempotent,
 		Route:               c.start.Route,
+		Tenant:              c.start.Tenant,
 		Deadline:            c.deadline,
 		SoftDeadline:        c.softDeadline,
 		RequireSoftDeadline: c.start.InTime && !c.softDeadline.IsZero(),
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -36,6 +36,7 @@
 type Options struct {
 	Self     membership.Member
 	Settings config.Calls
+	Overload config.Overload
 	// Contract names the headers exchanged with callers and targets; the zero
 	// value means headers.DefaultContract.
 	Contract headers.Contract
@@ -137,6 +138,7 @@
 		MaxRecords:       maxRecords,
 		MaxRetainedBytes: options.Settings.LedgerBytes,
 		Retention:        options.Settings.LedgerRetention,
+		Shedding:         options.Overload.Enabled,
 	})
 	r.signals = newTargetSignals(options.Logger, r.gate.notify)
 	r.keyed = newKeyedLoop(r)
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -185,6 +185,7 @@
 	n.calls = calls.New(calls.Options{
 		Self:              n.self,
 		Settings:          n.settings.Calls,
+		Overload:          n.settings.Overload,
 		Contract:          adapter.Contract,
 		Service:           n.settings.Node.Service,
 		Pool:              n.callsPool,
