--- a/internal/coordination/acceptance/verdict.go
+++ b/internal/coordination/acceptance/verdict.go
@@ -61,7 +61,7 @@
 	switch {
 	case errorx.IsOfType(err, state.ErrDangling):
 		return Dangling
-	case errorx.IsOfType(err, state.ErrInvalid):
+	case errorx.IsOfType(err, state.ErrInvalid), errorx.IsOfType(err, state.ErrAmbiguousKey):
 		return Invalid
 	case errorx.IsOfType(err, state.ErrTooLarge):
 		return Oversized
--- a/internal/protocol/codec/update.go
+++ b/internal/protocol/codec/update.go
@@ -115,7 +115,7 @@
 // resourceFromProto maps an unknown kind to 0, which every snapshot rejects.
 func resourceFromProto(message *wire.Resource) state.Resource {
 	kind := state.Kind(0)
-	if message.GetKind() <= uint32(state.KindCallerLimits) {
+	if message.GetKind() <= uint32(state.KindTenant) {
 		kind = state.Kind(message.GetKind())
 	}
 	return state.Resource{
--- a/internal/protocol/ticketfile/parse.go
+++ b/internal/protocol/ticketfile/parse.go
@@ -35,6 +35,7 @@
 	var ticket state.Ticket
 	document := strictyaml.Decode(file, data, &ticket)
 	if document.Parsed() {
+		digestKeys(document, &ticket)
 		addViolations(document, ticket)
 	}
 	if err := document.Err(); err != nil {
@@ -43,6 +44,21 @@
 	return ticket, checkSize(file, ticket)
 }
 
+// digestKeys replaces API keys by their digests, so that the ticket can be published.
+func digestKeys(document *strictyaml.Document, ticket *state.Ticket) {
+	for i, tenant := range ticket.Tenants {
+		for j, key := range tenant.Keys {
+			if text, remedy := state.CheckAPIKey(key); text != "" {
+				document.Reject(fmt.Sprintf("tenants[%d].keys[%d]", i, j), text, remedy)
+			}
+		}
+		ticket.Tenants[i] = tenant.DigestKeys()
+		if len(ticket.Tenants[i].KeyDigests) == 0 {
+			document.Reject(fmt.Sprintf("tenants[%d].keys", i), "is missing, as is key_digests", "give the tenant a key")
+		}
+	}
+}
+
 // addViolations adds the ticket's violations to the document's problems. A
 // violation of the ticket as a whole is left out if the document has problems
 // already, which may be its cause.
--- a/internal/protocol/ticketfile/reference_test.go
+++ b/internal/protocol/ticketfile/reference_test.go
@@ -27,7 +27,7 @@
 		_, err := Parse("docs/ticket-reference.md", block[1])
 		is.NoErr(err)
 	}
-	for _, resource := range []any{state.Ticket{}, state.Service{}, state.Route{}, state.CallerLimits{}} {
+	for _, resource := range []any{state.Ticket{}, state.Service{}, state.Route{}, state.CallerLimits{}, state.Tenant{}} {
 		fields := reflect.TypeOf(resource)
 		for i := range fields.NumField() {
 			key, _, _ := strings.Cut(fields.Field(i).Tag.Get("yaml"), ",")
--- a/internal/state/errors.go
+++ b/internal/state/errors.go
@@ -12,6 +12,8 @@
 	ErrInvalid = errorx.NewType(Errors, "invalid")
 	// ErrDangling reports a route that refers to a service that does not exist.
 	ErrDangling = errorx.NewType(Errors, "dangling")
+	// ErrAmbiguousKey reports an API key that two tenants hold.
+	ErrAmbiguousKey = errorx.NewType(Errors, "ambiguous_key")
 	// ErrDigestMismatch reports a state whose digest differs from the announced one.
 	ErrDigestMismatch = errorx.NewType(Errors, "digest")
 	// ErrTooLarge reports a ticket record in the log or a full state that exceeds its
--- a/internal/state/resource.go
+++ b/internal/state/resource.go
@@ -77,6 +77,8 @@
 	Idempotent bool `json:"idempotent" yaml:"idempotent"`
 	// MaxAttempts limits how often one call is sent to a gate.
 	MaxAttempts int `json:"max_attempts" yaml:"max_attempts"`
+	// NoAuth admits calls without an API key although the configuration has tenants.
+	NoAuth bool `json:"no_auth,omitempty" yaml:"no_auth,omitempty"`
 }
 
 // Destination is one of the services that share a route's calls.
@@ -122,6 +124,8 @@
 	// CallerLimits is nil to leave the limits unchanged, or to remove them if
 	// Replace is set.
 	CallerLimits   *CallerLimits `json:"caller_limits,omitempty" yaml:"caller_limits,omitempty"`
+	Tenants        []Tenant      `json:"tenants,omitempty" yaml:"tenants,omitempty"`
 	RemoveServices []string      `json:"remove_services,omitempty" yaml:"remove_services,omitempty"`
 	RemoveRoutes   []string      `json:"remove_routes,omitempty" yaml:"remove_routes,omitempty"`
+	RemoveTenants  []string      `json:"remove_tenants,omitempty" yaml:"remove_tenants,omitempty"`
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -19,6 +19,7 @@
 	KindService      Kind = 1
 	KindRoute        Kind = 2
 	KindCallerLimits Kind = 3
+	KindTenant       Kind = 4
 )
 
 // callerLimitsKey identifies the caller limits, the only resource of their kind.
@@ -30,7 +31,7 @@
 	Name string
 }
 
-// Resource is one service, one route or the caller limits in canonical encoding.
+// Resource is one service, route or tenant, or the caller limits, in canonical encoding.
 // If Removed is set, the resource is deleted and Data is empty.
 type Resource struct {
 	Key
@@ -56,6 +57,11 @@
 	routesByName map[string]Route
 	routes       []Route
 	callerLimits CallerLimits
+	// tenants are shared between snapshots; each is immutable. tenantsByKey is that
+	// of an earlier snapshot while tenantsChanged is set.
+	tenants        map[string]*Tenant
+	tenantsByKey   tenantIndex
+	tenantsChanged bool
 }
 
 // Empty returns the configuration before the first ticket.
@@ -108,8 +114,8 @@
 }
 
 // With returns a new snapshot with the changes applied to s and its version at
-// position. It fails with ErrUndecodable, ErrDangling or ErrTooLarge; s is never
-// changed.
+// position. It fails with ErrUndecodable, ErrDangling, ErrAmbiguousKey or ErrTooLarge;
+// s is never changed.
 func (s *Snapshot) With(position uint64, changes []Resource) (*Snapshot, error) {
 	next := s.clone()
 	for _, change := range changes {
@@ -123,6 +129,9 @@
 	if err := next.checkReferences(); err != nil {
 		return nil, err
 	}
+	if err := next.indexTenants(); err != nil {
+		return nil, err
+	}
 	return next.finalize(position), nil
 }
 
@@ -133,10 +142,13 @@
 		services:     make(map[string]Service, len(s.services)),
 		routesByName: make(map[string]Route, len(s.routesByName)),
 		callerLimits: s.callerLimits,
+		tenants:      make(map[string]*Tenant, len(s.tenants)),
+		tenantsByKey: s.tenantsByKey,
 	}
 	maps.Copy(next.resources, s.resources)
 	maps.Copy(next.services, s.services)
 	maps.Copy(next.routesByName, s.routesByName)
+	maps.Copy(next.tenants, s.tenants)
 	return next
 }
 
@@ -170,6 +182,16 @@
 			return err
 		}
 		s.callerLimits = limits
+	case KindTenant:
+		tenant, err := decodeResource[Tenant](change)
+		if err != nil {
+			return err
+		}
+		if tenant.Name != change.Name {
+			return nameMismatch(change.Key, tenant.Name)
+		}
+		s.tenants[change.Name] = &tenant
+		s.tenantsChanged = true
 	default:
 		return ErrUndecodable.New("resource kind %d of %q is unknown: upgrade this node", change.Kind, change.Name)
 	}
@@ -186,6 +208,9 @@
 		delete(s.routesByName, key.Name)
 	case KindCallerLimits:
 		s.callerLimits = CallerLimits{}
+	case KindTenant:
+		delete(s.tenants, key.Name)
+		s.tenantsChanged = true
 	}
 }
 
--- a/internal/state/ticket.go
+++ b/internal/state/ticket.go
@@ -91,11 +91,21 @@
 		}
 		changes = append(changes, Resource{Key: callerLimitsKey, Data: data})
 	}
+	for _, tenant := range t.Tenants {
+		data, err := json.Marshal(tenant)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, Resource{Key: Key{KindTenant, tenant.Name}, Data: data})
+	}
 	for _, name := range t.RemoveServices {
 		changes = append(changes, Resource{Key: Key{KindService, name}, Removed: true})
 	}
 	for _, name := range t.RemoveRoutes {
 		changes = append(changes, Resource{Key: Key{KindRoute, name}, Removed: true})
 	}
+	for _, name := range t.RemoveTenants {
+		changes = append(changes, Resource{Key: Key{KindTenant, name}, Removed: true})
+	}
 	return changes, nil
 }
--- a/internal/state/violations.go
+++ b/internal/state/violations.go
@@ -12,8 +12,8 @@
 	// Path is the dotted path of the invalid value, such as "routes[0].timeout"; it
 	// is empty if the violation concerns the whole ticket.
 	Path string
-	// Resource is the name of the service or route that contains the value, or
-	// empty.
+	// Resource is the name of the service, route or tenant that contains the value,
+	// or empty.
 	Resource string
 	// Text says what is wrong with the value, to be read after Path.
 	Text string
@@ -53,7 +53,7 @@
 // Violations returns every violation of the rules that Validate checks, in the
 // order of the ticket's fields.
 func (t Ticket) Violations() []Violation {
-	c := checker{seen: make(map[Key]string)}
+	c := checker{seen: make(map[Key]string), keyHolders: make(map[KeyDigest]string)}
 	if t.Number == 0 {
 		c.add("number", "is missing", "give the ticket a number above the last accepted one")
 	}
@@ -65,13 +65,17 @@
 		c.checkRoute(fmt.Sprintf("routes[%d]", i), route)
 	}
 	c.checkCallerLimits("caller_limits", t.CallerLimits)
+	for i, tenant := range t.Tenants {
+		c.checkTenant(fmt.Sprintf("tenants[%d]", i), tenant)
+	}
 	c.checkRemovals("remove_services", KindService, t.RemoveServices)
 	c.checkRemovals("remove_routes", KindRoute, t.RemoveRoutes)
-	if t.Replace && len(t.RemoveServices)+len(t.RemoveRoutes) > 0 {
+	c.checkTenantRemovals("remove_tenants", t.RemoveTenants)
+	if t.Replace && len(t.RemoveServices)+len(t.RemoveRoutes)+len(t.RemoveTenants) > 0 {
 		c.add("replace", "stands beside removals", "leave the removals out: what the ticket does not name is removed")
 	}
 	if len(c.seen) == 0 && len(c.violations) == 0 && !t.Replace {
-		c.add("", "changes nothing", "add services, routes, caller_limits or removals")
+		c.add("", "changes nothing", "add services, routes, caller_limits, tenants or removals")
 	}
 	return c.violations
 }
@@ -81,6 +85,8 @@
 	violations []Violation
 	seen       map[Key]string // path of the first mention of each resource
 	resource   string         // name of the resource being checked, or empty
+	// keyHolders names the tenant that holds each key.
+	keyHolders map[KeyDigest]string
 }
 
 func (c *checker) add(path, text, remedy string) {
@@ -169,12 +175,26 @@
 	}
 }
 
+func (c *checker) checkTenantRemovals(path string, names []string) {
+	for i, name := range names {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if text, remedy := CheckTenantName(name); text != "" {
+			c.add(at, text, remedy)
+			continue
+		}
+		c.recordOnce(at, at, Key{KindTenant, name})
+	}
+}
+
 // recordResource checks the name of a resource that the ticket changes or
 // removes, and records the resource so that a second mention is rejected.
 func (c *checker) recordResource(namePath, path string, key Key) {
-	if !c.checkName(namePath, key.Name) {
-		return
+	if c.checkName(namePath, key.Name) {
+		c.recordOnce(namePath, path, key)
 	}
+}
+
+func (c *checker) recordOnce(namePath, path string, key Key) {
 	if first, ok := c.seen[key]; ok {
 		c.add(namePath, fmt.Sprintf("gives %q again, first given at %s", key.Name, first), "give each resource once")
 		return
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -84,7 +84,7 @@
 		return
 	}
 	if value.Kind() == reflect.String && node.Tag != "!!str" {
-		d.Reject(key, fmt.Sprintf("%s is not text", node.Value), "put it in quotes")
+		d.Reject(key, fmt.Sprintf("%s is not text", shownValue(node, value.Type())), "put it in quotes")
 		return
 	}
 	if problem := setScalar(key, node.Value, value); problem != nil {
@@ -92,6 +92,14 @@
 	}
 }
 
+// shownValue returns the value as problems show it. API keys (state.APIKey) are hidden.
+func shownValue(node *yaml.Node, t reflect.Type) string {
+	if t.Name() == "APIKey" {
+		return "the key"
+	}
+	return node.Value
+}
+
 func join(key, name string) string {
 	if key == "" {
 		return name
