Entries authenticate requests if the configuration has tenants

Cause: nothing identified on whose behalf a request is made. Change: after the route match an entry looks the key's digest up and refuses unknown keys with 401, for pipelined requests too, and again before each further attempt. Keys are removed from forwarded headers, the caller's tenant header always. CallStart.tenant carries the name, the gate sets the tenant header (and removes one that an earlier release forwarded). A tenant's priority replaces the route's, and its idempotency keys are its own. Nested calls are their parent's. callerRequest.tenant and .charged are for the limiter.

--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -105,6 +105,8 @@
 	ReasonRetryBudgetSpent Reason = "retry-budget-spent"
 	ReasonAnswerTooLarge   Reason = "answer-too-large"
 	ReasonKeyReused        Reason = "key-reused"
+	// ReasonUnauthorized means that the request has no known API key, or none any more.
+	ReasonUnauthorized Reason = "unauthorized"
 	// ReasonQuarantined means that targets crashed under the same request, which is refused
 	// until its quarantine ends.
 	ReasonQuarantined Reason = "quarantined"
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -35,8 +35,17 @@
 	controller   *http.ResponseController
 	handle       uint64
 	route        state.Route
-	receivedAt   time.Time
-	deadline     time.Time
+	identity
+	credentials credentials
+	// judgedBy is the configuration by which the identity was last checked.
+	judgedBy *state.Snapshot
+	// priority is the tenant's, or the route's without one.
+	priority int
+	// hasTenants is set if the configuration in force at the admission has tenants:
+	// credentials in the headers are API keys then.
+	hasTenants bool
+	receivedAt time.Time
+	deadline   time.Time
 	// softDeadline is the instant by which a response is wanted; zero means the
 	// deadline.
 	softDeadline time.Time
@@ -181,9 +190,14 @@
 		return nil, noRoute()
 	}
 	c := &callerRequest{receivedAt: receivedAt, route: route}
+	if refused := r.authenticate(c, index.snapshot, request); refused != nil {
+		return nil, refused
+	}
 	if refused := c.readContractHeaders(receivedAt, request, r.options.Contract); refused != nil {
 		return nil, refused
 	}
+	c.scopeKey()
+	c.priority = c.priorityOf(index.snapshot)
 	return c, nil
 }
 
@@ -231,6 +245,9 @@
 	contract := r.options.Contract
 	header := request.Header.Clone()
 	headers.RemoveHopByHop(header)
+	if c.hasTenants {
+		contract.RemoveKeys(header)
+	}
 	for _, name := range append(contract.SystemHeaders(), "Expect", "Content-Length") {
 		header.Del(name)
 	}
@@ -247,7 +264,8 @@
 		Idempotent:    c.route.Idempotent,
 		Background:    c.route.Class == state.ClassBackground,
 		Nested:        r.nested(request),
-		Priority:      uint32(c.route.Priority),
+		Priority:      uint32(c.priority),
+		Tenant:        c.tenant,
 		ContentLength: c.contentLength(request),
 		Content:       contentFingerprint(request, c.route.Host, r.options.Service, c.body),
 	}
@@ -284,7 +302,7 @@
 		Id: toWireID(action.ID), GateIncarnation: action.Endpoint.Incarnation,
 		Route: t.Route, Service: action.Endpoint.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
-		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
+		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, Tenant: t.Tenant, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength, RetriedIfLost: action.RetriedIfLost,
 		Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
 	}
@@ -315,6 +333,9 @@
 	if q := r.checkQuarantine(c); q != nil {
 		return dispatchResult{failure: &entry.Fail{Outcome: call.NotRun, Reason: call.ReasonQuarantined, RetryAfter: q.wait}}
 	}
+	if reason := r.checkIdentity(c); reason != "" {
+		return dispatchResult{failure: &entry.Fail{Outcome: call.NotRun, Reason: reason}}
+	}
 	begin := entry.Begin{
 		Handle: c.handle, Route: c.route.Name, Destinations: c.route.EffectiveDestinations(), Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, MaxAttempts: c.attempts, Key: c.key,
@@ -344,11 +365,9 @@
 			return dispatchResult{response: got}
 		}
 		action = r.entry.submit(event)
-		if c.attemptsCtx.Err() != nil && leadsToAttempt(action) {
-			action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()})
-		} else if leadsToAttempt(action) {
-			if q := r.checkQuarantine(c); q != nil {
-				action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: call.ReasonQuarantined, RetryAfter: q.wait})
+		if leadsToAttempt(action) {
+			if giveUp := r.checkAttempt(c); giveUp != nil {
+				action = r.entry.submit(*giveUp)
 			}
 		}
 	}
@@ -452,6 +471,10 @@
 		r.refuse(w, request, p)
 		return
 	}
+	if p := identityProblem(action.Reason); p != nil && action.Outcome == call.NotRun {
+		r.refuseAfterAttempts(w, request, p, action.Gates)
+		return
+	}
 	if action.Reason != call.ReasonQuarantined {
 		action.RetryAfter = c.limitRetryAfter(r.options.Now(), action.RetryAfter)
 	}
@@ -498,6 +521,9 @@
 		Str("host", request.Host).Str("path", request.URL.Path).Str("gates", strings.Join(gates, ",")).
 		Str("type", p.Type).Str("outcome", string(p.Outcome)).Int("retry_after_ms", p.RetryAfterMS).
 		Str("version", r.options.Snapshot().VersionOrNone()).Send()
+	if p.Status == http.StatusUnauthorized {
+		w.Header().Set(headers.WWWAuthenticate, headers.CredentialsScheme)
+	}
 	p.PreciseRetryAfter = r.options.Contract.PreciseRetryAfter
 	r.announceClose(w, request)
 	problem.Write(w, *p)
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -61,6 +61,8 @@
 	// boot is the clock that advances during suspension; nil means clock.BootTime.
 	boot     func() time.Time
 	contract headers.Contract
+	// logger is that of the nodes; nil discards.
+	logger *logging.Logger
 	// incarnation is that of the added nodes; 0 means 7.
 	incarnation uint64
 }
@@ -86,6 +88,9 @@
 	if options.slots == 0 {
 		options.slots = 8
 	}
+	if options.logger == nil {
+		options.logger = logging.Discard()
+	}
 	if options.incarnation == 0 {
 		options.incarnation = 7
 	}
@@ -133,7 +138,7 @@
 		Self: n.member, Settings: settings, Contract: options.contract, Pool: n.pool, View: f.view.Load, Snapshot: f.snapshot.Load,
 		Serving:  func(time.Time) bool { return f.serving.Load() },
 		PeerLoad: func(string) (uint32, time.Time, bool) { return 0, time.Time{}, false },
-		Logger:   logging.Discard(), RandomSeed: uint64(i) + 1, Now: time.Now, BootTime: options.boot,
+		Logger:   options.logger, RandomSeed: uint64(i) + 1, Now: time.Now, BootTime: options.boot,
 	})
 	n.target = httptest.NewServer(target)
 	if i == 0 && options.remoteOnly {
--- a/internal/node/calls/nested.go
+++ b/internal/node/calls/nested.go
@@ -7,38 +7,79 @@
 	"sync"
 )
 
-// runningRequests counts, by request ID, the requests that run at the target
-// beside this node.
+// runningRequests counts, by the ID by which nested calls name their parent, the
+// requests that run at the target beside this node.
 type runningRequests struct {
 	mu  sync.Mutex
-	ids map[string]int
+	ids map[string]runningRequest
+}
+
+// runningRequest is how often a request runs, and on behalf of which tenant.
+type runningRequest struct {
+	runs   int
+	tenant string
 }
 
 // begin records that the target runs the request; the returned function records
 // its end.
-func (r *runningRequests) begin(id string) (end func()) {
+func (r *runningRequests) begin(id, tenant string) (end func()) {
 	if id == "" {
 		return func() {}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ids == nil {
-		r.ids = make(map[string]int)
+		r.ids = make(map[string]runningRequest)
 	}
-	r.ids[id]++
+	r.ids[id] = runningRequest{runs: r.ids[id].runs + 1, tenant: tenant}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.ids[id]--; r.ids[id] == 0 {
+		running := r.ids[id]
+		running.runs--
+		if r.ids[id] = running; running.runs == 0 {
 			delete(r.ids, id)
 		}
 	}
 }
 
 func (r *runningRequests) has(id string) bool {
+	_, running := r.tenantOf(id)
+	return running
+}
+
+// tenantOf returns the tenant of a running request, and whether it runs.
+func (r *runningRequests) tenantOf(id string) (tenant string, running bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ids[id] > 0
+	request, running := r.ids[id]
+	return request.tenant, running
+}
+
+// runningID returns the ID by which nested calls name the call as their parent: the
+// request ID, or the call ID in a contract in which request IDs do not show nesting.
+func (r *Runner) runningID(c *gateCall) string {
+	if r.options.Contract.NestedSeparator != "" {
+		return wireHeaderValue(c.start.Headers, r.options.Contract.RequestID)
+	}
+	if r.options.Snapshot().HasTenants() {
+		return formatID(c.id)
+	}
+	return ""
+}
+
+// parentOf returns the ID of the request that made the call, as the call states it;
+// empty if it states none.
+func (r *Runner) parentOf(request *http.Request) string {
+	separator := r.options.Contract.NestedSeparator
+	if separator == "" {
+		if !r.fromTargetAddress(request) {
+			return ""
+		}
+		return request.Header.Get(r.options.Contract.CallID)
+	}
+	id := r.requestID(request)
+	return id[:max(0, strings.LastIndex(id, separator))]
 }
 
 // nested reports whether a request that runs at the target beside this node
@@ -46,13 +87,10 @@
 // nested IDs; otherwise every call from the target's IP address counts as
 // nested.
 func (r *Runner) nested(request *http.Request) bool {
-	separator := r.options.Contract.NestedSeparator
-	if separator == "" {
+	if r.options.Contract.NestedSeparator == "" {
 		return r.fromTargetAddress(request)
 	}
-	id := r.requestID(request)
-	at := strings.LastIndex(id, separator)
-	return at > 0 && r.runningRequests.has(id[:at])
+	return r.runningRequests.has(r.parentOf(request))
 }
 
 func (r *Runner) fromTargetAddress(request *http.Request) bool {
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -91,6 +91,12 @@
 		"Check host, path and method against the published routes.", 0)
 }
 
+// unauthorized refuses a request without a known API key.
+func unauthorized() *problem.Problem {
+	return notRun(string(call.ReasonUnauthorized), "The call has no known API key", http.StatusUnauthorized,
+		"Send a valid key as `Authorization: Token KEY`.", 0)
+}
+
 func badHeader(name, want string) *problem.Problem {
 	p := notRun("bad-header", "A header of the contract cannot be read", http.StatusBadRequest,
 		"Correct the header or leave it out.", 0)
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -48,7 +48,7 @@
 		r.recordOutcome(c, call.NotRun, call.ReasonDeadline)
 		return gate.NotSent
 	}
-	defer r.runningRequests.begin(wireHeaderValue(c.start.Headers, r.options.Contract.RequestID))()
+	defer r.runningRequests.begin(r.runningID(c), c.start.Tenant)()
 	if refused := r.quarantineFrame(c.start); refused != nil {
 		_ = c.response.add(r.baseCtx, refused)
 		return gate.NotSent
@@ -125,6 +125,10 @@
 		header["User-Agent"] = []string{""}
 	}
 	contract := r.options.Contract
+	if contract.Tenant != "" {
+		header.Del(contract.Tenant) // an entry of an earlier release forwards the caller's
+	}
+	setIfPresent(header, contract.Tenant, c.start.Tenant)
 	remaining := max(1, c.deadline.Sub(r.options.Now()).Milliseconds())
 	setIfPresent(header, contract.Timeout, strconv.FormatInt(remaining, 10))
 	// AttemptsLeft counts the attempts after this one. The header includes this
--- /dev/null
+++ b/internal/node/calls/tenants.go
@@ -0,0 +1,147 @@
+package calls
+
+import (
+	"net/http"
+
+	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/entry"
+	"jasminegate/internal/protocol/headers"
+	"jasminegate/internal/protocol/problem"
+	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/state"
+)
+
+// credentials are what a request offers to be admitted by. They do not contain the key.
+type credentials struct {
+	// parent is the ID of the running request that made this one, empty if it is not
+	// nested.
+	parent string
+	// digest is that of the request's API key; valid if hasKey is set.
+	digest state.KeyDigest
+	hasKey bool
+}
+
+func (r *Runner) credentialsOf(request *http.Request) credentials {
+	var offered credentials
+	if parent := r.parentOf(request); r.runningRequests.has(parent) {
+		offered.parent = parent
+	}
+	if key, ok := r.options.Contract.Key(request.Header); ok {
+		offered.digest, offered.hasKey = state.DigestKey(key), true
+	}
+	return offered
+}
+
+// identity is on whose behalf a request is made. Its zero value is that of a request
+// without a tenant.
+type identity struct {
+	tenant string
+	// charged is set if the request counts towards the tenant's quota.
+	charged bool
+}
+
+// identify returns on whose behalf a request with the credentials is made, or the
+// reason to refuse it. A nested call is its parent's, whatever key it carries, and is
+// admitted because its parent was.
+func (r *Runner) identify(snapshot *state.Snapshot, route state.Route, offered credentials) (identity, call.Reason) {
+	if !snapshot.HasTenants() {
+		return identity{}, ""
+	}
+	if tenant, running := r.runningRequests.tenantOf(offered.parent); running {
+		return identity{tenant: tenant}, ""
+	}
+	if offered.hasKey {
+		if tenant, known := snapshot.TenantByKeyDigest(offered.digest); known {
+			return identity{tenant: tenant.Name, charged: true}, ""
+		}
+	}
+	if route.NoAuth {
+		return identity{}, ""
+	}
+	return identity{}, call.ReasonUnauthorized
+}
+
+// authenticate sets the request's identity, or returns the problem to refuse it with.
+func (r *Runner) authenticate(c *callerRequest, snapshot *state.Snapshot, request *http.Request) *problem.Problem {
+	c.judgedBy, c.hasTenants = snapshot, snapshot.HasTenants()
+	if !c.hasTenants {
+		return nil
+	}
+	c.credentials = r.credentialsOf(request)
+	identity, refused := r.identify(snapshot, c.route, c.credentials)
+	c.identity = identity
+	return identityProblem(refused)
+}
+
+// checkIdentity returns why a request that was admitted gets no further attempt, or an
+// empty reason. The configuration may have changed since its last attempt.
+func (r *Runner) checkIdentity(c *callerRequest) call.Reason {
+	snapshot := r.options.Snapshot()
+	if snapshot == c.judgedBy && c.credentials.parent == "" {
+		return ""
+	}
+	if !c.hasTenants {
+		// It was admitted when no key was needed, and its credentials were the target's.
+		c.judgedBy = snapshot
+		if snapshot.HasTenants() {
+			c.template.Headers = withoutKeys(r.options.Contract, c.template.Headers)
+		}
+		return ""
+	}
+	_, refused := r.identify(snapshot, c.route, c.credentials)
+	if refused == "" {
+		c.judgedBy = snapshot
+	}
+	return refused
+}
+
+// withoutKeys returns the headers without API keys.
+func withoutKeys(contract headers.Contract, list []*wire.Header) []*wire.Header {
+	header := make(http.Header, len(list))
+	for _, h := range list {
+		header[h.Name] = h.Values
+	}
+	contract.RemoveKeys(header)
+	return toWireHeaders(header)
+}
+
+// checkAttempt returns why the request gets no further attempt, or nil.
+func (r *Runner) checkAttempt(c *callerRequest) *entry.GiveUp {
+	if c.attemptsCtx.Err() != nil {
+		return &entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()}
+	}
+	if reason := r.checkIdentity(c); reason != "" {
+		return &entry.GiveUp{Handle: c.handle, Reason: reason}
+	}
+	if q := r.checkQuarantine(c); q != nil {
+		return &entry.GiveUp{Handle: c.handle, Reason: call.ReasonQuarantined, RetryAfter: q.wait}
+	}
+	return nil
+}
+
+// identityProblem returns the problem for a reason of identify, or nil for another one.
+func identityProblem(reason call.Reason) *problem.Problem {
+	if reason == call.ReasonUnauthorized {
+		return unauthorized()
+	}
+	return nil
+}
+
+// priorityOf returns the priority of the request: its tenant's, or else the route's.
+func (c *callerRequest) priorityOf(snapshot *state.Snapshot) int {
+	if tenant, ok := snapshot.Tenant(c.tenant); ok {
+		return tenant.Priority
+	}
+	return c.route.Priority
+}
+
+// tenantKeySeparator cannot occur in a tenant's name, nor in a header.
+const tenantKeySeparator = "\n"
+
+// scopeKey makes the idempotency key one of the tenant, so that no tenant gets the
+// retained response of another.
+func (c *callerRequest) scopeKey() {
+	if c.key != "" && c.tenant != "" {
+		c.key = c.tenant + tenantKeySeparator + c.key
+	}
+}
--- a/internal/protocol/headers/contract.go
+++ b/internal/protocol/headers/contract.go
@@ -1,5 +1,11 @@
 package headers
 
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
+
 // Contract is the header convention between callers, this system and targets. Its
 // string fields are header names, except for NestedSeparator. An empty name means
 // that the deployment has no such header.
@@ -21,6 +27,10 @@
 	NestedSeparator string
 	// CallerService holds the service of the calling instance, for the target.
 	CallerService string
+	// Tenant holds the name of the tenant on whose behalf the call is made, for the target.
+	Tenant string
+	// Credentials holds the caller's API key if the configuration has tenants.
+	Credentials string
 	// TargetInstance holds the ID of the target process that should run the call.
 	TargetInstance string
 	// InstanceID holds the ID of the target's process in its response to a health
@@ -43,11 +53,55 @@
 
 // DefaultContract returns the contract with the Jasminegate headers.
 func DefaultContract() Contract {
-	return Contract{Timeout: Timeout, Attempts: Attempts, CallID: CallID, IdempotencyKey: IdempotencyKey, TargetRateLimit: TargetRateLimit, TargetLeaving: TargetLeaving}
+	return Contract{Timeout: Timeout, Attempts: Attempts, CallID: CallID, IdempotencyKey: IdempotencyKey, TargetRateLimit: TargetRateLimit, TargetLeaving: TargetLeaving, Tenant: Tenant, Credentials: Credentials}
 }
 
 // SystemHeaders returns the headers that only the system sets on requests to
 // targets. Values that a caller sent in these headers are not forwarded.
 func (c Contract) SystemHeaders() []string {
-	return []string{c.Timeout, c.Attempts, c.CallID, c.CallerService, c.TargetInstance}
+	return []string{c.Timeout, c.Attempts, c.CallID, c.CallerService, c.TargetInstance, c.Tenant}
+}
+
+// Key returns the API key in the headers of a caller's request, and whether there is one.
+func (c Contract) Key(header http.Header) (string, bool) {
+	for _, value := range header.Values(c.Credentials) {
+		if key, ok := keyIn(value); ok && key != "" {
+			return key, true
+		}
+	}
+	return "", false
+}
+
+// RemoveKeys removes the API keys from the headers. Credentials of other schemes stay.
+func (c Contract) RemoveKeys(header http.Header) {
+	isKey := func(value string) bool {
+		_, ok := keyIn(value)
+		return ok
+	}
+	name := http.CanonicalHeaderKey(c.Credentials)
+	if !slices.ContainsFunc(header[name], isKey) {
+		return
+	}
+	// The values may be shared with a clone of the header.
+	kept := slices.DeleteFunc(slices.Clone(header[name]), isKey)
+	if len(kept) == 0 {
+		delete(header, name)
+		return
+	}
+	header[name] = kept
+}
+
+// keyIn returns the key in the value of the credentials header, and whether the value
+// has the scheme of keys.
+func keyIn(value string) (string, bool) {
+	const space = " \t"
+	value = strings.Trim(value, space)
+	end := strings.IndexAny(value, space)
+	if end < 0 {
+		end = len(value)
+	}
+	if !strings.EqualFold(value[:end], CredentialsScheme) {
+		return "", false
+	}
+	return strings.Trim(value[end:], space), true
 }
--- a/internal/protocol/headers/headers.go
+++ b/internal/protocol/headers/headers.go
@@ -21,6 +21,14 @@
 	TargetRateLimit = "Jasminegate-Target-Rate-Limit"
 	// TargetLeaving is "1" in the responses of a target that is about to stop.
 	TargetLeaving = "Jasminegate-Target-Leaving"
+	// Tenant holds the name of the tenant on whose behalf the call is made, for the target.
+	Tenant = "Jasminegate-Tenant"
+	// Credentials holds a caller's API key after CredentialsScheme and a space.
+	Credentials = "Authorization"
+	// CredentialsScheme is the authentication scheme of API keys, in any case.
+	CredentialsScheme = "Token"
+	// WWWAuthenticate names the accepted scheme in a response with status 401.
+	WWWAuthenticate = "WWW-Authenticate"
 	// RetryAfter holds the seconds after which a refused call may be sent again, as
 	// a whole number unless Contract.PreciseRetryAfter is set.
 	RetryAfter = "Retry-After"
--- a/internal/state/tenant.go
+++ b/internal/state/tenant.go
@@ -124,7 +124,8 @@
 }
 
 // HasTenants reports whether callers need an API key, except on routes with NoAuth.
-func (s *Snapshot) HasTenants() bool { return len(s.tenants) > 0 }
+// A nil snapshot has none.
+func (s *Snapshot) HasTenants() bool { return s != nil && len(s.tenants) > 0 }
 
 // Tenant returns the tenant with the given name, and whether it exists.
 func (s *Snapshot) Tenant(name string) (Tenant, bool) {
