--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -68,5 +68,6 @@
 	CallerCutOff         = Event{406, log.InfoLevel, "caller's connection ended without the whole response to its request"}
 	RequestQuarantined   = Event{407, log.WarnLevel, "request is in quarantine: targets crashed while they ran it, and it is refused"}
 	QuarantineEnded      = Event{408, log.InfoLevel, "request is no longer in quarantine"}
+	TenantInvalid        = Event{409, log.WarnLevel, "tenant in the configuration cannot be used as it is written: what is unambiguous is in force"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
--- a/internal/state/tenant.go
+++ b/internal/state/tenant.go
@@ -13,10 +13,9 @@
 
 // Limits of tenants.
 const (
-	MaxTenantKeys = 10_000
-	MaxKeyBytes   = 1024
-	MaxRatePerS   = 1e9
-	MaxBurst      = 1e9
+	MaxKeyBytes = 1024
+	MaxRatePerS = 1e9
+	MaxBurst    = 1e9
 )
 
 // APIKey is a key in plaintext. Its formatted text does not contain the key.
@@ -177,9 +176,6 @@
 	c.checkRange(path+".priority", tenant.Priority, 0, MaxPriority)
 	c.checkNumber(path+".rate_per_s", tenant.RatePerS, MaxRatePerS)
 	c.checkNumber(path+".burst", tenant.Burst, MaxBurst)
-	if len(tenant.KeyDigests) > MaxTenantKeys {
-		c.add(path+".key_digests", fmt.Sprintf("has %d entries", len(tenant.KeyDigests)), fmt.Sprintf("use at most %d", MaxTenantKeys))
-	}
 	for i, text := range tenant.KeyDigests {
 		digest, ok := parseKeyDigest(text)
 		if !ok {
