--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -46,7 +46,7 @@
 		r.recordOutcome(c, call.NotRun, c.notSentReason())
 		return gate.NotSent
 	}
-	defer r.runningRequests.begin(wireHeaderValue(c.start.Headers, r.options.Contract.RequestID))()
+	defer r.runningRequests.begin(r.runningID(c), c.start.Tenant)()
 	if refused := r.quarantineFrame(c.start); refused != nil {
 		_ = c.response.add(r.baseCtx, refused)
 		return gate.NotSent
@@ -124,6 +124,10 @@
 		header["User-Agent"] = []string{""}
 	}
 	contract := r.options.Contract
+	if contract.Tenant != "" {
+		header.Del(contract.Tenant) // an entry of an earlier release forwards the caller's
+	}
+	setIfPresent(header, contract.Tenant, c.start.Tenant)
 	setIfPresent(header, contract.Timeout, c.remainingMs(r.options.Now()))
 	// AttemptsLeft counts the attempts after this one. The header includes this
 	// one, since it must be above 0 in a nested call.
