Nodes know until when their configuration was the newest

Cause: a node without contact could not know how old its keys may be; the fence's contact says that others know the node, not that it knows the newest tickets. Change: a reader reports the instant at which a read that found nothing was sent (and of the join offset). Acks of probes carry the age beside the version; a node takes it over from a peer that is not ahead, counted from when its probe was sent. Off unless a bound is set and reports are recorded.

--- a/internal/coordination/membership/ack.go
+++ b/internal/coordination/membership/ack.go
@@ -46,6 +46,7 @@
 		Load:            m.load,
 		TableDigest:     m.table.digest,
 		Known:           known,
+		CurrentAge:      m.currentAge(),
 		Members:         members,
 	}
 }
@@ -68,6 +69,7 @@
 	}
 	m.recordPeerStatus(now, ack.From, ack.FromIncarnation, peerStatus{ack.Version, ack.Load})
 	m.recordContact(now, sent, ack)
+	m.recordCurrent(sent, ack)
 	m.recordRelayAck(sent, ack)
 	m.countMismatches(ack.From, ack.TableDigest)
 	m.storeSummaries(sent, ack.Summaries)
--- a/internal/coordination/membership/event.go
+++ b/internal/coordination/membership/event.go
@@ -50,6 +50,13 @@
 // the response was handled.
 type PlatformContacted struct{ SentAt time.Time }
 
+// ConfigurationCurrent reports that this node's configuration, of the given version,
+// contained every ticket of the platform's log at the instant At.
+type ConfigurationCurrent struct {
+	At      time.Time
+	Version state.Version
+}
+
 // SeedsLearned adds nodes to join through.
 type SeedsLearned struct{ Seeds []Seed }
 
@@ -60,16 +67,17 @@
 // the machine collect current ones for a while.
 type SummariesRequested struct{}
 
-func (Tick) isEvent()               {}
-func (LocalStatusChanged) isEvent() {}
-func (ProbeReceived) isEvent()      {}
-func (AckReceived) isEvent()        {}
-func (ProbeFailed) isEvent()        {}
-func (TargetChanged) isEvent()      {}
-func (PlatformContacted) isEvent()  {}
-func (SeedsLearned) isEvent()       {}
-func (LeaveRequested) isEvent()     {}
-func (SummariesRequested) isEvent() {}
+func (Tick) isEvent()                 {}
+func (LocalStatusChanged) isEvent()   {}
+func (ProbeReceived) isEvent()        {}
+func (AckReceived) isEvent()          {}
+func (ProbeFailed) isEvent()          {}
+func (TargetChanged) isEvent()        {}
+func (PlatformContacted) isEvent()    {}
+func (ConfigurationCurrent) isEvent() {}
+func (SeedsLearned) isEvent()         {}
+func (LeaveRequested) isEvent()       {}
+func (SummariesRequested) isEvent()   {}
 
 // Seed is a node through which this node may join. It is not counted as a
 // member.
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -31,6 +31,7 @@
 	relay             relay
 	relayAcks         map[string]relayAck
 	contact           contact
+	current           currentState
 	receivedSummaries map[string]receivedSummary
 	// collectUntil is the end of the period in which this node, if it is a relay,
 	// collects the summaries of other domains.
@@ -83,6 +84,8 @@
 		m.publishOwnRecord(now)
 	case PlatformContacted:
 		m.platformContacted(event)
+	case ConfigurationCurrent:
+		m.configurationCurrent(now, event)
 	case SeedsLearned:
 		m.addSeeds(event.Seeds)
 	case LeaveRequested:
@@ -126,6 +129,7 @@
 	m.joinWhenDue(now)
 	m.relayWhenDue(now)
 	m.pullSummariesWhenDue(now)
+	m.refreshCurrentWhenDue(now)
 }
 
 // detectPause detects that this process did not run for a while, such as after a
--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -1,6 +1,10 @@
 package membership
 
-import "jasminegate/internal/state"
+import (
+	"time"
+
+	"jasminegate/internal/state"
+)
 
 // Probe asks a node whether it is alive, and carries membership updates.
 type Probe struct {
@@ -44,6 +48,9 @@
 	// confirms the prober's contact. Toward another domain it also requires that
 	// the sender's partition of its domain has a quorum.
 	Known bool
+	// CurrentAge is how long ago the configuration with Version was known to be the
+	// newest; 0 if that is not known.
+	CurrentAge time.Duration
 	// Members are changed records, or the records that the probe requested.
 	Members []Member
 	// DifferingBuckets lists the indexes of the buckets in which the tables differ.
--- a/internal/coordination/membership/settings.go
+++ b/internal/coordination/membership/settings.go
@@ -24,6 +24,9 @@
 	RelayInterval time.Duration
 	// Relays is how many nodes of a domain exchange with other domains.
 	Relays int
+	// CurrentBound is the age up to which this node wants to know that its configuration
+	// is the newest. 0 means that it is content with what regular probes tell.
+	CurrentBound time.Duration
 }
 
 const (
--- a/internal/coordination/spread/actions.go
+++ b/internal/coordination/spread/actions.go
@@ -74,6 +74,13 @@
 // Install replaces the configuration that the node runs.
 type Install struct{ Snapshot *state.Snapshot }
 
+// ReportCurrent reports that the installed configuration, of the given version, contained
+// every ticket that the platform's log had at the instant At.
+type ReportCurrent struct {
+	At      time.Time
+	Version state.Version
+}
+
 // ReportVerdict reports the verdict on a record that this node read from the log.
 type ReportVerdict struct{ Verdict acceptance.Verdict }
 
@@ -104,6 +111,7 @@
 
 func (ReadBounds) action()          {}
 func (ReadTickets) action()         {}
+func (ReportCurrent) action()       {}
 func (ReadNewestTicket) action()    {}
 func (ReadCheckpoint) action()      {}
 func (WriteCheckpoint) action()     {}
--- a/internal/coordination/spread/fleet_checks_test.go
+++ b/internal/coordination/spread/fleet_checks_test.go
@@ -23,6 +23,20 @@
 	n.installedAt = f.now
 }
 
+// checkCurrent checks that a node which takes its installed configuration for the newest
+// at an instant had applied every ticket of the log by then. It guards against keys that
+// are accepted although they were removed (tenants.revoke_strict).
+func (f *fleet) checkCurrent(n *node, report ReportCurrent) {
+	applied := n.machine.Fold().NextOffset()
+	if applied < int64(len(f.appendedAt)) && !f.appendedAt[applied].After(report.At) {
+		f.fail("%s takes version %v for the newest at %v, but has not applied offset %d", n.member.ID, report.Version, report.At, applied)
+	}
+	if installedVersion(n) != report.Version {
+		f.fail("%s reports version %v, but runs %v", n.member.ID, report.Version, installedVersion(n))
+	}
+	f.currentReports++
+}
+
 // requireConverged fails unless all nodes serve with the newest accepted version.
 func (f *fleet) requireConverged() {
 	want := f.reference.Version()
--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -28,9 +28,12 @@
 	// pendingResponses maps request tokens to the functions that deliver the response.
 	pendingResponses map[uint64]func(Action)
 
-	tickets     [][]byte
-	firstOffset int64 // offset of the first ticket that the log keeps
-	checkpoints []acceptance.Update
+	tickets [][]byte
+	// appendedAt is when each ticket was appended, and currentReports counts ReportCurrent.
+	appendedAt     []time.Time
+	currentReports int
+	firstOffset    int64 // offset of the first ticket that the log keeps
+	checkpoints    []acceptance.Update
 	// reference has applied the whole log. digests maps the position of each
 	// accepted state to its digest.
 	reference *acceptance.Fold
@@ -336,6 +339,8 @@
 		f.deliverResponse(a.Token, a)
 	case Install:
 		f.checkInstall(n, a.Snapshot)
+	case ReportCurrent:
+		f.checkCurrent(n, a)
 	}
 }
 
@@ -490,6 +495,7 @@
 	}
 	offset := int64(len(f.tickets))
 	f.tickets = append(f.tickets, data)
+	f.appendedAt = append(f.appendedAt, f.now)
 	if _, _, err := f.reference.Apply(offset, data); err != nil {
 		f.fail("reference: %v", err)
 	}
--- a/internal/coordination/spread/join.go
+++ b/internal/coordination/spread/join.go
@@ -10,6 +10,8 @@
 	startedAt     time.Time
 	joined        bool
 	offsetRequest requestState
+	// offsetRequestedAt is when the join offset was last requested.
+	offsetRequestedAt time.Time
 	// registeredReader is true if this node is a reader among the registered nodes. In a
 	// fleet that starts as a whole it then reads the log at once, before it knows which
 	// nodes run.
@@ -41,6 +43,7 @@
 		return
 	}
 	m.join.offsetRequest.inFlight = true
+	m.join.offsetRequestedAt = now
 	m.emit(ReadBounds{Stream: StreamTickets})
 }
 
@@ -67,9 +70,19 @@
 	if m.join.joined && m.position() <= m.join.installedPosition {
 		return
 	}
+	first := !m.join.joined
 	m.join.joined = true
 	m.join.installedPosition = m.position()
 	m.emit(Install{Snapshot: m.fold.Snapshot()})
+	if first {
+		m.reportCurrent(m.join.offsetRequestedAt)
+	}
+}
+
+// reportCurrent reports that the installed configuration was the newest when a request was
+// sent. The response may have been delivered much later than it was sent.
+func (m *Machine) reportCurrent(requestedAt time.Time) {
+	m.emit(ReportCurrent{At: requestedAt, Version: m.fold.Version()})
 }
 
 // shouldReadLog reports whether this node reads the tickets stream: as a reader,
--- a/internal/coordination/spread/machine_test.go
+++ b/internal/coordination/spread/machine_test.go
@@ -53,6 +53,9 @@
 		f.heal()
 		f.run(40 * time.Second)
 		f.requireConverged()
+		if f.currentReports == 0 && f.reference.Version().Position > 0 {
+			f.fail("no reader has found its configuration to be the newest")
+		}
 	})
 }
 
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -52,6 +52,9 @@
 	m.reading.request.succeeded()
 	if len(records) == 0 {
 		m.reading.request.notBefore = m.reading.requestedAt.Add(emptyReadDelay)
+		if m.join.joined {
+			m.reportCurrent(m.reading.requestedAt)
+		}
 	}
 	before, next := m.position(), m.fold.NextOffset()
 	for _, record := range records {
--- a/internal/node/configuration/perform.go
+++ b/internal/node/configuration/perform.go
@@ -34,6 +34,10 @@
 		reply <- action
 	case spread.Install:
 		r.install(a.Snapshot)
+	case spread.ReportCurrent:
+		if r.options.OnCurrent != nil {
+			r.options.OnCurrent(a.At, a.Version)
+		}
 	case spread.ReportVerdict:
 		r.logVerdict(a.Verdict)
 	case spread.ReportRefusedUpdate:
--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -60,7 +60,10 @@
 	View func() *membership.View
 	// OnPlatformContact is called after each response from the platform.
 	OnPlatformContact func()
-	Now               func() time.Time
+	// OnCurrent is called when the installed configuration, of the given version, is known
+	// to have been the newest at the given time. Nil ignores it.
+	OnCurrent func(time.Time, state.Version)
+	Now       func() time.Time
 }
 
 // Runner keeps one node's configuration up to date. Its methods other than Run
--- a/internal/node/members/runner.go
+++ b/internal/node/members/runner.go
@@ -52,6 +52,8 @@
 	Registrations Registrations
 	Logger        *logging.Logger
 	RandomSeed    uint64
+	// CurrentBound is membership.Settings.CurrentBound.
+	CurrentBound time.Duration
 	// AppliedVersion returns the configuration version that this node runs.
 	AppliedVersion func() state.Version
 	// Load returns the number of calls running and queued at this node's gate.
@@ -98,7 +100,7 @@
 		leaveDone:  make(chan struct{}),
 		fenced:     true,
 		probeSlots: make(chan struct{}, maxProbesInFlight),
-		machine:    membership.New(machineSettings(options.Settings), options.Self, machineSeeds(options.Seeds), source),
+		machine:    membership.New(machineSettings(options), options.Self, machineSeeds(options.Seeds), source),
 	}
 	r.view.Store(r.machine.View())
 	return r
@@ -231,6 +233,20 @@
 	r.events.TryPush(membership.PlatformContacted{SentAt: r.options.Now()})
 }
 
+// RecordCurrent records that the node's configuration, of the given version, was the newest
+// at the given time.
+func (r *Runner) RecordCurrent(at time.Time, version state.Version) {
+	r.events.TryPush(membership.ConfigurationCurrent{At: at, Version: version})
+}
+
+// CurrentAt returns the latest time at which the node's configuration is known to have been
+// the newest, or the zero time.
+func (r *Runner) CurrentAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.CurrentAt()
+}
+
 func (r *Runner) localStatus() membership.LocalStatusChanged {
 	return membership.LocalStatusChanged{Version: r.options.AppliedVersion(), Load: r.options.Load()}
 }
@@ -277,7 +293,8 @@
 	}
 }
 
-func machineSettings(s config.Membership) membership.Settings {
+func machineSettings(options Options) membership.Settings {
+	s := options.Settings
 	return membership.Settings{
 		ProbeInterval:    s.ProbeInterval,
 		ProbeTimeout:     s.ProbeTimeout,
@@ -286,6 +303,7 @@
 		ForgetTimeout:    s.ForgetTimeout,
 		RelayInterval:    s.RelayInterval,
 		Relays:           s.Relays,
+		CurrentBound:     options.CurrentBound,
 	}
 }
 
