tenants.revoke_strict: no key is accepted without recent contact

Cause: a node without contact accepted removed keys without limit. With revoke_strict, requests with a key get 503 while the configuration may be older than the bound; no_auth routes and nested calls are served. platform.read_wait is then at most an eighth of the bound. Seen to fail: TestStrictRevocation without the check and without its repetition.

--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -27,6 +27,12 @@
 	// minReadWait and maxReadWait bound the wait of a read.
 	minReadWait = 500 * time.Millisecond
 	maxReadWait = 5 * time.Second
+	// readsPerRevokeBound is how often a reader finds the log's end within
+	// deployment.revoke_bound if it is strict. A read that finds nothing tells that the
+	// configuration was the newest when it was sent, so this information is up to two waits
+	// old; the rest of the bound is for its way to the other nodes.
+	readsPerRevokeBound = 8
+	minStrictReadWait   = 50 * time.Millisecond
 )
 
 // Derived is a setting that follows from what the deployment states.
@@ -57,9 +63,24 @@
 		s.Calls.RetryRatio = min(1, math.Round(retryShare*d.RetryRatio*1000)/1000)
 		return d.RetryRatio > 0
 	}},
-	{"platform.read_wait", "deployment.change_bound, deployment.settle_time", func(s *Settings, d Deployment) bool {
-		s.Platform.ReadWait = min(maxReadWait, max(minReadWait, d.ChangeBound+d.SettleTime-readReserve))
-		return d.ChangeBound > 0 && d.SettleTime > 0
+	{"platform.read_wait", "deployment.change_bound, deployment.settle_time, deployment.revoke_bound", func(s *Settings, d Deployment) bool {
+		stated := d.ChangeBound > 0 && d.SettleTime > 0
+		if stated {
+			s.Platform.ReadWait = min(maxReadWait, max(minReadWait, d.ChangeBound+d.SettleTime-readReserve))
+		}
+		strict := d.RevokeStrict && d.RevokeBound > 0
+		if strict {
+			s.Platform.ReadWait = min(s.Platform.ReadWait, max(minStrictReadWait, d.RevokeBound/readsPerRevokeBound))
+		}
+		return stated || strict
+	}},
+	{"tenants.revoke_bound", "deployment.revoke_bound", func(s *Settings, d Deployment) bool {
+		s.Tenants.RevokeBound = min(maxRevokeBound, max(minRevokeBound, d.RevokeBound))
+		return d.RevokeBound > 0
+	}},
+	{"tenants.revoke_strict", "deployment.revoke_strict", func(s *Settings, d Deployment) bool {
+		s.Tenants.RevokeStrict = true
+		return d.RevokeStrict
 	}},
 	{"platform.heartbeat", "deployment.heartbeat", func(s *Settings, d Deployment) bool {
 		s.Platform.Heartbeat = min(maxHeartbeat, max(minHeartbeat, d.Heartbeat))
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -192,7 +192,7 @@
 // TestEveryKeyIsChecked checks that each scalar setting has exactly one rule.
 func TestEveryKeyIsChecked(t *testing.T) {
 	is := is.New(t)
-	checked := map[string]bool{"node.seed": true, "telemetry.profiling": true, "calls.fixed_limit": true} // any value is valid
+	checked := map[string]bool{"node.seed": true, "telemetry.profiling": true, "calls.fixed_limit": true, "deployment.revoke_strict": true, "tenants.revoke_strict": true} // any value is valid
 	for _, rule := range rules {
 		is.True(!checked[rule.key]) // one rule a key
 		checked[rule.key] = true
--- a/internal/config/reference_test.go
+++ b/internal/config/reference_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/settings-reference.md")
 	is.NoErr(err)
-	accepted := map[string]string{"node.seed": "any", "telemetry.profiling": "true, false", "calls.fixed_limit": "true, false"}
+	accepted := map[string]string{"node.seed": "any", "telemetry.profiling": "true, false", "calls.fixed_limit": "true, false", "deployment.revoke_strict": "true, false", "tenants.revoke_strict": "true, false"}
 	for _, rule := range rules {
 		accepted[rule.key] = rule.accepted
 	}
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -27,6 +27,8 @@
 	maxHeartbeat    = time.Minute
 	maxBandwidth    = 100_000.0 // Mbit/s
 	maxStatedTime   = 24 * time.Hour
+	minRevokeBound  = 100 * time.Millisecond
+	maxRevokeBound  = time.Hour
 )
 
 // acceptedURL describes the accepted URLs.
@@ -60,6 +62,7 @@
 	zeroOrBetween("deployment.change_bound", func(s *Settings) time.Duration { return s.Deployment.ChangeBound }, time.Millisecond, maxStatedTime),
 	zeroOrBetween("deployment.settle_time", func(s *Settings) time.Duration { return s.Deployment.SettleTime }, time.Millisecond, maxStatedTime),
 	between("deployment.retry_ratio", func(s *Settings) float64 { return s.Deployment.RetryRatio }, 0, 100),
+	zeroOrBetween("deployment.revoke_bound", func(s *Settings) time.Duration { return s.Deployment.RevokeBound }, time.Millisecond, maxStatedTime),
 	zeroOrBetween("deployment.heartbeat", func(s *Settings) time.Duration { return s.Deployment.Heartbeat }, time.Millisecond, maxStatedTime),
 	between("deployment.bandwidth_mbps", func(s *Settings) float64 { return s.Deployment.BandwidthMbps }, 0, 100_000_000),
 	between("platform.heartbeat", func(s *Settings) time.Duration { return s.Platform.Heartbeat }, minHeartbeat, maxHeartbeat),
@@ -70,6 +73,7 @@
 	between("spread.readers", func(s *Settings) int { return s.Spread.Readers }, 1, 16),
 	between("spread.fan_out", func(s *Settings) int { return s.Spread.FanOut }, 1, 64),
 	between("spread.pulls_per_second", func(s *Settings) int { return s.Spread.PullsPerSecond }, 1, 10_000),
+	between("tenants.revoke_bound", func(s *Settings) time.Duration { return s.Tenants.RevokeBound }, minRevokeBound, maxRevokeBound),
 	between("membership.probe_interval", func(s *Settings) time.Duration { return s.Membership.ProbeInterval }, 10*time.Millisecond, time.Minute),
 	between("membership.probe_timeout", func(s *Settings) time.Duration { return s.Membership.ProbeTimeout }, time.Millisecond, time.Minute),
 	between("membership.suspicion_timeout", func(s *Settings) time.Duration { return s.Membership.SuspicionTimeout }, 10*time.Millisecond, 10*time.Minute),
@@ -153,6 +157,14 @@
 		text:     "must be set together with platform.adapter",
 		remedy:   "give both or neither",
 	},
+	{
+		keys: []string{"tenants.revoke_bound", "platform.read_wait"},
+		violated: func(s *Settings) bool {
+			return s.Tenants.RevokeStrict && s.Tenants.RevokeBound < 2*s.Platform.ReadWait
+		},
+		text:   "is below twice platform.read_wait, with tenants.revoke_strict",
+		remedy: "raise it or lower platform.read_wait, so that nodes in contact do not refuse keys",
+	},
 	{
 		keys:     []string{"calls.buffer_bytes", "calls.max_body_bytes"},
 		violated: func(s *Settings) bool { return s.Calls.BufferBytes > s.Calls.MaxBodyBytes },
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -15,6 +15,7 @@
 	Spread     Spread     `yaml:"spread"`
 	Membership Membership `yaml:"membership"`
 	Calls      Calls      `yaml:"calls"`
+	Tenants    Tenants    `yaml:"tenants"`
 	Telemetry  Telemetry  `yaml:"telemetry"`
 }
 
@@ -92,6 +93,10 @@
 	SettleTime time.Duration `yaml:"settle_time"`
 	// RetryRatio is the largest share of retries among the calls of a service.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// RevokeBound is the time after which a removed API key has to be refused.
+	RevokeBound time.Duration `yaml:"revoke_bound"`
+	// RevokeStrict says that it has to be refused also by nodes without contact.
+	RevokeStrict bool `yaml:"revoke_strict"`
 	// Heartbeat is the interval at which targets announce themselves.
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	// BandwidthMbps is the bandwidth of the instance's link in Mbit/s.
@@ -195,6 +200,18 @@
 	QuarantineTime time.Duration `yaml:"quarantine_time"`
 }
 
+// Tenants configures how API keys are checked.
+type Tenants struct {
+	// RevokeBound is how old a configuration may be by which keys are accepted. It is used
+	// only with RevokeStrict.
+	RevokeBound time.Duration `yaml:"revoke_bound"`
+	// RevokeStrict makes a node refuse requests with a key when its configuration may be
+	// older, because it has no contact with the platform's log, neither directly nor through
+	// other nodes. It trades availability without contact for the certainty that a removed
+	// key is refused.
+	RevokeStrict bool `yaml:"revoke_strict"`
+}
+
 // Telemetry configures logs, traces and profiling.
 type Telemetry struct {
 	LogLevel string `yaml:"log_level"`
@@ -237,6 +254,7 @@
 			SilenceTimeout:  500 * time.Millisecond,
 			QuarantineTime:  10 * time.Minute,
 		},
+		Tenants:   Tenants{RevokeBound: 5 * time.Second},
 		Telemetry: Telemetry{LogLevel: "info", TraceRatio: 0.01},
 	}
 }
--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -107,6 +107,9 @@
 	ReasonKeyReused        Reason = "key-reused"
 	// ReasonUnauthorized means that the request has no known API key, or none any more.
 	ReasonUnauthorized Reason = "unauthorized"
+	// ReasonKeysUnconfirmed means that the node cannot exclude that the request's API key was
+	// removed, because it has no contact.
+	ReasonKeysUnconfirmed Reason = "keys-unconfirmed"
 	// ReasonQuarantined means that targets crashed under the same request, which is refused
 	// until its quarantine ends.
 	ReasonQuarantined Reason = "quarantined"
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -97,6 +97,12 @@
 		"Send a valid key as `Authorization: Token KEY`.", 0)
 }
 
+// keysUnconfirmed refuses a request with a key that may have been removed.
+func keysUnconfirmed() *problem.Problem {
+	return notRun(string(call.ReasonKeysUnconfirmed), "This node is out of contact and cannot know whether API keys were removed", http.StatusServiceUnavailable,
+		"Send the call to another node, or again after the given time.", fencedOrOverloadedRetryAfter)
+}
+
 func badHeader(name, want string) *problem.Problem {
 	p := notRun("bad-header", "A header of the contract cannot be read", http.StatusBadRequest,
 		"Correct the header or leave it out.", 0)
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -36,6 +36,10 @@
 type Options struct {
 	Self     membership.Member
 	Settings config.Calls
+	Tenants  config.Tenants
+	// CurrentAt returns when the node's configuration was last known to be the newest; used
+	// only with Tenants.RevokeStrict.
+	CurrentAt func() time.Time
 	// Contract names the headers exchanged with callers and targets; the zero
 	// value means headers.DefaultContract.
 	Contract headers.Contract
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/entry"
@@ -42,7 +43,8 @@
 
 // identify returns on whose behalf a request with the credentials is made, or the
 // reason to refuse it. A nested call is its parent's, whatever key it carries, and is
-// admitted because its parent was.
+// admitted because its parent was. While keys may have been removed unnoticed, none
+// identifies a tenant.
 func (r *Runner) identify(snapshot *state.Snapshot, route state.Route, offered credentials) (identity, call.Reason) {
 	if !snapshot.HasTenants() {
 		return identity{}, ""
@@ -50,7 +52,8 @@
 	if tenant, running := r.runningRequests.tenantOf(offered.parent); running {
 		return identity{tenant: tenant}, ""
 	}
-	if offered.hasKey {
+	confirmed := r.keysConfirmed(r.options.Now())
+	if offered.hasKey && confirmed {
 		if tenant, known := snapshot.TenantByKeyDigest(offered.digest); known {
 			return identity{tenant: tenant.Name, charged: true}, ""
 		}
@@ -58,9 +61,19 @@
 	if route.NoAuth {
 		return identity{}, ""
 	}
+	if offered.hasKey && !confirmed {
+		return identity{}, call.ReasonKeysUnconfirmed
+	}
 	return identity{}, call.ReasonUnauthorized
 }
 
+// keysConfirmed reports whether a key that was removed longer than the bound ago cannot
+// be in the configuration, or whether that is not required.
+func (r *Runner) keysConfirmed(now time.Time) bool {
+	settings := r.options.Tenants
+	return !settings.RevokeStrict || now.Sub(r.options.CurrentAt()) <= settings.RevokeBound
+}
+
 // authenticate sets the request's identity, or returns the problem to refuse it with.
 func (r *Runner) authenticate(c *callerRequest, snapshot *state.Snapshot, request *http.Request) *problem.Problem {
 	c.judgedBy, c.hasTenants = snapshot, snapshot.HasTenants()
@@ -77,7 +90,7 @@
 // empty reason. The configuration may have changed since its last attempt.
 func (r *Runner) checkIdentity(c *callerRequest) call.Reason {
 	snapshot := r.options.Snapshot()
-	if snapshot == c.judgedBy && c.credentials.parent == "" {
+	if snapshot == c.judgedBy && c.credentials.parent == "" && !r.options.Tenants.RevokeStrict {
 		return ""
 	}
 	if !c.hasTenants {
@@ -121,8 +134,11 @@
 
 // identityProblem returns the problem for a reason of identify, or nil for another one.
 func identityProblem(reason call.Reason) *problem.Problem {
-	if reason == call.ReasonUnauthorized {
+	switch reason {
+	case call.ReasonUnauthorized:
 		return unauthorized()
+	case call.ReasonKeysUnconfirmed:
+		return keysUnconfirmed()
 	}
 	return nil
 }
--- a/internal/node/calls/tenants_test.go
+++ b/internal/node/calls/tenants_test.go
@@ -9,9 +9,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"jasminegate/internal/config"
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/state"
@@ -223,6 +225,38 @@
 	f.is.Equal(len(target.running()), 3)
 }
 
+// TestStrictRevocation guards against a key that is accepted without contact, when it may
+// have been removed, also between attempts; and against refusals of requests that need none.
+func TestStrictRevocation(t *testing.T) {
+	var currentAt atomic.Int64 // Unix nanoseconds
+	runs := make(chan struct{}, 9)
+	f := newFleet(t, fleetOptions{nodes: 2, contract: platformContract()}, func(w http.ResponseWriter, r *http.Request) {
+		runs <- struct{}{}
+		if r.URL.Path == "/read/retried" {
+			currentAt.Store(0)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	f.publishTenants(nord())
+	options := &f.nodes[0].runner.options
+	options.Tenants = config.Tenants{RevokeBound: testTimeout, RevokeStrict: true}
+	options.CurrentAt = func() time.Time { return time.Unix(0, currentAt.Load()) }
+	status := func(path, key string) int { return f.call(0, "GET", path, "", "Authorization", "Token "+key).status }
+	f.is.Equal(status("/read", testKey), 503)
+	f.is.Equal(status("/read", "added-meanwhile"), 503)
+	f.is.Equal(f.call(0, "GET", "/read", "").status, 401)
+	f.is.Equal(len(runs), 0)
+	f.is.Equal(status("/open", testKey), 200)
+	<-runs
+	currentAt.Store(time.Now().UnixNano())
+	f.is.Equal(status("/read", testKey), 200)
+	f.is.Equal(status("/read", "unknown"), 401)
+	<-runs
+	f.is.Equal(status("/read/retried", testKey), 503)
+	f.is.Equal(len(runs), 1)
+}
+
 // tappedConn copies what is written to it.
 type tappedConn struct {
 	net.Conn
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -150,6 +150,11 @@
 		seed = n.self.Incarnation
 	}
 	n.quarantine = newQuarantineSpread(n)
+	// Only with tenants.revoke_strict do nodes have to know how old their configuration is.
+	var currentBound time.Duration
+	if n.settings.Tenants.RevokeStrict {
+		currentBound = n.settings.Tenants.RevokeBound
+	}
 	// Closures call n.configuration and n.calls, which are set later.
 	n.members = members.New(members.Options{
 		Self:           n.self,
@@ -161,6 +166,7 @@
 		Registrations:  n.registrations,
 		Logger:         n.logger,
 		RandomSeed:     seed,
+		CurrentBound:   currentBound,
 		AppliedVersion: func() state.Version { return n.configuration.AppliedVersion() },
 		Load:           func() uint32 { return n.calls.Load() },
 		OnPeerVersion: func(member membership.Member, version state.Version) {
@@ -168,6 +174,10 @@
 		},
 		Now: time.Now,
 	})
+	var onCurrent func(time.Time, state.Version)
+	if currentBound > 0 {
+		onCurrent = n.members.RecordCurrent
+	}
 	n.configuration = configuration.New(configuration.Options{
 		Self:              n.self,
 		Spread:            n.settings.Spread,
@@ -180,11 +190,14 @@
 		RandomSeed:        seed,
 		View:              n.members.View,
 		OnPlatformContact: n.members.RecordPlatformContact,
+		OnCurrent:         onCurrent,
 		Now:               time.Now,
 	})
 	n.calls = calls.New(calls.Options{
 		Self:              n.self,
 		Settings:          n.settings.Calls,
+		Tenants:           n.settings.Tenants,
+		CurrentAt:         n.members.CurrentAt,
 		Contract:          adapter.Contract,
 		Service:           n.settings.Node.Service,
 		Pool:              n.callsPool,
