Entries place calls by expected time and stop trying full gates, with overload.enabled

Cause: entries compared gates by slots only, so that a target that became 5 to 12 times slower attracted calls with its free slots; and a call that a full gate refused was sent to up to four others before it was refused. Change: AnswerStart.service_ms carries the time that the gate's target takes at present for the route (recent mean, or the age of the running calls). Entries keep a slowness for each endpoint and prefer endpoints expected to answer by the soft deadline. After a refusal for overload one more gate is tried.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -39,6 +39,7 @@
 	}
 	ep := c.endpoint
 	m.recordLoad(now, ep, e.Load)
+	m.recordService(now, c, ep, e.ServiceTime)
 	m.recordReport(ep, e.TargetReport)
 	m.detach(c)
 	if e.Failed {
@@ -56,6 +57,7 @@
 	}
 	ep := c.endpoint
 	m.recordLoad(now, ep, e.Load)
+	m.recordService(now, c, ep, e.ServiceTime)
 	m.recordReport(ep, e.TargetReport)
 	ep.suspectConnection = false
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
@@ -104,6 +106,7 @@
 		c.rateLimited = append(c.rateLimited, ep.ID)
 	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetShed:
 		ep.avoidUntil = now.Add(overloadAvoidTime)
+		m.rememberRefusal(now, c, ep, e)
 	}
 	return false
 }
@@ -202,6 +205,9 @@
 		c.uncharged++
 		return m.send(now, c)
 	}
+	if m.options.ExpectedTime && m.options.OverloadTries > 0 && refusedForOverload(c) {
+		return m.retryRefused(now, c)
+	}
 	if m.options.OverloadTries > 0 && refusedForOverload(c) {
 		return m.retryOverloaded(now, c)
 	}
--- a/internal/coordination/entry/endpoint.go
+++ b/internal/coordination/entry/endpoint.go
@@ -39,6 +39,7 @@
 // endpoint is the machine's state of one gate and its target.
 type endpoint struct {
 	Endpoint
+	pace
 	// slowStartFrom is when the slow start begins: when the endpoint joined, or at the
 	// end of its last ejection.
 	slowStartFrom time.Time
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -47,6 +47,11 @@
 	// Idempotent says that running the call twice has the same effect as once.
 	Idempotent bool
 	Deadline   time.Time
+	// SoftDeadline is when a response is wanted; zero means the Deadline. Tenant and Nested are
+	// those of the call. They are used with Options.ExpectedTime only.
+	SoftDeadline time.Time
+	Tenant       string
+	Nested       bool
 	// MaxAttempts is the maximum number of attempts, not counting retries that take no
 	// token of the retry budget.
 	MaxAttempts int
@@ -63,6 +68,9 @@
 	// requests, such as status 502, 503 or 504.
 	Failed bool
 	Load   int
+	// ServiceTime is the time that the target takes at present for calls of the route; 0 if it
+	// is not known.
+	ServiceTime time.Duration
 	// TargetReport is what the gate's target states, or nil if the gate knows of
 	// nothing that it ever stated.
 	TargetReport *call.TargetReport
@@ -76,6 +84,8 @@
 	Reason     call.Reason
 	RetryAfter time.Duration
 	Load       int
+	// ServiceTime is as in ResponseReceived.
+	ServiceTime time.Duration
 	// TargetReport is as in ResponseReceived.
 	TargetReport *call.TargetReport
 	// BodyConsumed says that a part of the request body is consumed, so that the call
--- /dev/null
+++ b/internal/coordination/entry/expected_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// runUneven lets one of four targets, one in each domain, become slower while the others have
+// room, and returns the fleet after that time.
+func runUneven(slowness float64, overload bool) *limitedFleet {
+	f := newSheddingFleet(4, 1, overload)
+	rates := []float64{20, 20, 20, 20} // a target serves 37 a second
+	f.run(10*time.Second, rates)
+	f.slowness = map[int]float64{1: slowness}
+	f.served, f.inTime, f.failed, f.starts = 0, 0, 0, make([]int, 4)
+	f.run(40*time.Second, rates)
+	return f
+}
+
+// TestSlowTargetGetsCallsThatItCannotServeInTime guards against calls that are placed at a target
+// because it has free slots, although it has become too slow to answer them in time.
+func TestSlowTargetGetsCallsThatItCannotServeInTime(t *testing.T) {
+	for _, slowness := range []float64{5, 8, 12} {
+		t.Run(fmt.Sprint(slowness), func(t *testing.T) {
+			is := is.New(t)
+			before, got := runUneven(slowness, false), runUneven(slowness, true)
+			share := func(f *limitedFleet) float64 { return float64(f.inTime) / float64(f.served+f.failed) }
+			for name, f := range map[string]*limitedFleet{"before": before, "with": got} {
+				t.Logf("%-6s in time %.3f, late %d, failed %d, started %v", name, share(f), f.served-f.inTime, f.failed, f.starts)
+			}
+			is.True(share(got) >= 0.97)
+			is.True(share(got) > share(before))
+		})
+	}
+}
+
+// TestOverloadedFleetTriesGateAfterGate guards against requests that are sent to one full gate
+// after another before they are refused.
+func TestOverloadedFleetTriesGateAfterGate(t *testing.T) {
+	is := is.New(t)
+	var sends, medians [2]float64
+	for i, overload := range []bool{false, true} {
+		f := newSheddingFleet(2, 4, overload)
+		rates := []float64{400, 400} // the fleet serves 300 a second
+		f.run(5*time.Second, rates)
+		f.refusalTimes, f.served, f.inTime, f.failed = nil, 0, 0, 0
+		f.run(20*time.Second, rates)
+		slices.Sort(f.refusalTimes)
+		sends[i] = float64(len(f.attempts)) / float64(f.handles)
+		medians[i] = f.refusalTimes[len(f.refusalTimes)/2].Seconds()
+		t.Logf("overload %v: %.2f sends a try, refused after %v (median) and %v (latest), in time %d, late %d, failed %d", overload, sends[i],
+			f.refusalTimes[len(f.refusalTimes)/2], f.refusalTimes[len(f.refusalTimes)-1], f.inTime, f.served-f.inTime, f.failed)
+	}
+	is.True(sends[1] <= sends[0]/2)
+	is.True(medians[1] <= (2 * fleetHop).Seconds()) // one gate was asked
+}
--- a/internal/coordination/entry/limited_fleet_test.go
+++ b/internal/coordination/entry/limited_fleet_test.go
@@ -32,6 +32,8 @@
 	refusalTimes []time.Duration
 	// starts counts the calls that each target started.
 	starts []int
+	// slowness multiplies the service times of the targets that it holds.
+	slowness map[int]float64
 }
 
 // fleetRequest is a caller's request, over all its tries.
@@ -75,6 +77,11 @@
 }
 
 func newLimitedFleet(domains, targetsPerDomain int) *limitedFleet {
+	return newSheddingFleet(domains, targetsPerDomain, false)
+}
+
+// newSheddingFleet returns a fleet whose entries and gates shed load if overload is set.
+func newSheddingFleet(domains, targetsPerDomain int, overload bool) *limitedFleet {
 	targets := domains * targetsPerDomain
 	f := &limitedFleet{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)),
@@ -83,10 +90,10 @@
 	var endpoints []Endpoint
 	for i := range targets {
 		endpoints = append(endpoints, Endpoint{ID: fmt.Sprint(i), Incarnation: 1, Service: "rider-view", Domain: fmt.Sprint("d", i%domains), Slots: fleetSlots})
-		f.gates = append(f.gates, gate.New(gate.Options{Incarnation: 1, MaxRecords: 1000, MaxRetainedBytes: 1 << 20, Retention: time.Minute}))
+		f.gates = append(f.gates, gate.New(gate.Options{Incarnation: 1, MaxRecords: 1000, MaxRetainedBytes: 1 << 20, Retention: time.Minute, Shedding: overload}))
 	}
 	for i := range domains {
-		entry := New(Options{Node: fmt.Sprint("e", i), Incarnation: 1, Domain: fmt.Sprint("d", i), RetryRatio: 0.15, OverloadTries: 3, Seed: uint64(i)})
+		entry := New(Options{Node: fmt.Sprint("e", i), Incarnation: 1, Domain: fmt.Sprint("d", i), RetryRatio: 0.15, OverloadTries: 3, ExpectedTime: overload, Seed: uint64(i)})
 		entry.Step(f.now, SetEndpoints{Endpoints: endpoints})
 		f.entries = append(f.entries, entry)
 	}
@@ -147,7 +154,7 @@
 	r.handle = f.handles
 	r.tries++
 	r.triedAt = f.now
-	f.entryStep(r, Begin{Handle: r.handle, Service: "rider-view", Idempotent: true, Deadline: r.begun.Add(fleetTimeout), MaxAttempts: 2})
+	f.entryStep(r, Begin{Handle: r.handle, Service: "rider-view", Idempotent: true, Deadline: r.begun.Add(fleetTimeout), MaxAttempts: 2, SoftDeadline: r.begun.Add(fleetTargetLatency)})
 }
 
 func (f *limitedFleet) entryStep(r *fleetRequest, event Event) {
@@ -193,17 +200,21 @@
 			f.starts[index]++
 			r := f.attempts[a.ID]
 			serviceTime := time.Duration((0.5 + f.random.Float64()) * float64(fleetServiceTime))
+			if slowness := f.slowness[index]; slowness > 0 {
+				serviceTime = time.Duration(slowness * float64(serviceTime))
+			}
+			reported := g.ServiceTime(f.now, "read")
 			f.after(serviceTime, func() {
 				f.gateStep(index, gate.Finished{ID: a.ID, Result: gate.Completed})
-				f.entryStep(r, ResponseReceived{Handle: r.handle, Load: g.ReportedLoad()})
+				f.entryStep(r, ResponseReceived{Handle: r.handle, Load: g.ReportedLoad(), ServiceTime: reported})
 				f.entryStep(r, End{Handle: r.handle})
 				f.countServed(r)
 			})
 		case gate.Refuse:
 			r := f.attempts[a.ID]
-			load := g.ReportedLoad()
+			load, reported := g.ReportedLoad(), g.ServiceTime(f.now, "read")
 			f.after(fleetHop, func() {
-				f.entryStep(r, Refused{Handle: r.handle, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: a.RetryAfter, Load: load})
+				f.entryStep(r, Refused{Handle: r.handle, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: a.RetryAfter, Load: load, ServiceTime: reported})
 			})
 		}
 	}
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -27,6 +27,9 @@
 	// which a call may go to another domain. With 0, a call goes to another domain
 	// only if no local gate is left to try, for example after refusals.
 	SpillLoad float64
+	// ExpectedTime places calls by the service times that gates report, and refuses a call that
+	// no gate can take after at most one further try.
+	ExpectedTime bool
 	// Seed seeds the random number generator of all choices.
 	Seed uint64
 }
@@ -41,6 +44,8 @@
 	budgets   map[string]*budget
 	requests  map[uint64]*request
 	split     trafficSplit
+	// usual holds the usual service time of each route, in nanoseconds.
+	usual map[string]float64
 	// targetReports holds, by endpoint ID, the newest report on its target. It outlives
 	// incarnations of the endpoint.
 	targetReports  map[string]call.TargetReport
@@ -60,6 +65,9 @@
 	// is left to try, so that the next gate may accept the call for a late response.
 	overloadRetries int
 	allowLate       bool
+	// requiredInTime says that the last attempt's gate was told to refuse the call unless it
+	// expects to meet the soft deadline.
+	requiredInTime bool
 	// uncharged counts the retries that took no token of the retry budget.
 	uncharged int
 	// excluded lists the IDs of the endpoints that must not get a further attempt, and
@@ -105,6 +113,7 @@
 		budgets:       make(map[string]*budget),
 		requests:      make(map[uint64]*request),
 		split:         make(trafficSplit),
+		usual:         make(map[string]float64),
 		targetReports: make(map[string]call.TargetReport),
 	}
 }
@@ -195,7 +204,12 @@
 
 func (m *Machine) send(now time.Time, c *request) []Action {
 	chosen := m.pick(now, c)
+	if chosen == nil && m.options.ExpectedTime && !c.allowLate {
+		c.allowLate = true // gates may have refused such calls only because they would be late
+		chosen = m.pick(now, c)
+	}
 	if chosen == nil {
+		m.refusedEverywhere(now, c)
 		return m.fetchLostOrFail(now, c, call.ReasonNoEndpoint)
 	}
 	return m.sendTo(c, chosen)
@@ -209,6 +223,7 @@
 	m.counter++
 	m.attach(c, chosen)
 	c.newConnection = chosen.suspectConnection
+	c.requiredInTime = m.options.OverloadTries > 0 && !c.allowLate
 	c.sent++
 	if c.sent > 1 {
 		m.retries++
@@ -219,7 +234,7 @@
 	return []Action{Send{
 		Handle: c.Handle, ID: c.attemptID, Endpoint: chosen.Endpoint,
 		AttemptsLeft: max(0, c.MaxAttempts-c.sent+c.uncharged), NewConnection: chosen.suspectConnection,
-		RequireSoftDeadline: m.options.OverloadTries > 0 && !c.allowLate,
+		RequireSoftDeadline: c.requiredInTime,
 		RetriedIfLost:       c.Idempotent && c.Key == "" && c.sent-c.uncharged < c.MaxAttempts && m.budgetOf(c.Service).ample(),
 		TargetReport:        m.reportFor(chosen),
 	}}
--- a/internal/coordination/entry/pick.go
+++ b/internal/coordination/entry/pick.go
@@ -22,6 +22,9 @@
 	if c.Key != "" {
 		return primaryOf(g.endpoints, c.Key)
 	}
+	if m.options.ExpectedTime {
+		return m.pickExpected(now, c)
+	}
 	local := m.betterOfTwo(now, g, c, true)
 	if local != nil && (m.options.SpillLoad == 0 || local.score(now) < m.options.SpillLoad) {
 		return local
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -15,6 +15,9 @@
 		return nil
 	}
 	m.removeOrphan(e.ID)
+	if m.shed != nil {
+		m.shed.ended(r.route, r.started)
+	}
 	m.limit.observe(now, r, e.Result, m.ledger.running)
 	if e.Result == NotSent || e.Result == RejectedByTarget {
 		m.clearStarted(e.ID)
--- a/internal/coordination/gate/shedding.go
+++ b/internal/coordination/gate/shedding.go
@@ -45,6 +45,9 @@
 	// keptReserve is the part of its time that a call that is kept must have left when a new
 	// call goes before it, since service times vary.
 	keptReserve = 0.1
+	// agePrior is how many calls of the mean service time are added to the running ones, so that
+	// a single long call does not make a target count as slow.
+	agePrior = 4.0
 	// maxBands is how many priorities are told apart when demand is measured.
 	maxBands = 8
 	// backgroundPriority is added to the priority of background calls.
@@ -112,6 +115,10 @@
 	// time.
 	usual     decaying
 	finishTag float64
+	// running counts a route's running calls, and startSum the seconds from shedding.since to
+	// their starts.
+	running  int
+	startSum float64
 }
 
 func flowOf(flows map[string]*flow, now time.Time, name string) *flow {
@@ -119,7 +126,7 @@
 	if f == nil {
 		if len(flows) >= maxFlows {
 			for other, unused := range flows {
-				if unused.offered.value(now, floorTime) < 1 {
+				if unused.running == 0 && unused.offered.value(now, floorTime) < 1 {
 					delete(flows, other)
 				}
 			}
@@ -155,6 +162,34 @@
 		f.started.add(now, floorTime, 1)
 	}
 	s.virtualTime = max(s.virtualTime, tag)
+	route := flowOf(s.routes, now, e.Route)
+	route.running++
+	route.startSum += now.Sub(s.since).Seconds()
+}
+
+// ended removes a running call.
+func (s *shedding) ended(name string, started time.Time) {
+	if route := s.routes[name]; route != nil && route.running > 0 {
+		route.running--
+		route.startSum -= started.Sub(s.since).Seconds()
+	}
+}
+
+// ServiceTime returns the time that the target takes at present for calls of the route: the mean
+// of recent calls, or of the time that running ones have taken so far if that is more, so that a
+// target that became slow is noticed before its first response. It is 0 if nothing is known or
+// Options.Shedding is not set.
+func (m *Machine) ServiceTime(now time.Time, name string) time.Duration {
+	if m.shed == nil {
+		return 0
+	}
+	mean := time.Duration(m.limit.routes[name])
+	if route := m.shed.routes[name]; route != nil && route.running > 0 {
+		ages := now.Sub(m.shed.since).Seconds()*float64(route.running) - route.startSum
+		withPrior := (ages + agePrior*mean.Seconds()) / (float64(route.running) + agePrior)
+		mean = max(mean, time.Duration(withPrior*float64(time.Second)))
+	}
+	return mean
 }
 
 // softEnd returns the time by which a response is wanted.
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -346,6 +346,7 @@
 		Reason:       call.Reason(reason),
 		RetryAfter:   time.Duration(start.RetryAfterMs) * time.Millisecond,
 		Load:         int(start.Load),
+		ServiceTime:  time.Duration(start.ServiceMs) * time.Millisecond,
 		TargetReport: fromWireReport(a.runner.options.Now(), start.TargetReport),
 		BodyConsumed: a.request.body.consumed.Load(),
 	}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -289,7 +289,7 @@
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
 		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength, RetriedIfLost: action.RetriedIfLost,
-		Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
+		Tenant: t.Tenant, Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
 	}
 }
 
@@ -321,6 +321,7 @@
 	begin := entry.Begin{
 		Handle: c.handle, Route: c.route.Name, Destinations: c.route.EffectiveDestinations(), Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, MaxAttempts: c.attempts, Key: c.key,
+		SoftDeadline: c.softDeadline, Tenant: c.template.Tenant, Nested: c.template.Nested,
 	}
 	action, accepted := r.entry.trySubmit(begin)
 	if !accepted {
@@ -378,6 +379,7 @@
 func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
 	r.entry.notify(entry.ResponseReceived{
 		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
+		ServiceTime:  time.Duration(got.start.ServiceMs) * time.Millisecond,
 		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
 	})
 }
--- a/internal/node/calls/entryloop.go
+++ b/internal/node/calls/entryloop.go
@@ -47,6 +47,7 @@
 			RetryRatio:    options.Settings.RetryRatio,
 			OverloadTries: options.Settings.OverloadTries,
 			SpillLoad:     options.Settings.SpillLoad,
+			ExpectedTime:  options.Overload.Enabled,
 			Seed:          options.RandomSeed,
 		}),
 		ring: ring.New[entryItem](entryRingSize),
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -33,7 +33,9 @@
 	bodyReader *io.PipeReader
 	bodyWriter *io.PipeWriter
 	decisions  chan decision
-	response   *responseBuffer
+	// serviceTime is that of the decision to start the call.
+	serviceTime time.Duration
+	response    *responseBuffer
 	// claimSerial is the serial of the claim that this call made for its key;
 	// replayOnly is set if an earlier call made the claim.
 	claimSerial uint64
@@ -270,8 +272,11 @@
 		c.cancelRun()
 		r.counters.refused.Add(1)
 		refuse := decided.refuse
-		return stream.Send(r.refusalFrame(refuse.Outcome, refuse.Reason, refuse.RetryAfter))
+		frame := r.refusalFrame(refuse.Outcome, refuse.Reason, refuse.RetryAfter)
+		frame.Start.ServiceMs = uint32(decided.serviceTime.Milliseconds())
+		return stream.Send(frame)
 	}
+	c.serviceTime = decided.serviceTime
 	r.counters.started.Add(1)
 	r.metrics.gateWait.UpdateDuration(c.arrivedAt)
 	r.targetCalls.Add(1)
--- a/internal/node/calls/gateloop.go
+++ b/internal/node/calls/gateloop.go
@@ -35,6 +35,9 @@
 	refuse gate.Refuse
 	// replay is the response of an earlier call with the same key.
 	replay *responseBuffer
+	// serviceTime is the time that the target takes at present for calls of the route; 0 if it
+	// is not known.
+	serviceTime time.Duration
 }
 
 // gateLoop runs the gate machine in a single goroutine and keeps the calls that
@@ -136,7 +139,7 @@
 func (l *gateLoop) act(item gateItem, action gate.Action) {
 	switch a := action.(type) {
 	case gate.Start:
-		l.calls[a.ID].decisions <- decision{start: true}
+		l.calls[a.ID].decisions <- decision{start: true, serviceTime: l.serviceTime(a.ID)}
 	case gate.Refuse:
 		l.refuse(a)
 	case gate.Attach:
@@ -158,7 +161,7 @@
 	if a.Outcome == call.NotRun {
 		l.releaseKey(c)
 	}
-	c.decisions <- decision{refuse: a}
+	c.decisions <- decision{refuse: a, serviceTime: l.serviceTime(a.ID)}
 	_ = c.response.add(context.Background(), &wire.AnswerFrame{
 		Start: &wire.AnswerStart{Outcome: uint32(a.Outcome), Reason: string(a.Reason), RetryAfterMs: uint32(a.RetryAfter.Milliseconds())},
 		Last:  true,
@@ -166,6 +169,10 @@
 	delete(l.calls, a.ID)
 }
 
+func (l *gateLoop) serviceTime(id call.ID) time.Duration {
+	return l.machine.ServiceTime(l.now(), l.calls[id].start.Route)
+}
+
 func (l *gateLoop) responseOf(id call.ID) *responseBuffer {
 	if c := l.calls[id]; c != nil {
 		return c.response
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -226,6 +226,7 @@
 func (r *Runner) recordResponse(c *gateCall, response *http.Response) gate.Result {
 	limit := r.options.Settings.MaxBodyBytes
 	start := r.responseStart(response)
+	start.ServiceMs = uint32(c.serviceTime.Milliseconds())
 	if response.ContentLength > limit {
 		r.recordOutcome(c, call.Ran, call.ReasonAnswerTooLarge)
 		return gate.Failed
