A target that recovered from slowness gets calls again

Cause: a gate refuses calls that it expects to be late by the route's measured service time. With placement by expected time no such call is started, so the service time is never measured again after a target was too slow. Change: with shedding, a gate whose route has had no call for 1 s starts one regardless, and its result counts half.

--- a/internal/coordination/entry/expected_test.go
+++ b/internal/coordination/entry/expected_test.go
@@ -58,3 +58,17 @@
 	is.True(sends[1] <= sends[0]/2)
 	is.True(medians[1] <= (2 * fleetHop).Seconds()) // one gate was asked
 }
+
+// TestRecoveredTargetGetsNoCalls guards against a target that is measured no more, and so gets no
+// calls, after it was too slow for a while.
+func TestRecoveredTargetGetsNoCalls(t *testing.T) {
+	is := is.New(t)
+	f := runUneven(8, true)
+	f.slowness = nil
+	rates := []float64{20, 20, 20, 20}
+	f.run(20*time.Second, rates)
+	f.starts = make([]int, 4)
+	f.run(20*time.Second, rates)
+	t.Log(f.starts)
+	is.True(f.starts[1] >= f.starts[0]/2)
+}
--- a/internal/coordination/gate/arrival.go
+++ b/internal/coordination/gate/arrival.go
@@ -31,7 +31,8 @@
 		m.shed.offered(now, e, m.limit.expectedServiceTime(now, e))
 	}
 	if m.canStart() {
-		if e.RequireSoftDeadline && now.Add(m.limit.expectedServiceTime(now, e)).After(e.SoftDeadline) {
+		late := e.RequireSoftDeadline && now.Add(m.limit.expectedServiceTime(now, e)).After(e.SoftDeadline)
+		if late && (m.shed == nil || !m.shed.probeDue(now, e.Route)) {
 			return []Action{m.refusal(queuedCall{id: e.ID, background: e.Background, left: e.Deadline.Sub(now)}, call.ReasonTooLate)}
 		}
 		m.updateAdmissionRatio(1)
--- a/internal/coordination/gate/outcome.go
+++ b/internal/coordination/gate/outcome.go
@@ -15,8 +15,8 @@
 		return nil
 	}
 	m.removeOrphan(e.ID)
-	if m.shed != nil {
-		m.shed.ended(r.route, r.started)
+	if m.shed != nil && m.shed.ended(now, r.route, r.started) && e.Result == Completed {
+		m.limit.remeasure(r.route, now.Sub(r.started))
 	}
 	m.limit.observe(now, r, e.Result, m.ledger.running)
 	if e.Result == NotSent || e.Result == RejectedByTarget {
--- a/internal/coordination/gate/shedding.go
+++ b/internal/coordination/gate/shedding.go
@@ -48,6 +48,10 @@
 	// agePrior is how many calls of the mean service time are added to the running ones, so that
 	// a single long call does not make a target count as slow.
 	agePrior = 4.0
+	// probeInterval is how long a route's service time stays unmeasured until a call is started
+	// to measure it, and probeWeight the weight of its result.
+	probeInterval = time.Second
+	probeWeight   = 1.0 / 2
 	// maxBands is how many priorities are told apart when demand is measured.
 	maxBands = 8
 	// backgroundPriority is added to the priority of background calls.
@@ -119,6 +123,8 @@
 	// their starts.
 	running  int
 	startSum float64
+	// endedAt is when the last of a route's calls ended.
+	endedAt time.Time
 }
 
 func flowOf(flows map[string]*flow, now time.Time, name string) *flow {
@@ -167,11 +173,31 @@
 	route.startSum += now.Sub(s.since).Seconds()
 }
 
-// ended removes a running call.
-func (s *shedding) ended(name string, started time.Time) {
-	if route := s.routes[name]; route != nil && route.running > 0 {
-		route.running--
-		route.startSum -= started.Sub(s.since).Seconds()
+// ended removes a running call. It reports whether the route's service time was not measured for
+// probeInterval before.
+func (s *shedding) ended(now time.Time, name string, started time.Time) (stale bool) {
+	route := s.routes[name]
+	if route == nil || route.running == 0 {
+		return false
+	}
+	route.running--
+	route.startSum -= started.Sub(s.since).Seconds()
+	stale = started.Sub(route.endedAt) >= probeInterval
+	route.endedAt = now
+	return stale
+}
+
+// probeDue reports whether a call may be started although it is expected to be too late, since the
+// route's service time was not measured for some time: the target may have recovered.
+func (s *shedding) probeDue(now time.Time, name string) bool {
+	route := s.routes[name]
+	return route != nil && route.running == 0 && now.Sub(route.endedAt) >= probeInterval
+}
+
+// remeasure gives the result of a probe the weight of many calls.
+func (l *limiter) remeasure(name string, serviceTime time.Duration) {
+	if mean, known := l.routes[name]; known {
+		l.routes[name] = mean + (float64(serviceTime)-mean)*probeWeight
 	}
 }
 
