Benchmark of the choice of an endpoint by expected time; flow and usual time once a request

Cause: the flow's name and the route's usual time were computed for each endpoint of a choice. Change: both are kept with the request. BenchmarkExpected compares the steps of a request with and without expected times.

--- a/internal/coordination/entry/expected.go
+++ b/internal/coordination/entry/expected.go
@@ -17,6 +17,9 @@
 	// and higher reports: it is that of the fast targets, and rises only if all are slow.
 	usualFall = 1.0 / 4
 	usualRise = 1.0 / 256
+	// slownessTolerance is the difference from the usual time that does not count; most targets
+	// are within it, and need no computation.
+	slownessTolerance = 0.1
 	// slownessWeight is the weight of a report in an endpoint's slowness. Gates report averages.
 	slownessWeight = 1.0 / 2
 	// unmeasuredShare is the assumed service time of a route before the first report, as a
@@ -54,7 +57,7 @@
 
 // slownessNow returns the slowness, which approaches 1 without reports.
 func (p *pace) slownessNow(now time.Time) float64 {
-	if p.slowness == 0 {
+	if math.Abs(p.slowness-1) < slownessTolerance || p.slowness == 0 {
 		return 1
 	}
 	age := float64(max(0, now.Sub(p.slownessAt))) / float64(slownessHalfLife)
@@ -86,7 +89,7 @@
 
 // expected returns the expected time from now until the endpoint's response.
 func (m *Machine) expected(now time.Time, c *request, ep *endpoint) time.Duration {
-	usual := m.usual[c.Route]
+	usual := c.usual
 	if usual == 0 {
 		if c.SoftDeadline.IsZero() {
 			return 0
@@ -121,6 +124,7 @@
 	if g == nil {
 		return nil
 	}
+	c.usual = m.usual[c.Route]
 	local := m.bestExpected(now, g, c, true)
 	if local != nil && m.inTime(now, c, local) && (m.options.SpillLoad == 0 || local.score(now) < m.options.SpillLoad) {
 		return local
@@ -176,10 +180,8 @@
 	return eligible[first]
 }
 
-// flow names the calls that gates treat alike.
-func (c *request) flow() string {
-	return strings.Join([]string{c.Route, c.Tenant}, "\x00")
-}
+// flowOf names the calls that gates treat alike.
+func flowOf(e Begin) string { return strings.Join([]string{e.Route, e.Tenant}, "\x00") }
 
 // refuses reports whether the endpoint has just refused a call like this one. Nested calls are
 // always tried.
@@ -187,7 +189,7 @@
 	if len(e.refused) == 0 || c.Nested {
 		return false
 	}
-	refusal, known := e.refused[c.flow()]
+	refusal, known := e.refused[c.flow]
 	return known && now.Before(refusal.until) && (refusal.late || !c.allowLate)
 }
 
@@ -196,7 +198,7 @@
 	if !m.options.ExpectedTime || c.Nested {
 		return
 	}
-	if known := ep.refused[c.flow()]; c.requiredInTime && known.late && now.Before(known.until) {
+	if known := ep.refused[c.flow]; c.requiredInTime && known.late && now.Before(known.until) {
 		return
 	}
 	if ep.refused == nil {
@@ -205,7 +207,7 @@
 	if len(ep.refused) >= maxRefusedFlows {
 		clear(ep.refused)
 	}
-	ep.refused[c.flow()] = flowRefusal{late: !c.requiredInTime, until: now.Add(overloadAvoidTime), retryAfter: e.RetryAfter}
+	ep.refused[c.flow] = flowRefusal{late: !c.requiredInTime, until: now.Add(overloadAvoidTime), retryAfter: e.RetryAfter}
 }
 
 // refusedEverywhere sets the refusal of a request for which no endpoint is left because they
@@ -221,7 +223,7 @@
 	var least time.Duration
 	for _, e := range g.endpoints {
 		if e.usable(now) && e.refuses(now, c) {
-			if after := e.refused[c.flow()].retryAfter; least == 0 || after < least {
+			if after := e.refused[c.flow].retryAfter; least == 0 || after < least {
 				least = after
 			}
 		}
--- a/internal/coordination/entry/expected_test.go
+++ b/internal/coordination/entry/expected_test.go
@@ -72,3 +72,22 @@
 	t.Log(f.starts)
 	is.True(f.starts[1] >= f.starts[0]/2)
 }
+
+// BenchmarkExpected measures a request's steps at an entry with and without expected times.
+func BenchmarkExpected(b *testing.B) {
+	for _, expected := range []bool{false, true} {
+		for _, n := range []int{12, 120, 1500} {
+			b.Run(fmt.Sprintf("expected=%v/endpoints=%d", expected, n), func(b *testing.B) {
+				d := newDriver(append(endpoints("near", 0, (n+2)/3), endpoints("far", 0, n-(n+2)/3)...))
+				d.machine.options.ExpectedTime = expected
+				b.ReportAllocs()
+				for b.Loop() {
+					d.handle++
+					d.machine.Step(d.now, Begin{Handle: d.handle, Service: "depot", Route: "read", Idempotent: true, Deadline: d.now.Add(time.Second), SoftDeadline: d.now.Add(time.Second), MaxAttempts: 2})
+					d.machine.Step(d.now, ResponseReceived{Handle: d.handle, Load: 3, ServiceTime: 400 * time.Millisecond})
+					d.machine.Step(d.now, End{Handle: d.handle})
+				}
+			})
+		}
+	}
+}
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -68,6 +68,10 @@
 	// requiredInTime says that the last attempt's gate was told to refuse the call unless it
 	// expects to meet the soft deadline.
 	requiredInTime bool
+	// flow is that of flowOf and usual is the usual service time of the route, in nanoseconds; 0 if it is not known. Both are
+	// set with Options.ExpectedTime only.
+	flow  string
+	usual float64
 	// uncharged counts the retries that took no token of the retry budget.
 	uncharged int
 	// excluded lists the IDs of the endpoints that must not get a further attempt, and
@@ -197,6 +201,9 @@
 		e.Service = m.split.choose(e.Route, e.Destinations, m.random)
 	}
 	c := &request{Begin: e}
+	if m.options.ExpectedTime {
+		c.flow = flowOf(e)
+	}
 	m.requests[e.Handle] = c
 	m.budgetOf(e.Service).refill(m.options.RetryRatio)
 	return m.send(now, c)
