Carry the version of a target's software to the entries

Cause: rollouts route by the version of a target's software, which targets report and nodes dropped.

Change: the field Version of the platform's reports and version of the product's announcement go through calls.Target, membership (a change of it alone makes a new revision, which also changes the table's digest), the wire record and the directory to entry.Endpoint.Version. A rediscovered target has the version that the directory recorded until it reports.

With the version left out of the wire record TestNodesFindEachOtherAndLearnOfTargets fails ('a knows the version of c's target').

--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -21,6 +21,7 @@
 	reporting := flags.String("reporting", string(target.ReportHonest), "accuracy of health and load: honest, lagging, idle or failed")
 	var options target.Options
 	flags.StringVar(&options.Service, "service", "", "service that the target is an upstream of")
+	flags.StringVar(&options.Version, "software-version", "", "software version to announce, empty for none")
 	flags.IntVar(&options.Slots, "slots", 6, "maximum number of concurrent requests")
 	flags.IntVar(&options.AnnouncedSlots, "announced-slots", 0, "number of slots to announce, 0 for the value of -slots")
 	flags.IntVar(&options.Connections, "connections", 120, "maximum number of open connections, 0 for no limit")
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -20,6 +20,8 @@
 	// Address is the network address at which the gate accepts calls.
 	Address string
 	Slots   int
+	// Version is the version of the target's software, empty if unknown.
+	Version string
 }
 
 // Event is an input of Machine.Step.
--- a/internal/coordination/membership/event.go
+++ b/internal/coordination/membership/event.go
@@ -38,11 +38,12 @@
 // ProbeFailed reports that the SendProbe action with the Token got no ack.
 type ProbeFailed struct{ Token uint64 }
 
-// TargetChanged reports the new service, slots or state of the local target.
+// TargetChanged reports the new service, slots, state or software version of the local target.
 type TargetChanged struct {
 	Service string
 	Slots   uint32
 	State   TargetState
+	Version string
 }
 
 // PlatformContacted reports that the platform responded to this node's request.
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -80,6 +80,7 @@
 		m.probeFailed(now, event.Token)
 	case TargetChanged:
 		m.self.Service, m.self.Slots, m.self.Target = event.Service, event.Slots, event.State
+		m.self.TargetVersion = event.Version
 		m.publishOwnRecord(now)
 	case PlatformContacted:
 		m.platformContacted(event)
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -47,6 +47,8 @@
 	Revision uint64
 	// BandwidthKbps is the bandwidth of the instance's link in kbit/s, 0 if unknown.
 	BandwidthKbps uint32
+	// TargetVersion is the version of the target's software, empty if not announced.
+	TargetVersion string
 }
 
 // IsEndpoint reports whether calls may be sent to the member's target.
--- a/internal/node/admin_target.go
+++ b/internal/node/admin_target.go
@@ -40,6 +40,7 @@
 		Address:     announcement.Address,
 		Instance:    announcement.Instance,
 		State:       targetStates[announcement.State],
+		Version:     announcement.Version,
 	}
 }
 
--- a/internal/node/calls/entryloop.go
+++ b/internal/node/calls/entryloop.go
@@ -110,6 +110,7 @@
 		Domain:      member.Domain,
 		Address:     member.CallsAddress,
 		Slots:       int(member.Slots),
+		Version:     member.TargetVersion,
 	}
 }
 
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -22,6 +22,8 @@
 	Instance  string
 	StartedMS int64
 	State     membership.TargetState
+	// Version is the version of the target's software, empty if not announced.
+	Version string
 }
 
 // Process returns the identity of the target's process.
--- a/internal/node/members/codec.go
+++ b/internal/node/members/codec.go
@@ -34,6 +34,7 @@
 		TargetState:    uint32(m.Target),
 		Revision:       m.Revision,
 		BandwidthKbps:  m.BandwidthKbps,
+		TargetVersion:  m.TargetVersion,
 	}
 }
 
@@ -67,6 +68,7 @@
 			Target:         membership.TargetState(member.GetTargetState()),
 			Revision:       member.GetRevision(),
 			BandwidthKbps:  member.GetBandwidthKbps(),
+			TargetVersion:  member.GetTargetVersion(),
 		})
 	}
 	return converted
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -44,11 +44,12 @@
 	runner     *Runner
 	random     *rand.Rand
 	registered bool
-	// recordedService and recordedSlots are those of the target in this node's
-	// record, at first in the record of its previous incarnation. targetUpdatedAt
+	// recordedService, recordedSlots and recordedVersion are those of the target in this
+	// node's record, at first in the record of its previous incarnation. targetUpdatedAt
 	// is when updateTarget last wrote them.
 	recordedService string
 	recordedSlots   uint32
+	recordedVersion string
 	targetUpdatedAt time.Time
 	// departedAt is, by ID, when each dead or departed node was first seen as such,
 	// or when its record was last deleted.
@@ -64,7 +65,7 @@
 	random := rand.New(rand.NewPCG(r.options.RandomSeed, r.options.Self.Incarnation+1))
 	previous := r.options.Registrations.Previous(r.options.Self.ID)
 	dir := &directory{runner: r, random: random, departedAt: make(map[string]time.Time), readAt: r.options.Registrations.ReadAt}
-	dir.recordedService, dir.recordedSlots = previous.Service, previous.Slots
+	dir.recordedService, dir.recordedSlots, dir.recordedVersion = previous.Service, previous.Slots, previous.TargetVersion
 	r.directory = dir
 	dir.foundOthers = hasOthers(r.options.Registrations.members, r.options.Self.ID)
 	next := time.NewTimer(time.Duration(random.Int64N(int64(directoryStartSpread))))
@@ -88,7 +89,7 @@
 // none.
 func (r *directory) updateTarget(ctx context.Context) {
 	self := r.runner.View().Self
-	upToDate := self.Slots == 0 || self.Slots == r.recordedSlots && self.Service == r.recordedService
+	upToDate := self.Slots == 0 || self.Slots == r.recordedSlots && self.Service == r.recordedService && self.TargetVersion == r.recordedVersion
 	now := r.runner.options.Now()
 	if !r.registered || upToDate || !r.targetUpdatedAt.IsZero() && now.Sub(r.targetUpdatedAt) < directoryInterval {
 		return
@@ -137,9 +138,9 @@
 func (r *directory) write(ctx context.Context, history *wire.TargetHistory) bool {
 	self := r.runner.options.Self
 	member := joinableMember(self)
-	member.Service, member.Slots = r.recordedService, r.recordedSlots
+	member.Service, member.Slots, member.TargetVersion = r.recordedService, r.recordedSlots, r.recordedVersion
 	if current := r.runner.View().Self; current.Slots > 0 {
-		member.Service, member.Slots = current.Service, current.Slots
+		member.Service, member.Slots, member.TargetVersion = current.Service, current.Slots, current.TargetVersion
 	}
 	record := &wire.Roster{Domain: self.Domain, Members: []*wire.Member{member}, TargetHistory: history}
 	data, err := proto.Marshal(record)
@@ -150,7 +151,7 @@
 	if !r.put(ctx, self.ID, data) {
 		return false
 	}
-	r.recordedService, r.recordedSlots = member.Service, member.Slots
+	r.recordedService, r.recordedSlots, r.recordedVersion = member.Service, member.Slots, member.TargetVersion
 	return true
 }
 
--- a/internal/node/members/directory_test.go
+++ b/internal/node/members/directory_test.go
@@ -116,18 +116,18 @@
 	node := startDirectoryNode(t, "a", "domain-a", directory)
 	targetRecorded := func() bool {
 		previous, err := readPrevious(directory, "a")
-		return err == nil && previous.Service == "depot" && previous.Slots == 6
+		return err == nil && previous.Service == "depot" && previous.Slots == 6 && previous.TargetVersion == "v2"
 	}
 	waitFor(t, "the node is registered", func() bool {
 		previous, err := readPrevious(directory, "a")
 		return err == nil && previous.ID == "a"
 	})
 	directory.setUnavailable(true)
-	node.runner.SetTarget("depot", 6, membership.TargetReady)
+	node.runner.SetTarget("depot", 6, membership.TargetReady, "v2")
 	waitFor(t, "a write of the target is refused", func() bool { return directory.refusedCount() > 0 })
 	directory.setUnavailable(false)
 	waitFor(t, "the target is recorded", targetRecorded)
-	node.runner.SetTarget("", 0, membership.TargetAbsent)
+	node.runner.SetTarget("", 0, membership.TargetAbsent, "")
 	waitFor(t, "the node has no target", func() bool { return node.runner.View().Self.Slots == 0 })
 	if !targetRecorded() {
 		t.Error("the directory lost the target after its removal from the node")
--- a/internal/node/members/runner.go
+++ b/internal/node/members/runner.go
@@ -157,9 +157,9 @@
 	return r.machine.Serving(now)
 }
 
-// SetTarget sets the service, slots and state of the local target.
-func (r *Runner) SetTarget(service string, slots uint32, state membership.TargetState) {
-	r.events.Push(membership.TargetChanged{Service: service, Slots: slots, State: state}, r.done)
+// SetTarget sets the service, slots, state and software version of the local target.
+func (r *Runner) SetTarget(service string, slots uint32, state membership.TargetState, version string) {
+	r.events.Push(membership.TargetChanged{Service: service, Slots: slots, State: state, Version: version}, r.done)
 }
 
 // Leave announces that this node leaves the fleet. It returns at
--- a/internal/node/members/runner_test.go
+++ b/internal/node/members/runner_test.go
@@ -135,7 +135,7 @@
 	third := startNode(t, "c", "west", []config.Seed{second.seed()}, nil)
 	nodes := []*testNode{first, second, third}
 
-	third.runner.SetTarget("depot", 20, membership.TargetReady)
+	third.runner.SetTarget("depot", 20, membership.TargetReady, "v2")
 	for _, node := range nodes {
 		waitFor(t, node.self.ID+" knows all and c's target", func() bool {
 			view := node.runner.View()
@@ -143,6 +143,14 @@
 		})
 		waitFor(t, node.self.ID+" serves", func() bool { return node.runner.Serving(time.Now()) })
 	}
+	third.runner.SetTarget("depot", 20, membership.TargetReady, "v3")
+	for _, node := range nodes {
+		// A change of the version alone must reach the other domain too.
+		waitFor(t, node.self.ID+" knows the version of c's target", func() bool {
+			endpoints := node.runner.View().Endpoints("depot")
+			return len(endpoints) == 1 && endpoints[0].TargetVersion == "v3"
+		})
+	}
 	waitFor(t, "b's load is known", func() bool {
 		load, _, ok := first.runner.PeerLoad("b")
 		return ok && load == 3
--- a/internal/node/rediscovery.go
+++ b/internal/node/rediscovery.go
@@ -172,5 +172,6 @@
 		Address:     address,
 		Instance:    instance,
 		State:       membership.TargetReady,
+		Version:     n.previousSelf.TargetVersion,
 	}, response.Header, targetHealthy
 }
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -303,7 +303,7 @@
 	previous := r.effective
 	r.effective = target
 	r.node.calls.SetTarget(target)
-	r.node.members.SetTarget(target.Service, uint32(target.Slots), target.State)
+	r.node.members.SetTarget(target.Service, uint32(target.Slots), target.State, target.Version)
 	if previous.State != target.State || !previous.Process().Same(target.Process()) {
 		r.logState(target, learned)
 	}
--- a/internal/protocol/adminapi/target.go
+++ b/internal/protocol/adminapi/target.go
@@ -52,6 +52,8 @@
 	// Instance identifies the process of the target; it is optional.
 	Instance string      `json:"instance,omitempty"`
 	State    TargetState `json:"state"`
+	// Version is the version of the target's software; it is optional.
+	Version string `json:"version,omitempty"`
 	// TTLMS is how long the announcement is valid, in milliseconds.
 	TTLMS int64 `json:"ttl_ms"`
 }
@@ -91,6 +93,11 @@
 			return ErrAnnouncement.New("instance %s: %s", text, remedy)
 		}
 	}
+	if a.Version != "" {
+		if text, remedy := state.CheckName(a.Version, state.MaxNameBytes); text != "" {
+			return ErrAnnouncement.New("version %s: %s", text, remedy)
+		}
+	}
 	address, err := netip.ParseAddrPort(a.Address)
 	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
 		return ErrAnnouncement.New("address is %q: give the target's IP address and port", a.Address)
--- a/internal/standin/target/announce.go
+++ b/internal/standin/target/announce.go
@@ -28,6 +28,7 @@
 	Instance    string `json:"instance"`
 	State       State  `json:"state"`
 	TTLMS       int64  `json:"ttl_ms"`
+	Version     string `json:"version,omitempty"`
 }
 
 // announcer announces a target to its node and renews the announcement.
@@ -87,6 +88,7 @@
 		Instance:    a.target.Instance(),
 		State:       state,
 		TTLMS:       a.ttl.Milliseconds(),
+		Version:     a.target.options.Version,
 	})
 	if err != nil {
 		return err
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -26,6 +26,8 @@
 type Options struct {
 	// Service names the service that the target is an upstream of.
 	Service string
+	// Version is the version of its software that the target announces; empty announces none.
+	Version string
 	// Slots is how many requests run at once.
 	Slots int
 	// AnnouncedSlots is the number that the target announces; 0 means Slots.
