--- a/internal/coordination/rollout/message.go
+++ b/internal/coordination/rollout/message.go
@@ -10,8 +10,8 @@
 	// whose targets are counted together.
 	Endpoint            string
 	Successes, Failures uint64
-	// Slow counts those of the successes that took longer than the slow limit of the route,
-	// and calls without a response after that time.
+	// Slow counts the calls that took longer than the slow limit of the route, or have had no
+	// response for that time. They are not counted in the other fields.
 	Slow uint64
 	// LogSum and LogSquares are the sums of the natural logarithms of the response times of
 	// the successes in milliseconds, and of their squares.
@@ -47,6 +47,8 @@
 	GrantFor time.Duration
 	// Share is the fraction of the service's calls that go to the new version.
 	Share float64
+	// RouteShares replaces Share for the routes that it lists.
+	RouteShares map[string]float64
 	// Endpoints lists the nodes of the new version to use; empty means all.
 	Endpoints []string
 	// SlowLimits has for each route the response time from which a response counts as slow.
