Settings for rollouts: expose share, slack and rollback bound

Cause: what a deployment states about the exposure of callers to new versions had no settings.

Slack and bound follow only where a share is stated; without a share rollouts are off.

--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -69,6 +69,18 @@
 		s.Node.BandwidthMbps = min(maxBandwidth, d.BandwidthMbps)
 		return d.BandwidthMbps > 0
 	}},
+	{"rollout.expose_share", "deployment.expose_share", func(s *Settings, d Deployment) bool {
+		s.Rollout.ExposeShare = d.ExposeShare
+		return d.ExposeShare > 0
+	}},
+	{"rollout.expose_slack", "deployment.expose_share, deployment.expose_slack", func(s *Settings, d Deployment) bool {
+		s.Rollout.ExposeSlack = d.ExposeSlack
+		return d.ExposeShare > 0 && d.ExposeSlack > 0
+	}},
+	{"rollout.rollback_bound", "deployment.expose_share, deployment.rollback_bound", func(s *Settings, d Deployment) bool {
+		s.Rollout.RollbackBound = min(maxRollbackBound, max(minRollbackBound, d.RollbackBound))
+		return d.ExposeShare > 0 && d.RollbackBound > 0
+	}},
 }
 
 // longestDrain returns the longest calls.drain_timeout for a grace.
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -27,6 +27,10 @@
 	maxHeartbeat    = time.Minute
 	maxBandwidth    = 100_000.0 // Mbit/s
 	maxStatedTime   = 24 * time.Hour
+	maxExposeSlack  = 1_000_000 // calls
+	// minRollbackBound is two intervals of the reports to a rollout's coordinator.
+	minRollbackBound = 500 * time.Millisecond
+	maxRollbackBound = time.Hour
 )
 
 // acceptedURL describes the accepted URLs.
@@ -62,6 +66,9 @@
 	between("deployment.retry_ratio", func(s *Settings) float64 { return s.Deployment.RetryRatio }, 0, 100),
 	zeroOrBetween("deployment.heartbeat", func(s *Settings) time.Duration { return s.Deployment.Heartbeat }, time.Millisecond, maxStatedTime),
 	between("deployment.bandwidth_mbps", func(s *Settings) float64 { return s.Deployment.BandwidthMbps }, 0, 100_000_000),
+	between("deployment.expose_share", func(s *Settings) float64 { return s.Deployment.ExposeShare }, 0, 1),
+	between("deployment.expose_slack", func(s *Settings) int { return s.Deployment.ExposeSlack }, 0, maxExposeSlack),
+	zeroOrBetween("deployment.rollback_bound", func(s *Settings) time.Duration { return s.Deployment.RollbackBound }, time.Millisecond, maxStatedTime),
 	between("platform.heartbeat", func(s *Settings) time.Duration { return s.Platform.Heartbeat }, minHeartbeat, maxHeartbeat),
 	{"platform.url", acceptedURL, checkPlatformURL},
 	between("platform.request_timeout", func(s *Settings) time.Duration { return s.Platform.RequestTimeout }, 10*time.Millisecond, time.Minute),
@@ -89,6 +96,9 @@
 	between("calls.idle_timeout", func(s *Settings) time.Duration { return s.Calls.IdleTimeout }, 100*time.Millisecond, time.Hour),
 	between("calls.silence_timeout", func(s *Settings) time.Duration { return s.Calls.SilenceTimeout }, 10*time.Millisecond, time.Minute),
 	between("calls.quarantine_time", func(s *Settings) time.Duration { return s.Calls.QuarantineTime }, 0, 24*time.Hour),
+	between("rollout.expose_share", func(s *Settings) float64 { return s.Rollout.ExposeShare }, 0, 1),
+	between("rollout.expose_slack", func(s *Settings) int { return s.Rollout.ExposeSlack }, 0, maxExposeSlack),
+	between("rollout.rollback_bound", func(s *Settings) time.Duration { return s.Rollout.RollbackBound }, minRollbackBound, maxRollbackBound),
 	{"telemetry.log_level", strings.Join(logLevels, ", "), checkLogLevel},
 	{"telemetry.trace_endpoint", acceptedURL + " or empty", checkTraceEndpoint},
 	between("telemetry.trace_ratio", func(s *Settings) float64 { return s.Telemetry.TraceRatio }, 0, 1),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -15,6 +15,7 @@
 	Spread     Spread     `yaml:"spread"`
 	Membership Membership `yaml:"membership"`
 	Calls      Calls      `yaml:"calls"`
+	Rollout    Rollout    `yaml:"rollout"`
 	Telemetry  Telemetry  `yaml:"telemetry"`
 }
 
@@ -96,6 +97,12 @@
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	// BandwidthMbps is the bandwidth of the instance's link in Mbit/s.
 	BandwidthMbps float64 `yaml:"bandwidth_mbps"`
+	// ExposeShare is the largest share of a service's calls that a bad new version may get,
+	// and ExposeSlack the number of calls in addition.
+	ExposeShare float64 `yaml:"expose_share"`
+	ExposeSlack int     `yaml:"expose_slack"`
+	// RollbackBound is the time after which a bad new version may get no calls.
+	RollbackBound time.Duration `yaml:"rollback_bound"`
 }
 
 // Platform configures the connection to the platform's append-only log.
@@ -195,6 +202,18 @@
 	QuarantineTime time.Duration `yaml:"quarantine_time"`
 }
 
+// Rollout bounds the exposure of callers to new versions of targets' software.
+type Rollout struct {
+	// ExposeShare is the largest fraction of a service's calls, between an order and its time
+	// limit, that a bad version may get. If 0, there are no rollouts and a target's version has
+	// no effect on routing.
+	ExposeShare float64 `yaml:"expose_share"`
+	// ExposeSlack is the number of calls that it may get in addition.
+	ExposeSlack int `yaml:"expose_slack"`
+	// RollbackBound is how long after its 50th bad response a bad version may get calls.
+	RollbackBound time.Duration `yaml:"rollback_bound"`
+}
+
 // Telemetry configures logs, traces and profiling.
 type Telemetry struct {
 	LogLevel string `yaml:"log_level"`
@@ -237,6 +256,7 @@
 			SilenceTimeout:  500 * time.Millisecond,
 			QuarantineTime:  10 * time.Minute,
 		},
+		Rollout:   Rollout{ExposeSlack: 50, RollbackBound: 5 * time.Second},
 		Telemetry: Telemetry{LogLevel: "info", TraceRatio: 0.01},
 	}
 }
