Read orders of rollouts and write their records under a condition

Cause: operators' orders of rollouts in the operator's topic were skipped, and nodes had no conditional writes, on which each order's single result rests.

The configuration's reads pass orders on.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -70,3 +70,8 @@
 	QuarantineEnded      = Event{408, log.InfoLevel, "request is no longer in quarantine"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
+
+// Events of rollouts of new versions of targets' software.
+var (
+	RolloutOrderRefused = Event{510, log.WarnLevel, "order of a rollout refused: nothing changes"}
+)
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -18,7 +18,10 @@
 	// CompactedLog is Log as a compacted log, or nil if the platform does not
 	// compact it.
 	CompactedLog platformlog.CompactedLog
-	Contract     headers.Contract
+	// RolloutLog stores the records of rollouts, or is nil if the platform cannot; there are
+	// then no rollouts.
+	RolloutLog platformlog.RolloutLog
+	Contract   headers.Contract
 	// NewAnnouncementHandler returns the handler through which the local target
 	// announces itself. If it is nil, node.announce_address is not served.
 	NewAnnouncementHandler func(TargetRegistry) http.Handler
--- a/internal/node/configuration/platform.go
+++ b/internal/node/configuration/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -73,6 +74,7 @@
 		// newest one.
 		return spread.TicketsTrimmed{}, nil
 	}
+	r.passOrders(batch, false)
 	return spread.TicketsRead{Records: recordsOf(batch)}, nil
 }
 
@@ -82,9 +84,27 @@
 	if err != nil {
 		return nil, err
 	}
+	r.passOrders(batch, true)
+	batch.Records = slices.DeleteFunc(batch.Records, func(record platformlog.Record) bool { return record.Skip })
 	return spread.NewestTicketRead{Records: recordsOf(batch), Next: batch.Bounds.Next}, nil
 }
 
+// passOrders passes the orders of rollouts on that a read found.
+func (r *Runner) passOrders(batch platformlog.Batch, all bool) {
+	if r.options.OnOrders == nil {
+		return
+	}
+	orders := Orders{All: all, Next: batch.Bounds.Next}
+	for _, record := range batch.Records {
+		if record.Order != nil {
+			orders.Orders = append(orders.Orders, NumberedOrder{Order: *record.Order, Number: uint64(record.Offset + 1)})
+		}
+	}
+	if all || len(orders.Orders) > 0 {
+		r.options.OnOrders(orders)
+	}
+}
+
 func recordsOf(batch platformlog.Batch) []spread.Record {
 	records := make([]spread.Record, 0, len(batch.Records))
 	for _, record := range batch.Records {
--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -40,7 +40,7 @@
 	maxPullTimeout = 16 * time.Second
 )
 
-// Options configure a Runner. All fields are required except CompactedLog,
+// Options configure a Runner. All fields are required except CompactedLog, OnOrders,
 // and Pool, which may be nil in a fleet of one node.
 type Options struct {
 	Self     membership.Member
@@ -60,7 +60,25 @@
 	View func() *membership.View
 	// OnPlatformContact is called after each response from the platform.
 	OnPlatformContact func()
-	Now               func() time.Time
+	// OnOrders is called with the orders of rollouts in a read of the tickets stream. It must not
+	// block and may be nil.
+	OnOrders func(Orders)
+	Now      func() time.Time
+}
+
+// Orders are the orders of rollouts that one read found.
+type Orders struct {
+	Orders []NumberedOrder
+	// All means that Orders has the newest order of each service with a number up to Next,
+	// unless it was withdrawn.
+	All  bool
+	Next int64
+}
+
+// NumberedOrder is an order with its number: the offset of its record plus one.
+type NumberedOrder struct {
+	platformlog.Order
+	Number uint64
 }
 
 // Runner keeps one node's configuration up to date. Its methods other than Run
--- a/internal/transport/platformlog/errors.go
+++ b/internal/transport/platformlog/errors.go
@@ -17,4 +17,7 @@
 	ErrStalled = errorx.NewType(Errors, "stalled", errorx.Timeout())
 	// ErrTooLarge means that a record is over the platform's size limit.
 	ErrTooLarge = errorx.NewType(Errors, "too_large")
+	// ErrConditionFailed means that a stream did not end where the writer had read it. Nothing
+	// was added.
+	ErrConditionFailed = errorx.NewType(Errors, "condition_failed")
 )
--- a/internal/transport/platformlog/log.go
+++ b/internal/transport/platformlog/log.go
@@ -11,6 +11,8 @@
 	StreamTickets     = "tickets"     // operators append tickets
 	StreamCheckpoints = "checkpoints" // nodes append full states of the configuration
 	StreamMembers     = "members"     // nodes write members through which others can join
+	StreamRollouts    = "rollouts"    // nodes write the records of rollouts, under the service's name
+	StreamStatus      = "status"      // nodes write the states of rollouts for operators
 )
 
 // Record is one entry of a stream.
@@ -21,8 +23,41 @@
 	// Skip means that the record has no content for this system; it occupies its
 	// offset only.
 	Skip bool
+	// Order is set in a record of StreamTickets that orders a rollout or withdraws such an order.
+	// The record is skipped by the configuration.
+	Order *Order
+	// Status is set in a record of StreamStatus.
+	Status *RolloutStatus
 }
 
+// Order is an operator's order to roll out a version of the software of a service's targets.
+type Order struct {
+	Service       string
+	TargetVersion string
+	// Duration is the time limit, counted from when the order is accepted.
+	Duration time.Duration
+	// Withdrawn means that the service's last order is withdrawn; the fields above but Service
+	// are then empty.
+	Withdrawn bool
+}
+
+// RolloutStatus is the state of a service's last rollout, as operators see it.
+type RolloutStatus struct {
+	Service       string
+	State         RolloutState
+	TargetVersion string
+}
+
+// RolloutState is a state that operators see.
+type RolloutState string
+
+// States of rollouts.
+const (
+	RolloutRunning    RolloutState = "running"
+	RolloutCompleted  RolloutState = "completed"
+	RolloutRolledBack RolloutState = "rolled_back"
+)
+
 // Bounds are the retained offsets of a stream: First is the offset of the oldest
 // retained record, Next the offset that the next append will get. They are equal
 // if no record is retained.
@@ -62,3 +97,17 @@
 	// the record may or may not have been added.
 	Put(ctx context.Context, stream, key string, data []byte) error
 }
+
+// RolloutLog stores the records of rollouts and their states for operators, in a compacted
+// log. A record is added only if the stream still ends where the writer has read it, so that each
+// order has one result and a delayed write replaces no later one.
+type RolloutLog interface {
+	// NewestByKey is as in CompactedLog, for StreamRollouts and StreamStatus.
+	NewestByKey(ctx context.Context, stream string) (Batch, error)
+	// PutIf adds a record under the key if the next append to the stream gets the offset next.
+	// Otherwise it fails with ErrConditionFailed, and nothing is added. After another error
+	// the record may or may not have been added.
+	PutIf(ctx context.Context, stream, key string, data []byte, next int64) error
+	// PutStatus is PutIf for StreamStatus.
+	PutStatus(ctx context.Context, status RolloutStatus, next int64) error
+}
