First working logic of the rollout decisions

Cause: the package had an API without logic. Change: Node (routing within grants, counters, slow calls, local stop, gate), ledger of grants, evidence (CUSUM per route and overall against the old version, one bad target is set aside), exposure plan with bursts at the load of an old target, schedule, coordinator.

--- /dev/null
+++ b/internal/coordination/rollout/evidence.go
@@ -0,0 +1,333 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// spreadScore is the evidence at which a version with bad responses of several targets is
+	// bad: a good version reaches it by chance with a probability of about e^-10 in each run of
+	// bad responses.
+	spreadScore = 10
+	// laterScore is that for the targets that are tried after one was set aside.
+	laterScore = 8
+	// onlyTargetScore is that of the only target.
+	onlyTargetScore = 16
+	// dominance is the part of a score from which a single target is set aside for it.
+	dominance = 0.6
+	// suspiciousScore is the evidence at which the rollout does not advance.
+	suspiciousScore = 4
+	// commonBadShare is the bad share of the old version from which bad targets are so common
+	// that a third one must be tried.
+	commonBadShare = 0.05
+	// coldTime is the age of a target up to which slow responses do not count, and
+	// warmUpTime the time after its first call.
+	coldTime   = 2 * time.Second
+	warmUpTime = time.Second
+	// recentSnapshots x snapshotInterval is the period over which the old version is
+	// measured in addition to the whole time, to follow overload and faults that begin later.
+	recentSnapshots  = 6
+	snapshotInterval = 500 * time.Millisecond
+	// minTimed is how many response times of the old version a slow limit needs.
+	minTimed = 5
+	// minSlowFactor and maxSlowFactor bound the slow limit as a multiple of the old version's
+	// geometric mean; between them it is two standard deviations. Slowdowns of four times and more must exceed it.
+	minSlowFactor = 3
+	maxSlowFactor = 5
+	// The test of the mean of log response times is built for a slowdown of 2.7 times (the
+	// natural logarithm is 1) against a tolerated one of 1.2 times.
+	slowShift, toleratedShift = 1.0, 0.2
+	// minLogDeviation bounds the standard deviation from below: responses of one target are not
+	// independent.
+	minLogDeviation = 0.6
+	// minRouteResponses and minResponses are how many responses of the new version are wanted
+	// on each route and in all before the rollout advances early.
+	minRouteResponses = 16
+	minResponses      = 40
+)
+
+// totals sums the responses of one version on one route.
+type totals struct {
+	good, bad, logSum, logSquares float64
+}
+
+func (t *totals) add(d totals) {
+	t.good += d.good
+	t.bad += d.bad
+	t.logSum += d.logSum
+	t.logSquares += d.logSquares
+}
+
+func (t totals) minus(d totals) totals {
+	return totals{t.good - d.good, t.bad - d.bad, t.logSum - d.logSum, t.logSquares - d.logSquares}
+}
+
+// timing returns the mean and the standard deviation of the log response times.
+func (t totals) timing() (mean, deviation float64, ok bool) {
+	if t.good < minTimed {
+		return 0, 0, false
+	}
+	mean = t.logSum / t.good
+	return mean, math.Sqrt(max(0, t.logSquares/t.good-mean*mean)), true
+}
+
+// evidence compares the new version with the old one.
+type evidence struct {
+	old, new map[string]*totals
+	// snapshots are earlier values of old, the oldest first.
+	snapshots []map[string]totals
+	snapAt    time.Time
+	// references caches reference for the routes, until responses of the old version come.
+	references map[string]float64
+
+	overall, timing score
+	routes          map[string]*score
+	// since is when a target was first seen ready, used when it first had a response.
+	since, used map[string]time.Time
+	setAside    map[string]bool
+}
+
+func newEvidence() *evidence {
+	return &evidence{
+		old: make(map[string]*totals), new: make(map[string]*totals), references: make(map[string]float64),
+		overall: newScore(), timing: newScore(), routes: make(map[string]*score),
+		since: make(map[string]time.Time), used: make(map[string]time.Time), setAside: make(map[string]bool),
+	}
+}
+
+// addOld takes in responses of the old version.
+func (e *evidence) addOld(now time.Time, route string, d totals) {
+	if e.old[route] == nil {
+		e.old[route] = &totals{}
+	}
+	e.old[route].add(d)
+	clear(e.references)
+	if now.Sub(e.snapAt) < snapshotInterval {
+		return
+	}
+	e.snapAt = now
+	snapshot := make(map[string]totals, len(e.old))
+	for r, t := range e.old {
+		snapshot[r] = *t
+	}
+	e.snapshots = append(e.snapshots, snapshot)
+	if len(e.snapshots) > recentSnapshots {
+		e.snapshots = e.snapshots[1:]
+	}
+}
+
+// recent returns the responses of the old version on a route within the last seconds.
+func (e *evidence) recent(route string) totals {
+	all := e.old[route]
+	if all == nil {
+		return totals{}
+	}
+	if len(e.snapshots) == 0 {
+		return *all
+	}
+	return all.minus(e.snapshots[0][route])
+}
+
+// reference returns the bad share of the old version on a route: the greater of that since
+// the order and that of the last seconds, of the route or, if it has few responses, of all.
+func (e *evidence) reference(route string) float64 {
+	if cached, ok := e.references[route]; ok {
+		return cached
+	}
+	e.references[route] = e.computeReference(route)
+	return e.references[route]
+}
+
+func (e *evidence) computeReference(route string) float64 {
+	var all, recent totals
+	for r := range e.old {
+		all.add(*e.old[r])
+		recent.add(e.recent(r))
+	}
+	overall := max(badShare(all.good, all.bad), badShare(recent.good, recent.bad))
+	own := e.recent(route)
+	total := totals{}
+	if t := e.old[route]; t != nil {
+		total = *t
+	}
+	shrunk := func(t totals) float64 {
+		return (t.bad + priorResponses*overall) / (t.good + t.bad + priorResponses)
+	}
+	return max(shrunk(own), shrunk(total))
+}
+
+// slowLimit returns the response time from which a response on a route counts as slow.
+func (e *evidence) slowLimit(route string) (time.Duration, bool) {
+	mean, deviation, ok := e.oldTiming(route)
+	if !ok {
+		return 0, false
+	}
+	millis := math.Exp(mean + min(max(2*deviation, math.Log(minSlowFactor)), math.Log(maxSlowFactor)))
+	return time.Duration(millis * float64(time.Millisecond)), true
+}
+
+// oldTiming returns the slower of the old version's timings since the order and of the last seconds.
+func (e *evidence) oldTiming(route string) (mean, deviation float64, ok bool) {
+	all := e.old[route]
+	if all == nil {
+		return 0, 0, false
+	}
+	mean, deviation, ok = all.timing()
+	if m, d, recentOK := e.recent(route).timing(); recentOK && m > mean {
+		mean, deviation = m, d
+	}
+	return mean, deviation, ok
+}
+
+// slowLimits returns the slow limits of all routes that have one.
+func (e *evidence) slowLimits() map[string]time.Duration {
+	limits := make(map[string]time.Duration, len(e.old))
+	for route := range e.old {
+		if limit, ok := e.slowLimit(route); ok {
+			limits[route] = limit
+		}
+	}
+	return limits
+}
+
+// typicalTime returns the mean of the routes' geometric mean response times, weighted by calls.
+func (e *evidence) typicalTime() time.Duration {
+	var sum, weight float64
+	for _, route := range slices.Sorted(maps.Keys(e.old)) {
+		t := e.old[route]
+		if mean, _, ok := t.timing(); ok {
+			sum += t.good * math.Exp(mean)
+			weight += t.good
+		}
+	}
+	if weight == 0 {
+		return 0
+	}
+	return time.Duration(sum / weight * float64(time.Millisecond))
+}
+
+// cold reports whether a target may still be slow because it has just been started.
+func (e *evidence) cold(now time.Time, endpoint string) bool {
+	return now.Sub(e.since[endpoint]) < coldTime || now.Sub(e.used[endpoint]) < warmUpTime
+}
+
+// addNew takes in responses of a target of the new version.
+func (e *evidence) addNew(now time.Time, route, endpoint string, good, failed, slow float64, logSum float64) {
+	if _, ok := e.used[endpoint]; !ok {
+		e.used[endpoint] = now
+	}
+	if e.new[route] == nil {
+		e.new[route] = &totals{}
+	}
+	e.new[route].add(totals{good: good, bad: failed + slow, logSum: logSum})
+	if e.setAside[endpoint] {
+		return
+	}
+	cold := e.cold(now, endpoint)
+	if cold {
+		slow = 0
+	}
+	if e.routes[route] == nil {
+		s := newScore()
+		e.routes[route] = &s
+	}
+	reference := e.reference(route)
+	e.overall.add(endpoint, reference, good, failed+slow)
+	e.routes[route].add(endpoint, reference, good, failed+slow)
+	if mean, deviation, ok := e.oldTiming(route); ok && !cold && good > 0 {
+		variance := max(deviation, minLogDeviation) * max(deviation, minLogDeviation)
+		middle := mean + (slowShift+toleratedShift)/2
+		e.timing.good += good
+		e.timing.addIncrement(endpoint, (slowShift-toleratedShift)/variance*(logSum-good*middle))
+	}
+}
+
+// scopes returns the tests by name.
+func (e *evidence) scopes() map[string]*score {
+	scopes := map[string]*score{"all routes": &e.overall, "response times": &e.timing}
+	for route, s := range e.routes {
+		scopes["route "+route] = s
+	}
+	return scopes
+}
+
+// verdict returns the reason if the new version is bad. It sets a target aside that may be bad on its
+// own if canTry says that there is another one.
+func (e *evidence) verdict(canTry func() bool) (reason string, bad bool) {
+	scopes := e.scopes()
+	for _, name := range slices.Sorted(maps.Keys(scopes)) {
+		s := scopes[name]
+		top, contribution := s.top()
+		needed := 1
+		if e.commonlyBad() {
+			needed = 2
+		}
+		switch {
+		case len(e.setAside) >= needed && s.sum >= laterScore,
+			s.sum >= spreadScore && contribution < dominance*s.sum,
+			s.sum >= onlyTargetScore && !canTry():
+			return fmt.Sprintf("%s: %s; old version's bad share %.3f; %d targets set aside before",
+				name, s.String(), e.overallReference(), len(e.setAside)), true
+		case len(e.setAside) < needed && s.sum >= laterScore && contribution >= dominance*s.sum && canTry():
+			e.setAside[top] = true
+			for _, other := range scopes {
+				other.remove(top)
+			}
+		}
+	}
+	return "", false
+}
+
+func (e *evidence) overallReference() float64 {
+	var all totals
+	for _, t := range e.old {
+		all.add(*t)
+	}
+	return badShare(all.good, all.bad)
+}
+
+func (e *evidence) commonlyBad() bool { return e.overallReference() > commonBadShare }
+
+// suspicious reports whether the rollout must not advance on what is known.
+func (e *evidence) suspicious() bool {
+	for _, s := range e.scopes() {
+		if s.sum >= suspiciousScore {
+			return true
+		}
+	}
+	return false
+}
+
+// tested reports whether the new version had enough responses, in all and on each route that the old
+// version is called on.
+func (e *evidence) tested() bool {
+	all := 0.0
+	for _, t := range e.new {
+		all += t.good + t.bad
+	}
+	return all >= minResponses && len(e.untestedRoutes()) == 0
+}
+
+// untestedRoutes returns the routes that need more responses of the new version.
+func (e *evidence) untestedRoutes() []string {
+	var routes []string
+	for _, route := range slices.Sorted(maps.Keys(e.old)) {
+		if t := e.new[route]; t == nil || t.good+t.bad < minRouteResponses {
+			routes = append(routes, route)
+		}
+	}
+	return routes
+}
+
+// responses returns the number of responses of the new version.
+func (e *evidence) responses() float64 {
+	sum := 0.0
+	for _, t := range e.new {
+		sum += t.good + t.bad
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/coordination/rollout/exposure.go
@@ -0,0 +1,185 @@
+package rollout
+
+import (
+	"time"
+)
+
+const (
+	// grantShare is the part of the budget for the calls so far that is granted before Shifting.
+	// The calls may end or become fewer, and the rest covers the shift.
+	grantShare = 0.7
+	// reservedShare is the part of the budget for the calls so far that is granted even if
+	// the rest does not cover the shift.
+	reservedShare = 0.3
+	// firstCalls may be exposed before there are responses.
+	firstCalls = 12
+	// loadTime is how long a target must carry the load of an old one.
+	loadTime = 1200 * time.Millisecond
+	// loadFactor makes sure that the load of an old one is reached although grants are used unevenly.
+	loadFactor = 1.2
+	// wantedResponses is how many responses there should be before Shifting where there are
+	// so few calls that the share of one target does not yield them.
+	wantedResponses = 60
+	// maxShare leaves calls for the old version as a reference, except in bursts.
+	maxShare = 0.5
+	// maxRouteShare is the share of a rare route.
+	maxRouteShare = 0.5
+	// testedRouteFactor reduces the share of routes with enough responses while others have few.
+	testedRouteFactor = 0.3
+	// trickleShare is the part of the exposed share that is used between bursts.
+	trickleShare = 0.25
+	// maxBurst ends a burst that does not reach the load of an old target.
+	maxBurst = 3 * time.Second
+	// responsesFactor limits the calls to firstCalls + it x the responses, so that a version
+	// that is bad at once gets few calls before its first responses are known.
+	responsesFactor = 3
+	// rateBuckets x rateBucket is the period over which rates are measured.
+	rateBuckets = 8
+	rateBucket  = 250 * time.Millisecond
+)
+
+// exposure decides how many calls go to the new version before Shifting, and to which targets.
+//
+// Load pattern: an old target carries more of the calls than the budget allows for long,
+// so the load of one is applied in bursts, for which budget is saved up. In between a few calls
+// go on, so that a version that turns bad late is noticed.
+type exposure struct {
+	// credit is the number of calls that may be granted; it grows by share with the calls of
+	// the service.
+	credit float64
+	share  float64
+	// burst is the state of the present burst, bursting whether there is one.
+	bursting bool
+	burst    struct {
+		from    time.Time
+		exposed float64
+	}
+	// loaded is set once targets have carried the load of an old one.
+	loaded bool
+	// rotation counts the changes of targets in Expanding.
+	rotation int
+
+	// buckets count the calls of the service; bucket is the index of the one that is being
+	// filled since bucketAt, and filled the number of full ones.
+	bucketAt time.Time
+	buckets  [rateBuckets]float64
+	bucket   int
+	filled   int
+}
+
+// advance notes calls of the service.
+func (x *exposure) advance(now time.Time, calls float64) {
+	if x.bucketAt.IsZero() {
+		x.bucketAt = now
+	}
+	for now.Sub(x.bucketAt) >= rateBucket {
+		x.bucketAt = x.bucketAt.Add(rateBucket)
+		x.bucket = (x.bucket + 1) % rateBuckets
+		x.buckets[x.bucket] = 0
+		x.filled = min(x.filled+1, rateBuckets-1)
+	}
+	x.buckets[x.bucket] += calls
+	x.credit += calls * x.share
+}
+
+// rate returns the calls of the service per second, without the bucket that is being filled.
+func (x *exposure) rate() float64 {
+	if x.filled == 0 {
+		return 0
+	}
+	sum := 0.0
+	for i := 1; i <= x.filled; i++ {
+		sum += x.buckets[(x.bucket-i+rateBuckets)%rateBuckets]
+	}
+	return sum / (float64(x.filled) * rateBucket.Seconds())
+}
+
+// spend notes calls that were granted.
+func (x *exposure) spend(calls float64) { x.credit -= calls }
+
+// planInput is the state that a plan depends on.
+type planInput struct {
+	expanding  bool
+	oldTargets int
+	endpoints  []string
+	// limit, charged and exposed count calls.
+	limit, charged, exposed float64
+	shiftIn                 time.Duration
+	exposeShare             float64
+	responses               float64
+}
+
+// plan is what the next grants may be.
+type plan struct {
+	// want is how many more calls may be granted now.
+	want      float64
+	share     float64
+	endpoints []string
+}
+
+// plan returns the present plan.
+func (x *exposure) plan(now time.Time, in planInput) plan {
+	number := 1
+	if in.expanding {
+		number = max(1, min(len(in.endpoints), int(grantShare*in.exposeShare*float64(in.oldTargets))))
+	}
+	oldLoad := float64(number) / float64(max(1, in.oldTargets))
+	rate, room := x.rate(), in.limit-in.charged
+	x.updateBurst(now, oldLoad*rate, room, in)
+	p := plan{share: trickleShare * in.exposeShare, endpoints: x.choose(in, number)}
+	if x.bursting {
+		p.share = min(1, loadFactor*oldLoad)
+	}
+	if left := wantedResponses - in.responses; left > 0 && in.shiftIn > 0 && rate > 0 {
+		// A service with few calls needs more than the share of one target.
+		needed := left / (rate * in.shiftIn.Seconds())
+		if needed > oldLoad {
+			p.share = max(p.share, min(maxShare, needed))
+		}
+	}
+	probing := in.exposed < firstCalls
+	if probing {
+		p.share = max(p.share, oldLoad)
+	}
+	x.share = p.share
+	// Credit is bounded, so that calls that could not be granted in time are not made up for.
+	x.credit = min(x.credit, max(2, p.share*rate*2*rateBucket.Seconds()))
+	if probing {
+		x.credit = max(x.credit, firstCalls-in.charged)
+	}
+	ramp := firstCalls + responsesFactor*in.responses - in.charged
+	p.want = min(room, x.credit, ramp)
+	return p
+}
+
+// updateBurst begins a burst when the budget covers the load of old targets for loadTime, and
+// ends it when they have carried it, or when the budget is used up. OldLoad is in calls per second.
+func (x *exposure) updateBurst(now time.Time, oldLoad, room float64, in planInput) {
+	if x.bursting {
+		lasted := now.Sub(x.burst.from)
+		if lasted >= loadTime && in.exposed-x.burst.exposed >= oldLoad*lasted.Seconds() {
+			x.loaded, x.bursting = true, false
+		} else if room < 1 || lasted >= maxBurst {
+			x.bursting = false
+		}
+		return
+	}
+	needed := loadFactor * oldLoad * (loadTime + rateBucket).Seconds()
+	if in.responses >= firstCalls/2 && oldLoad > 0 && room >= needed && (in.expanding || !x.loaded) {
+		x.bursting = true
+		x.burst.from, x.burst.exposed = now, in.exposed
+		x.rotation++
+	}
+}
+
+// choose returns the targets to use: the first one in Canary, others with each burst in Expanding.
+func (x *exposure) choose(in planInput, number int) []string {
+	if !in.expanding {
+		return in.endpoints[:1]
+	}
+	chosen := make([]string, 0, number)
+	for i := range number {
+		chosen = append(chosen, in.endpoints[(x.rotation*number+i)%len(in.endpoints)])
+	}
+	return chosen
+}
--- a/internal/coordination/rollout/node.go
+++ b/internal/coordination/rollout/node.go
@@ -1,10 +1,20 @@
 package rollout
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
+// localStopScore is the evidence at which a node stops on its own. It exceeds that of the
+// coordinator, because a node sees fewer targets and may itself be what is slow.
+const localStopScore = 12
+
+// unlimited is the grant in Shifting, which is limited in time only.
+const unlimited = math.MaxUint32
+
 // Outcome is the end of one attempt of a call.
 type Outcome uint8
 
@@ -31,49 +41,289 @@
 	Endpoints []string
 }
 
+// attempt is a call without an outcome.
+type attempt struct {
+	route, endpoint string
+	isNew           bool
+	at              time.Time
+	// slow is set once the attempt was counted as slow.
+	slow bool
+}
+
+// statsKey identifies one VersionStats of a node. Endpoint is empty for the old version.
+type statsKey struct {
+	isNew           bool
+	route, endpoint string
+}
+
 // Node is the part of one running rollout at one node. It decides for each call of the
 // service which version it goes to, and counts. It is not safe for concurrent use.
-type Node struct{}
+type Node struct {
+	id          string
+	incarnation uint64
+	domain      string
+	record      Record
+	settings    Settings
+	random      *rand.Rand
+
+	calls, exposed uint64
+	stats          map[statsKey]*VersionStats
+	attempts       map[uint64]*attempt
+	lastAttempt    uint64
+
+	// The directive in use. maxExposed is the value of exposed at which the grant is used up,
+	// and grantUntil its end.
+	directive  Directive
+	appliedTo  time.Time
+	maxExposed uint64
+	grantUntil time.Time
+
+	// refuseFrom is when gates of old targets begin to refuse calls; zero before Shifting.
+	refuseFrom   time.Time
+	contactUntil time.Time
+	idleReported bool
+
+	local      score
+	stopReason string
+}
 
 // NewNode returns the part of the node with this ID and incarnation for a rollout. Random
 // is used to choose the calls that go to the new version.
 func NewNode(id string, incarnation uint64, domain string, record Record, settings Settings, random *rand.Rand) *Node {
-	return &Node{}
+	return &Node{
+		id: id, incarnation: incarnation, domain: domain, record: record, settings: settings, random: random,
+		stats: make(map[statsKey]*VersionStats), attempts: make(map[uint64]*attempt),
+		local: newScore(),
+	}
 }
 
 // Route decides where an attempt of a call on a route goes, and counts it as sent. Each
 // attempt ends with Cancel or Observe.
-func (n *Node) Route(now time.Time, route string) Decision { return Decision{} }
+func (n *Node) Route(now time.Time, route string) Decision {
+	d := Decision{New: n.choosesNew(now, route)}
+	n.calls++
+	if d.New {
+		n.exposed++
+		d.Version = n.record.TargetVersion
+		if n.record.Phase < Shifting {
+			d.Endpoints = n.directive.Endpoints
+		}
+	}
+	n.lastAttempt++
+	d.Attempt = n.lastAttempt
+	n.attempts[d.Attempt] = &attempt{route: route, isNew: d.New, at: now}
+	return d
+}
+
+func (n *Node) choosesNew(now time.Time, route string) bool {
+	if n.record.Phase == Completed {
+		return true
+	}
+	if n.record.Phase == RolledBack || n.stopReason != "" || !now.Before(n.grantUntil) {
+		return false
+	}
+	if n.record.Phase == Shifting {
+		return true
+	}
+	if n.exposed >= n.maxExposed {
+		return false
+	}
+	share, ok := n.directive.RouteShares[route]
+	if !ok {
+		share = n.directive.Share
+	}
+	return n.random.Float64() < share
+}
 
 // Sent says which endpoint was chosen for an attempt.
-func (n *Node) Sent(attempt uint64, endpoint string) {}
+func (n *Node) Sent(attempt uint64, endpoint string) {
+	if a := n.attempts[attempt]; a != nil {
+		a.endpoint = endpoint
+	}
+}
 
 // Cancel takes back an attempt that was not sent, for example because no endpoint was free.
 // It must be called before the next Report.
-func (n *Node) Cancel(attempt uint64) {}
+func (n *Node) Cancel(attempt uint64) {
+	a := n.attempts[attempt]
+	if a == nil {
+		return
+	}
+	delete(n.attempts, attempt)
+	n.calls--
+	if a.isNew {
+		n.exposed--
+	}
+}
 
 // Observe notes the end of an attempt. Its response time is counted from Route.
-func (n *Node) Observe(now time.Time, attempt uint64, outcome Outcome) {}
+func (n *Node) Observe(now time.Time, attempt uint64, outcome Outcome) {
+	a := n.attempts[attempt]
+	if a == nil {
+		return
+	}
+	delete(n.attempts, attempt)
+	if outcome == NotCounted || a.slow {
+		return
+	}
+	s := n.statsOf(a)
+	took := now.Sub(a.at)
+	switch {
+	case outcome == Failed:
+		s.Failures++
+	case n.isSlow(a.route, took):
+		s.Slow++
+	default:
+		s.Successes++
+		millis := math.Log(max(0.1, float64(took)/float64(time.Millisecond)))
+		s.LogSum += millis
+		s.LogSquares += millis * millis
+		n.observed(a, false)
+		return
+	}
+	n.observed(a, true)
+}
+
+func (n *Node) isSlow(route string, took time.Duration) bool {
+	limit, ok := n.directive.SlowLimits[route]
+	return ok && took > limit
+}
+
+func (n *Node) statsOf(a *attempt) *VersionStats {
+	key := statsKey{isNew: a.isNew, route: a.route}
+	if a.isNew {
+		key.endpoint = a.endpoint
+	}
+	s := n.stats[key]
+	if s == nil {
+		s = &VersionStats{Version: n.record.PreviousVersion, Route: a.route, Endpoint: key.endpoint}
+		if a.isNew {
+			s.Version = n.record.TargetVersion
+		}
+		n.stats[key] = s
+	}
+	return s
+}
+
+// observed updates the evidence of this node and stops the use of the new version if bad
+// responses came from two targets or more. With one target only the coordinator can tell a
+// bad target from a bad version.
+func (n *Node) observed(a *attempt, bad bool) {
+	if !a.isNew || n.record.Phase.Final() || n.stopReason != "" {
+		return
+	}
+	reference := n.oldBadShare()
+	if bad {
+		n.local.add(a.endpoint, reference, 0, 1)
+	} else {
+		n.local.add(a.endpoint, reference, 1, 0)
+	}
+	if n.local.sum >= localStopScore && len(n.local.contributors()) >= 2 {
+		n.stopReason = "responses of the new version at this node: " + n.local.String()
+	}
+}
+
+// oldBadShare returns the share of bad responses of the old version at this node.
+func (n *Node) oldBadShare() float64 {
+	var good, bad uint64
+	for key, s := range n.stats {
+		if !key.isNew {
+			good += s.Successes
+			bad += s.Failures + s.Slow
+		}
+	}
+	return badShare(float64(good), float64(bad))
+}
 
 // Refuses reports whether the gate must refuse new calls for its target, whose version
-// is given.
-func (n *Node) Refuses(now time.Time, version string) bool { return false }
+// is given. In Shifting it begins one report interval after the node learned of it, when
+// the entries in contact have their grants. Without contact to the coordinator the gate accepts calls
+// again, unless it has reported that it is idle: the result may then be written at any time.
+func (n *Node) Refuses(now time.Time, version string) bool {
+	if version == "" || version == n.record.TargetVersion {
+		return false
+	}
+	switch n.record.Phase {
+	case Completed:
+		return true
+	case Shifting:
+		// A node that was started in Shifting refuses until it first had contact.
+		inContact := n.contactUntil.IsZero() && n.refuseFrom.IsZero() || now.Before(n.contactUntil)
+		return !now.Before(n.refuseFrom) && (n.idleReported || inContact)
+	}
+	return false
+}
 
 // Report returns the report to the coordinator. Version is that of the local target if it
 // belongs to the service, otherwise empty; inUse counts the calls that are running or queued
 // at its gate. If the report says idle, the gate must not admit calls from then on, so inUse
 // must be read after Refuses began to return true.
-func (n *Node) Report(now time.Time, version string, inUse int) Report { return Report{} }
+func (n *Node) Report(now time.Time, version string, inUse int) Report {
+	n.countOverdue(now)
+	if n.Refuses(now, version) && inUse == 0 {
+		n.idleReported = true
+	}
+	r := Report{
+		Node: n.id, Incarnation: n.incarnation, Domain: n.domain,
+		Service: n.record.Service, Order: n.record.Order,
+		Calls: n.calls, Exposed: n.exposed,
+		Idle:    n.idleReported && n.record.Phase == Shifting,
+		Stopped: n.stopReason != "", SentAt: now,
+	}
+	for _, s := range n.stats {
+		r.Stats = append(r.Stats, *s)
+	}
+	slices.SortFunc(r.Stats, func(a, b VersionStats) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return r
+}
+
+// countOverdue counts the attempts as slow that have had no response within the slow limit.
+func (n *Node) countOverdue(now time.Time) {
+	var overdue []uint64
+	for id, a := range n.attempts {
+		if !a.slow && n.isSlow(a.route, now.Sub(a.at)) {
+			overdue = append(overdue, id)
+		}
+	}
+	slices.Sort(overdue)
+	for _, id := range overdue {
+		a := n.attempts[id]
+		a.slow = true
+		n.statsOf(a).Slow++
+		n.observed(a, true)
+	}
+}
 
 // Apply takes over the directive that responded to a report.
-func (n *Node) Apply(now time.Time, report Report, d Directive) {}
+func (n *Node) Apply(now time.Time, report Report, d Directive) {
+	if d.Record.Order != n.record.Order || report.Incarnation != n.incarnation || report.SentAt.Before(n.appliedTo) {
+		return
+	}
+	n.appliedTo = report.SentAt
+	n.directive = d
+	n.maxExposed = report.Exposed + uint64(d.Grant)
+	n.grantUntil = report.SentAt.Add(d.GrantFor)
+	n.contactUntil = report.SentAt.Add(n.settings.GrantValidity)
+	n.Learn(now, d.Record)
+}
 
-// Learn takes over a record of this order or a later one. The node then follows its phase at once.
-func (n *Node) Learn(now time.Time, r Record) {}
+// Learn takes over a record of this order. The node then follows its phase at once.
+func (n *Node) Learn(now time.Time, r Record) {
+	if r.Service != n.record.Service || r.Order != n.record.Order {
+		return
+	}
+	before := n.record.Phase
+	n.record = Merge(n.record, r)
+	if n.record.Phase == Shifting && before != Shifting {
+		n.refuseFrom = now.Add(n.settings.ReportInterval)
+	}
+}
 
 // Record returns the newest record that the node knows of its order.
-func (n *Node) Record() Record { return Record{} }
+func (n *Node) Record() Record { return n.record }
 
 // Stopped reports whether the node found the new version bad by its own responses, and why.
 // The runner then reports at once and tells all members (Report.Stopped).
-func (n *Node) Stopped() (reason string, stopped bool) { return "", false }
+func (n *Node) Stopped() (reason string, stopped bool) { return n.stopReason, n.stopReason != "" }
