Entries choose endpoints by the version of their software

Cause: calls went to every ready target, so that a bad version got its full share as soon as its targets were ready, also before the order was known.

Change: entry.Versions restricts each attempt, also of retries and nested calls: to the current version; to the version of a running rollout only within the grant of rollout.Node; never to a version that was rolled back or whose order was replaced, unless it is the only one left for the change bound. Attempts are observed once, with status 500 and above, broken connections and expired deadlines as failures. A draining gate is tried again after 250 ms while a rollout runs, so that a rollback finds the old targets. Without a policy nothing changes.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/rollout"
 )
 
 // Limits and delays of retries and of resolving lost attempts.
@@ -41,6 +42,11 @@
 	m.recordLoad(now, ep, e.Load)
 	m.recordReport(ep, e.TargetReport)
 	m.detach(c)
+	if e.Failed || e.ServerError {
+		m.observe(now, c, rollout.Failed)
+	} else {
+		m.observe(now, c, rollout.Succeeded)
+	}
 	if e.Failed {
 		m.countFailure(now, c.Service, ep)
 		return
@@ -60,6 +66,7 @@
 	ep.suspectConnection = false
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
 	m.detach(c)
+	m.observe(now, c, rolloutOutcome(e))
 	if e.Outcome != call.NotRun {
 		return m.noResponse(now, c, ep, e)
 	}
@@ -72,6 +79,19 @@
 	return m.retryOrFail(now, c, m.recordRefusal(now, c, ep, e))
 }
 
+// rolloutOutcome returns what the outcome that a gate reported says about the target's version.
+func rolloutOutcome(e Refused) rollout.Outcome {
+	switch e.Reason {
+	case call.ReasonTargetConnectionLost, call.ReasonTargetUnreachable:
+		return rollout.Failed
+	case call.ReasonDeadline:
+		if e.Outcome == call.Unknown {
+			return rollout.Failed // the target had the call and did not respond in time
+		}
+	}
+	return rollout.NotCounted
+}
+
 // noResponse handles an attempt that ran, or may have run, without a response.
 func (m *Machine) noResponse(now time.Time, c *request, ep *endpoint, e Refused) []Action {
 	c.outcomeUnknown, c.otherUnknown = true, true
@@ -95,6 +115,9 @@
 	switch e.Reason {
 	case call.ReasonLeaving, call.ReasonNoTarget, call.ReasonGateRestarted, call.ReasonFenced:
 		ep.unavailableUntil = now.Add(unavailableTime)
+		if c.choice.Running && e.Reason == call.ReasonLeaving {
+			ep.unavailableUntil = now.Add(rolloutUnavailableTime)
+		}
 		return true
 	case call.ReasonTargetUnreachable:
 		m.countFailure(now, c.Service, ep)
@@ -124,6 +147,7 @@
 		return m.resolveAgain(now, c)
 	}
 	m.detach(c)
+	m.observe(now, c, rollout.NotCounted)
 	c.lastRefusal = Refused{Outcome: call.NotRun, Reason: call.ReasonUnreachable}
 	return m.retryOrFail(now, c, true)
 }
@@ -150,6 +174,7 @@
 		c.lost = &lostAttempt{id: c.attemptID, endpoint: ep.Endpoint}
 		c.outcomeUnknown = true
 		m.detach(c)
+		m.observe(now, c, rollout.NotCounted)
 		return m.retryOrFail(now, c, false)
 	}
 	return m.resolve(c)
@@ -180,6 +205,7 @@
 func (m *Machine) resolveAgain(now time.Time, c *request) []Action {
 	if c.resolveAttempts >= maxResolveAttempts || !now.Before(c.Deadline) {
 		m.detach(c)
+		m.observe(now, c, rollout.NotCounted)
 		c.outcomeUnknown = true
 		return m.failWith(c, call.Unknown, call.ReasonConnectionLost, 0)
 	}
@@ -307,12 +333,13 @@
 // giveUp fails the request with the outcome of the attempts made so far. A retry that
 // was only scheduled counts as not run; an attempt that is still being resolved may have
 // run.
-func (m *Machine) giveUp(e GiveUp) []Action {
+func (m *Machine) giveUp(now time.Time, e GiveUp) []Action {
 	c := m.requests[e.Handle]
 	if c == nil {
 		return nil
 	}
 	m.detach(c)
+	m.observe(now, c, rollout.NotCounted)
 	c.outcomeUnknown = c.outcomeUnknown || c.resolving
 	if !c.outcomeUnknown {
 		c.lastRefusal = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: cmp.Or(e.RetryAfter, shutdownRetryAfter)}
--- a/internal/coordination/entry/endpoint.go
+++ b/internal/coordination/entry/endpoint.go
@@ -30,6 +30,10 @@
 	// because it is draining, fenced, restarted or without a target. A new incarnation
 	// of the endpoint gets calls immediately.
 	unavailableTime = 5 * time.Second
+	// rolloutUnavailableTime replaces unavailableTime after a refusal by a draining gate while a
+	// rollout of the service runs: gates of old targets accept calls again at once if it is rolled
+	// back.
+	rolloutUnavailableTime = 250 * time.Millisecond
 	// overloadAvoidTime is how long an endpoint is avoided, when another can take the
 	// call, after it refused for overload or this node's limit of connections to it
 	// was reached.
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -64,7 +64,9 @@
 	// Failed marks a response with which the target reports that it cannot serve
 	// requests, such as status 502, 503 or 504.
 	Failed bool
-	Load   int
+	// ServerError marks a response with a status of 500 or above.
+	ServerError bool
+	Load        int
 	// TargetReport is what the gate's target states, or nil if the gate knows of
 	// nothing that it ever stated.
 	TargetReport *call.TargetReport
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/rollout"
 )
 
 // Options configures a Machine.
@@ -27,6 +28,8 @@
 	// which a call may go to another domain. With 0, a call goes to another domain
 	// only if no local gate is left to try, for example after refusals.
 	SpillLoad float64
+	// Versions decides to which versions of targets calls go; nil does not distinguish them.
+	Versions VersionPolicy
 	// Seed seeds the random number generator of all choices.
 	Seed uint64
 }
@@ -73,6 +76,9 @@
 	resolving       bool
 	resolveAttempts int
 	waiting         bool
+	// choice is that of the attempt in progress, if choiceOpen is set.
+	choice     VersionChoice
+	choiceOpen bool
 	// newConnection says that the attempt uses a new connection.
 	newConnection bool
 	// bodyConsumed says that a part of the request body is consumed, so that the call
@@ -138,9 +144,9 @@
 	case Resume:
 		return m.resume(now, e.Handle)
 	case GiveUp:
-		return m.giveUp(e)
+		return m.giveUp(now, e)
 	case End:
-		m.end(e.Handle)
+		m.end(now, e.Handle)
 	}
 	return nil
 }
@@ -164,6 +170,9 @@
 		g.endpoints = append(g.endpoints, e)
 	}
 	m.groups = groups
+	if m.options.Versions != nil {
+		m.options.Versions.SetEndpoints(now, list)
+	}
 	m.forgetOldReports(now)
 }
 
@@ -237,13 +246,22 @@
 	}
 }
 
-func (m *Machine) end(handle uint64) {
+func (m *Machine) end(now time.Time, handle uint64) {
 	if c := m.requests[handle]; c != nil {
+		m.observe(now, c, rollout.NotCounted)
 		m.detach(c)
 		delete(m.requests, handle)
 	}
 }
 
+// observe ends the attempt in progress for the version policy, once.
+func (m *Machine) observe(now time.Time, c *request, outcome rollout.Outcome) {
+	if c.choiceOpen {
+		c.choiceOpen = false
+		m.options.Versions.Observe(now, c.choice, c.choice.sentVersion, outcome)
+	}
+}
+
 func (c *request) isExcluded(e *endpoint) bool {
 	for _, id := range c.excluded {
 		if id == e.ID {
--- a/internal/coordination/entry/pick.go
+++ b/internal/coordination/entry/pick.go
@@ -13,14 +13,36 @@
 // pick returns an endpoint for the call, or nil if none is left. It compares two
 // random endpoints of the local domain and, when the better one is loaded, two of
 // other domains (power of two choices: Mitzenmacher, IEEE TPDS 12(10), 2001). A
-// keyed call goes to the primary of its key.
+// keyed call goes to the primary of its key. An attempt that may go to the new version of a
+// rollout and finds no endpoint of it goes to another version.
 func (m *Machine) pick(now time.Time, c *request) *endpoint {
 	g := m.groups[c.Service]
 	if g == nil {
 		return nil
 	}
+	if m.options.Versions == nil {
+		return m.pickFrom(now, g, c)
+	}
+	c.choice = m.options.Versions.Route(now, c.Service, c.Route)
+	chosen := m.pickFrom(now, g, c)
+	if chosen == nil && c.choice.New {
+		m.options.Versions.Cancel(c.choice)
+		c.choice = m.options.Versions.Fallback(now, c.Service)
+		chosen = m.pickFrom(now, g, c)
+	}
+	if chosen == nil {
+		m.options.Versions.Cancel(c.choice)
+		return nil
+	}
+	c.choiceOpen, c.choice.sentVersion = true, chosen.Version
+	m.options.Versions.Sent(c.choice, chosen.Endpoint)
+	return chosen
+}
+
+// pickFrom is pick within the choice of versions.
+func (m *Machine) pickFrom(now time.Time, g *group, c *request) *endpoint {
 	if c.Key != "" {
-		return primaryOf(g.endpoints, c.Key)
+		return primaryOf(g.endpoints, c)
 	}
 	local := m.betterOfTwo(now, g, c, true)
 	if local != nil && (m.options.SpillLoad == 0 || local.score(now) < m.options.SpillLoad) {
@@ -44,7 +66,7 @@
 		if !local && c.overloadRetries > 0 && !e.hasCapacity(now) {
 			continue // a remote gate without capacity would refuse the call too
 		}
-		if (e.Domain == m.options.Domain) == local && e.usable(now) && !c.isExcluded(e) {
+		if (e.Domain == m.options.Domain) == local && e.usable(now) && !c.isExcluded(e) && c.choice.allows(e) {
 			eligible = append(eligible, e)
 		}
 	}
@@ -68,11 +90,14 @@
 
 // primaryOf returns the endpoint that the rendezvous hash ranks first for the key,
 // so that a retry reaches the gate whose ledger records the first call.
-func primaryOf(endpoints []*endpoint, key string) *endpoint {
+func primaryOf(endpoints []*endpoint, c *request) *endpoint {
 	var best *endpoint
 	var highest uint64
 	for _, e := range endpoints {
-		if weight := keyed.Weight(e.ID, key); best == nil || weight > highest {
+		if !c.choice.allows(e) {
+			continue
+		}
+		if weight := keyed.Weight(e.ID, c.Key); best == nil || weight > highest {
 			best, highest = e, weight
 		}
 	}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -358,7 +358,7 @@
 // noteResponse tells the entry machine of a response.
 func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
 	r.entry.notify(entry.ResponseReceived{
-		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
+		Handle: c.handle, Failed: got.failed(), ServerError: got.start.Status >= http.StatusInternalServerError, Load: int(got.start.Load),
 		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
 	})
 }
