Nodes run rollouts: orders, coordinator, results and gates of old targets

Cause: nothing drove the decisions of internal/coordination/rollout.

Change: internal/node/rollout.go takes in the orders that readers find, shares records with all members and compares digests with a random one each second, reports every 250 ms to the node that ranks first for the order (the next one after three failed reports), coordinates there, and writes records and states to the store under their conditions. A write whose response is lost is found by the read of the next try; the first node in rank verifies results after the end. A withdrawal or an order's abort is a rollback that its node announces and writes. A starting node serves once it has read the records from the store or another node, or after the change bound. Gates of old targets refuse calls with reason leaving while the traffic shifts and after completion as long as the new version has targets; idle counts only after the gate machine was told. Metrics by phase and by version. Without an expose share nothing runs.

--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -258,7 +258,7 @@
 func (m *Machine) observe(now time.Time, c *request, outcome rollout.Outcome) {
 	if c.choiceOpen {
 		c.choiceOpen = false
-		m.options.Versions.Observe(now, c.choice, c.choice.sentVersion, outcome)
+		m.options.Versions.Observe(now, c.choice, c.Service, c.choice.sentVersion, outcome)
 	}
 }
 
--- a/internal/coordination/entry/versions.go
+++ b/internal/coordination/entry/versions.go
@@ -24,7 +24,7 @@
 	// Cancel takes back an attempt for which there was no endpoint.
 	Cancel(choice VersionChoice)
 	// Observe notes the end of an attempt that was sent to a target of the version.
-	Observe(now time.Time, choice VersionChoice, version string, outcome rollout.Outcome)
+	Observe(now time.Time, choice VersionChoice, service, version string, outcome rollout.Outcome)
 }
 
 // VersionChoice restricts the endpoints of one attempt. The zero value restricts nothing.
@@ -345,7 +345,7 @@
 }
 
 // Observe implements VersionPolicy.
-func (v *Versions) Observe(now time.Time, choice VersionChoice, _ string, outcome rollout.Outcome) {
+func (v *Versions) Observe(now time.Time, choice VersionChoice, _, _ string, outcome rollout.Outcome) {
 	if choice.node != nil {
 		choice.node.Observe(now, choice.attempt, outcome)
 	}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -74,4 +74,11 @@
 // Events of rollouts of new versions of targets' software.
 var (
 	RolloutOrderRefused = Event{510, log.WarnLevel, "order of a rollout refused: nothing changes"}
+	RolloutOrdered      = Event{511, log.InfoLevel, "rollout ordered"}
+	RolloutPhase        = Event{512, log.InfoLevel, "rollout entered another phase"}
+	RolloutCompleted    = Event{513, log.InfoLevel, "rollout completed: the new version is the current one"}
+	RolloutRolledBack   = Event{514, log.WarnLevel, "rollout rolled back: the new version gets no calls"}
+	RolloutCoordinated  = Event{515, log.InfoLevel, "this node coordinates the rollout"}
+	RolloutStopped      = Event{516, log.WarnLevel, "this node found the new version bad and sends it no more calls"}
+	RolloutWritten      = Event{517, log.InfoLevel, "record of the rollout written to the platform"}
 )
--- a/internal/node/admin_status.go
+++ b/internal/node/admin_status.go
@@ -30,7 +30,7 @@
 	switch {
 	case n.stopping.Load():
 		return adminapi.NodeStopping
-	case n.configuration.Snapshot() == nil:
+	case n.servedSnapshot() == nil:
 		return adminapi.NodeJoining
 	case !n.members.Serving(time.Now()):
 		return adminapi.NodeFenced
--- a/internal/node/calls/entryloop.go
+++ b/internal/node/calls/entryloop.go
@@ -47,6 +47,7 @@
 			RetryRatio:    options.Settings.RetryRatio,
 			OverloadTries: options.Settings.OverloadTries,
 			SpillLoad:     options.Settings.SpillLoad,
+			Versions:      options.Versions,
 			Seed:          options.RandomSeed,
 		}),
 		ring: ring.New[entryItem](entryRingSize),
@@ -93,13 +94,18 @@
 		return
 	}
 	l.view = view
+	l.machine.Step(now, entry.SetEndpoints{Endpoints: EndpointsOf(view)})
+}
+
+// EndpointsOf returns the endpoints in a view.
+func EndpointsOf(view *membership.View) []entry.Endpoint {
 	var endpoints []entry.Endpoint
 	for _, member := range view.Members {
 		if member.IsEndpoint() {
 			endpoints = append(endpoints, endpointOf(member))
 		}
 	}
-	l.machine.Step(now, entry.SetEndpoints{Endpoints: endpoints})
+	return endpoints
 }
 
 func endpointOf(member membership.Member) entry.Endpoint {
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -193,9 +193,13 @@
 	if !r.options.Serving(r.options.Now()) {
 		return call.ReasonFenced
 	}
-	if t := r.target.Load(); t == nil || t.Service != start.Service {
+	t := r.target.Load()
+	if t == nil || t.Service != start.Service {
 		return call.ReasonNoTarget
 	}
+	if r.options.RefusesTarget(r.options.Now(), t.Target) {
+		return call.ReasonLeaving
+	}
 	return ""
 }
 
--- a/internal/node/calls/gateloop.go
+++ b/internal/node/calls/gateloop.go
@@ -50,6 +50,8 @@
 	// reportedLoad is the load that other nodes use to choose a gate.
 	reportedLoad atomic.Int64
 	limit        atomic.Int64
+	// accepts is whether the machine was last told that the target is ready.
+	accepts atomic.Bool
 	// release releases the claim of a keyed call that was not run.
 	release func(key string, serial uint64)
 }
@@ -109,6 +111,9 @@
 	l.queued.Store(int64(l.machine.Queued()))
 	l.reportedLoad.Store(int64(l.machine.ReportedLoad()))
 	l.limit.Store(int64(l.machine.Limit()))
+	if set, ok := item.event.(gate.SetTarget); ok {
+		l.accepts.Store(set.Ready)
+	}
 	l.releaseIfNotRun(item.event)
 	for _, action := range actions {
 		l.act(item, action)
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -51,6 +51,10 @@
 	// PeerLoad returns the load of a node as last received by membership, and
 	// when it was received.
 	PeerLoad func(id string) (load uint32, at time.Time, ok bool)
+	// Versions decides to which versions of targets this entry sends calls, and RefusesTarget whether
+	// this gate must refuse new calls for its target; nil means that versions make no difference.
+	Versions      entry.VersionPolicy
+	RefusesTarget func(time.Time, Target) bool
 	// OnTargetLeaving is called when the target states that it is leaving; the target
 	// then gets no new calls. Nil ignores it.
 	OnTargetLeaving func(Target)
@@ -125,6 +129,9 @@
 	if options.OnTargetLeaving == nil {
 		options.OnTargetLeaving = func(Target) {}
 	}
+	if options.RefusesTarget == nil {
+		options.RefusesTarget = func(time.Time, Target) bool { return false }
+	}
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.link = newLinkPacer(options.BandwidthMbps)
 	r.transit.machine = transit.New()
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -63,6 +63,20 @@
 	r.updateGateLimits()
 }
 
+// UpdateGate passes on a change of Options.RefusesTarget. Queued calls are refused with the new ones.
+func (r *Runner) UpdateGate() { r.updateGateLimits() }
+
+// GateInUse returns the number of calls that run or are queued at this gate, and one more if it
+// still accepts calls, so that 0 means that there are none and will be none.
+func (r *Runner) GateInUse() int {
+	accepts := r.gate.accepts.Load()
+	inUse := int(r.gate.load.Load())
+	if accepts {
+		inUse++
+	}
+	return inUse
+}
+
 // updateGateLimits passes the target's state and its service's limits to the
 // gate machine.
 func (r *Runner) updateGateLimits() {
@@ -70,7 +84,7 @@
 	if t == nil {
 		return
 	}
-	event := gate.SetTarget{Slots: t.Slots, FixedLimit: r.options.Settings.FixedLimit, Ready: t.State == membership.TargetReady}
+	event := gate.SetTarget{Slots: t.Slots, FixedLimit: r.options.Settings.FixedLimit, Ready: t.State == membership.TargetReady && !r.options.RefusesTarget(r.options.Now(), t.Target)}
 	if index := r.currentRoutes(); index != nil {
 		if service, ok := index.snapshot.Service(t.Service); ok {
 			event.QueueLength = service.QueueLength
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -61,6 +61,8 @@
 	calls         *calls.Runner
 	targets       *targetRegistry
 	quarantine    *quarantineSpread
+	// rollouts is nil if rollouts are not enabled.
+	rollouts *rollouts
 
 	metrics  *metrics.Set
 	stopping atomic.Bool
@@ -150,6 +152,7 @@
 		seed = n.self.Incarnation
 	}
 	n.quarantine = newQuarantineSpread(n)
+	n.rollouts = newRollouts(n, adapter.RolloutLog, seed)
 	// Closures call n.configuration and n.calls, which are set later.
 	n.members = members.New(members.Options{
 		Self:           n.self,
@@ -180,16 +183,17 @@
 		RandomSeed:        seed,
 		View:              n.members.View,
 		OnPlatformContact: n.members.RecordPlatformContact,
+		OnOrders:          n.onOrders(),
 		Now:               time.Now,
 	})
-	n.calls = calls.New(calls.Options{
+	callOptions := calls.Options{
 		Self:              n.self,
 		Settings:          n.settings.Calls,
 		Contract:          adapter.Contract,
 		Service:           n.settings.Node.Service,
 		Pool:              n.callsPool,
 		View:              n.members.View,
-		Snapshot:          n.configuration.Snapshot,
+		Snapshot:          n.servedSnapshot,
 		Serving:           n.members.Serving,
 		PeerLoad:          n.members.PeerLoad,
 		OnTargetLeaving:   func(target calls.Target) { n.targets.markLeaving(target) },
@@ -201,10 +205,30 @@
 		BandwidthMbps:     n.settings.Node.BandwidthMbps,
 		Now:               time.Now,
 		BootTime:          clock.BootTime,
-	})
+	}
+	if n.rollouts != nil {
+		callOptions.Versions, callOptions.RefusesTarget = n.rollouts, n.rollouts.refusesTarget
+	}
+	n.calls = calls.New(callOptions)
 	n.calls.LearnQuarantine(quarantineFromWire(time.Now(), n.registrations.Quarantine()))
 }
 
+// onOrders returns the function that takes in orders of rollouts, or nil.
+func (n *node) onOrders() func(configuration.Orders) {
+	if n.rollouts == nil {
+		return nil
+	}
+	return n.rollouts.intake
+}
+
+// servedSnapshot returns the configuration, or nil before the node knows the records of rollouts.
+func (n *node) servedSnapshot() *state.Snapshot {
+	if !n.rollouts.ready(time.Now()) {
+		return nil
+	}
+	return n.configuration.Snapshot()
+}
+
 func (n *node) composeServers(adapter Adapter) {
 	n.callersServer = newServer(n.calls.CallersHandler())
 	n.callersServer.MaxHeaderBytes = state.MaxHeaderBytes
