Rollouts: probes, rare routes, load suspicion and clearing of single targets

Cause: in trials small fleets spent the budget before a target had carried the load of an old one, rare routes got few calls, and a single bad target under load was cleared by good responses without load. Change: probes after a target was set aside and before the shift; grants reserved for routes with few responses; a score of responses under load; a suspicion that came up under load is cleared by another target under load, or if the first one is bad without load. Result: go test -race ./internal/coordination/rollout passes (tables only).

--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -14,12 +14,13 @@
 	// writeRetry is the interval at which an unconfirmed write is repeated. Calls to the store are
 	// expensive, and its responses may take some hundred milliseconds.
 	writeRetry = 500 * time.Millisecond
-	// confirmedStops is how many nodes must have stopped on their own for the rollout to end
-	// without evidence of the coordinator.
-	confirmedStops = 2
 	// minNewCapacity is the capacity of the new version relative to the old one for a shift at
 	// its planned time, minLateCapacity that for a late one.
 	minNewCapacity, minLateCapacity = 0.9, 0.5
+	// probeTime is how long before the planned shift the last probe begins.
+	probeTime = 800 * time.Millisecond
+	// maxProbeTime bounds the probe before Shifting where there are few calls.
+	maxProbeTime = 1500 * time.Millisecond
 )
 
 // Coordinator is the part of one running rollout at the node that coordinates it. It is not
@@ -37,6 +38,10 @@
 	grantsFrom time.Time
 	inherits   bool
 	shiftedAt  time.Time
+	// probedAt is when the last probe before Shifting began, and probedFrom the number of
+	// responses then.
+	probedAt   time.Time
+	probedFrom float64
 
 	// wanted is the result that is being written: Completed is announced only once it is.
 	wanted     Record
@@ -107,7 +112,7 @@
 	}
 	var found []ranked
 	for id, m := range c.members {
-		if c.isNew(m) && m.Ready && !c.evidence.setAside[id] {
+		if c.isNew(m) && m.Ready && c.evidence.setAside[id] == nil {
 			found = append(found, ranked{id, xxhash.Sum64String(fmt.Sprint(c.record.Order, " ", id))})
 		}
 	}
@@ -130,8 +135,13 @@
 		return nil
 	}
 	c.exposure.advance(now, float64(c.ledger.calls-callsBefore))
+	c.evidence.underLoad = c.exposure.loading(now)
 	c.receiveStats(now, a, r.Stats)
-	return c.judge(now)
+	c.judge(now)
+	if !c.ended {
+		return nil
+	}
+	return c.write(now)
 }
 
 // receiveStats passes what a report adds to the last one of its incarnation to the evidence, first
@@ -160,17 +170,21 @@
 }
 
 // judge rolls back if the evidence is there.
-func (c *Coordinator) judge(now time.Time) []Action {
-	if c.ended || c.record.Phase == Pending {
-		return nil
+func (c *Coordinator) judge(now time.Time) {
+	if c.record.Phase == Pending {
+		return
 	}
 	canTry := func() bool { return len(c.newEndpoints()) > 1 }
 	setAside := len(c.evidence.setAside)
 	if reason, bad := c.evidence.verdict(canTry); bad {
-		return c.rollBack(now, "bad version: "+reason)
+		c.rollBack("bad version: " + reason)
+		return
 	}
 	if len(c.evidence.setAside) > setAside {
-		c.exposure.loaded = false // the next target must carry the load too
+		c.exposure.targetChanged(now)
+	}
+	if c.evidence.load.sum >= suspiciousScore {
+		c.exposure.loaded = false // only another burst can clear this
 	}
 	stops := 0
 	for _, a := range c.ledger.current {
@@ -178,10 +192,9 @@
 			stops++
 		}
 	}
-	if stops >= confirmedStops || (stops > 0 && c.evidence.suspicious()) {
-		return c.rollBack(now, fmt.Sprintf("bad version: %d nodes stopped on their own responses", stops))
+	if stops > 0 && c.evidence.suspicious() != "" {
+		c.rollBack(fmt.Sprintf("bad version: %d nodes stopped on their own responses", stops))
 	}
-	return nil
 }
 
 // Step makes the decisions that are due. It is called every Settings.ReportInterval.
@@ -193,14 +206,13 @@
 		c.inherits = false
 		c.ledger.inherited = c.inheritedCharge()
 	}
-	if actions := c.judge(now); actions != nil {
-		return actions
-	}
-	if c.wanted.Phase != Completed {
+	c.judge(now)
+	if !c.ended && c.wanted.Phase != Completed {
 		if !now.Before(c.schedule.fraction(decideBy)) {
-			return c.rollBack(now, "no result before the time limit: "+c.obstacle(now))
+			c.rollBack("no result before the time limit: " + c.obstacle(now))
+		} else {
+			c.advance(now)
 		}
-		c.advance(now)
 	}
 	return c.write(now)
 }
@@ -232,11 +244,12 @@
 	case Pending:
 		if newTargets > 0 {
 			c.schedule.start = now
+			c.exposure.probe()
 			c.enter(Canary, fmt.Sprintf("%d targets of the new version are ready", newTargets))
 		}
 	case Canary:
 		ready := !now.Before(c.schedule.at(canaryEnd)) && c.evidence.tested() && c.exposure.loaded
-		if (ready || !now.Before(c.schedule.at(latestStart))) && !c.evidence.suspicious() {
+		if (ready || !now.Before(c.schedule.at(latestStart))) && c.evidence.suspicious() == "" {
 			c.enter(Expanding, fmt.Sprintf("%.0f responses of the new version", c.evidence.responses()))
 		}
 	case Expanding:
@@ -246,14 +259,20 @@
 			needed = minLateCapacity
 		}
 		enough := float64(newSlots) >= needed*float64(oldSlots)
-		ready := !now.Before(c.schedule.at(shiftStart)) && c.evidence.tested() && c.coversShift(now)
-		if (ready || late) && enough && newTargets > 0 && !c.evidence.suspicious() {
+		doubts := c.evidence.doubts(c.exposure.loaded)
+		probed := !now.Before(c.schedule.at(shiftStart).Add(-probeTime)) && c.probedBeforeShift(now)
+		ready := probed && !now.Before(c.schedule.at(shiftStart)) && c.evidence.tested() && c.coversShift(now)
+		if late && doubts != "" {
+			c.rollBack("suspected version: " + doubts)
+			return
+		}
+		if (late || ready && doubts == "") && enough && newTargets > 0 && c.evidence.suspicious() == "" {
 			c.shiftedAt = now
 			c.enter(Shifting, fmt.Sprintf("%.0f responses of the new version, %d of %d targets ready", c.evidence.responses(), newTargets, oldTargets))
 		}
 	case Shifting:
 		if newTargets > 0 && now.Sub(c.shiftedAt) >= c.soakTime() && !now.Before(c.grantsFrom) &&
-			!c.evidence.suspicious() && c.busyGate(now) == "" {
+			c.evidence.suspicious() == "" && c.busyGate(now) == "" {
 			c.wanted = c.record
 			c.wanted.Phase, c.wanted.Reason = Completed, fmt.Sprintf("%.0f responses of the new version, no call at an old target", c.evidence.responses())
 			c.writeAt = time.Time{}
@@ -261,13 +280,23 @@
 	}
 }
 
+// probedBeforeShift sends a few more calls to the new version and reports whether they have
+// responses, so that a version that has just turned bad is not shifted to.
+func (c *Coordinator) probedBeforeShift(now time.Time) bool {
+	if c.probedAt.IsZero() {
+		c.probedAt, c.probedFrom = now, c.evidence.responses()
+		c.exposure.probe()
+	}
+	return c.evidence.responses()-c.probedFrom >= firstCalls || now.Sub(c.probedAt) >= maxProbeTime
+}
+
 // obstacle says why there is no result.
 func (c *Coordinator) obstacle(now time.Time) string {
 	switch {
 	case c.record.Phase == Pending:
 		return "no target of the new version is ready"
-	case c.evidence.suspicious():
-		return "responses are suspicious: " + c.evidence.overall.String()
+	case c.evidence.suspicious() != "":
+		return "responses are suspicious: " + c.evidence.suspicious()
 	case c.record.Phase < Shifting:
 		return "targets of the new version are missing"
 	}
@@ -302,10 +331,9 @@
 }
 
 // rollBack ends the rollout. Nodes act on it before it is written.
-func (c *Coordinator) rollBack(now time.Time, reason string) []Action {
+func (c *Coordinator) rollBack(reason string) {
 	c.record.Phase, c.record.Reason = RolledBack, reason
 	c.wanted, c.ended = c.record, true
-	return c.write(now)
 }
 
 // write announces and writes what is not announced and written yet.
@@ -367,7 +395,8 @@
 	if c.ended {
 		return nil
 	}
-	return c.rollBack(now, reason)
+	c.rollBack(reason)
+	return c.write(now)
 }
 
 // Record returns the record as decided, which may not be written yet.
@@ -399,7 +428,7 @@
 // soakTime is how long Shifting lasts at least. If no target has carried the load of an old one without
 // a suspicion before, there must be time to see that.
 func (c *Coordinator) soakTime() time.Duration {
-	if c.exposure.loaded && len(c.evidence.setAside) == 0 {
+	if c.exposure.loaded {
 		return c.noticeTime()
 	}
 	return loadTime + c.noticeTime()
@@ -448,8 +477,9 @@
 	plan := c.exposure.plan(now, planInput{
 		expanding: c.record.Phase == Expanding, oldTargets: oldTargets, endpoints: endpoints,
 		limit: c.exposureLimit(now), charged: c.ledger.charged(), exposed: float64(c.ledger.exposed),
-		shiftIn:     c.schedule.at(shiftStart).Sub(now),
+		shiftIn: c.schedule.at(shiftStart).Sub(now), patient: now.Before(c.schedule.at(latestStart)),
 		exposeShare: c.settings.ExposeShare, responses: c.evidence.responses(),
+		recheck: c.recheck(now), good: c.evidence.goodResponses(), warm: !c.evidence.cold(now, endpoints[0]), routesNeed: c.evidence.routesNeed(),
 	})
 	d.Endpoints, d.Share = plan.endpoints, plan.share
 	left := float64(a.charge() - a.exposed)
@@ -457,9 +487,9 @@
 	if a.calls == 0 {
 		cap = 0
 	}
-	number := min(left+max(0, math.Floor(plan.want)), cap)
+	number := min(left+max(0, math.Floor(max(plan.want, plan.forRoutes))), cap)
 	d.Grant = uint32(number)
-	if number > left {
+	if number > left && plan.want >= 1 {
 		// The ceiling is the greatest of those in force, so only the excess is charged.
 		c.exposure.spend(number - left)
 	}
@@ -467,31 +497,30 @@
 		a.grants = append(a.grants, grant{ceiling: a.exposed + uint64(number), until: now.Add(c.settings.GrantValidity)})
 		expected := max(1, a.rate*c.settings.ReportInterval.Seconds())
 		d.Share = min(1, max(plan.share, number/expected))
-		d.RouteShares = c.routeShares(d.Share)
+		if plan.want < 1 && !c.exposure.bursting {
+			d.RouteShares = c.routeShares()
+		}
 	}
 }
 
-// routeShares gives routes that have few responses of the new version a greater share, so that a
-// version that is bad on a rare route is found within the budget.
-func (c *Coordinator) routeShares(share float64) map[string]float64 {
-	untested := c.evidence.untestedRoutes()
-	if len(untested) == 0 || len(untested) == len(c.evidence.old) && len(untested) == 1 {
-		return nil
-	}
-	total := 0.0
-	for _, t := range c.evidence.old {
-		total += t.good + t.bad
+// recheck returns the target that is to be tried again without load, once there has been time for
+// a burst at another one.
+func (c *Coordinator) recheck(now time.Time) string {
+	if c.exposure.loaded || now.Before(c.schedule.at(latestStart)) {
+		return ""
 	}
+	endpoint, _ := c.evidence.toRecheck()
+	return endpoint
+}
+
+// routeShares reserves a grant for the routes that need more responses of the new version, so that a
+// version that is bad on a rare route is found within the budget.
+func (c *Coordinator) routeShares() map[string]float64 {
 	shares := make(map[string]float64, len(c.evidence.old))
-	for route, t := range c.evidence.old {
-		if slices.Contains(untested, route) {
-			fair := total / (float64(len(c.evidence.old)) * max(1, t.good+t.bad))
-			shares[route] = min(1, max(share, min(maxRouteShare, share*fair)))
-		} else {
-			shares[route] = share
-			if !c.exposure.bursting {
-				shares[route] *= testedRouteFactor
-			}
+	for route := range c.evidence.old {
+		shares[route] = 0
+		if c.evidence.routeNeed(route) > 0 {
+			shares[route] = maxRouteShare
 		}
 	}
 	return shares
--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -13,8 +13,10 @@
 	// bad: a good version reaches it by chance with a probability of about e^-10 in each run of
 	// bad responses.
 	spreadScore = 10
-	// laterScore is that for the targets that are tried after one was set aside.
-	laterScore = 8
+	// targetScore is that at which a single target is set aside, and laterScore that of the targets
+	// that are tried then: a second bad target is rare unless the version is bad.
+	targetScore = 8
+	laterScore  = 5
 	// onlyTargetScore is that of the only target.
 	onlyTargetScore = 16
 	// dominance is the part of a score from which a single target is set aside for it.
@@ -46,8 +48,8 @@
 	minLogDeviation = 0.6
 	// minRouteResponses and minResponses are how many responses of the new version are wanted
 	// on each route and in all before the rollout advances early.
-	minRouteResponses = 16
-	minResponses      = 40
+	minRouteResponses = 10
+	minResponses      = 30
 )
 
 // totals sums the responses of one version on one route.
@@ -84,18 +86,33 @@
 	// references caches reference for the routes, until responses of the old version come.
 	references map[string]float64
 
-	overall, timing score
-	routes          map[string]*score
+	// load has the responses under the load of an old target only: those without it must not
+	// make up for them. UnderLoad says whether responses come under that load now.
+	overall, timing, load score
+	underLoad             bool
+	routes                map[string]*score
 	// since is when a target was first seen ready, used when it first had a response.
 	since, used map[string]time.Time
-	setAside    map[string]bool
+	// setAside has the targets that may be bad on their own.
+	setAside map[string]*suspicion
+}
+
+// suspicion is the reason why a target was set aside.
+type suspicion struct {
+	scope string
+	// before is the number of responses in the scope at that time.
+	before float64
+	// underLoad is set if the target carried the load of an old one. Recheck has its later
+	// responses, without that load.
+	underLoad bool
+	recheck   score
 }
 
 func newEvidence() *evidence {
 	return &evidence{
 		old: make(map[string]*totals), new: make(map[string]*totals), references: make(map[string]float64),
-		overall: newScore(), timing: newScore(), routes: make(map[string]*score),
-		since: make(map[string]time.Time), used: make(map[string]time.Time), setAside: make(map[string]bool),
+		overall: newScore(), timing: newScore(), load: newScore(), routes: make(map[string]*score),
+		since: make(map[string]time.Time), used: make(map[string]time.Time), setAside: make(map[string]*suspicion),
 	}
 }
 
@@ -224,7 +241,10 @@
 		e.new[route] = &totals{}
 	}
 	e.new[route].add(totals{good: good, bad: failed + slow, logSum: logSum})
-	if e.setAside[endpoint] {
+	if aside := e.setAside[endpoint]; aside != nil {
+		if !e.underLoad {
+			aside.recheck.add(endpoint, e.reference(route), good, failed+slow)
+		}
 		return
 	}
 	cold := e.cold(now, endpoint)
@@ -238,6 +258,9 @@
 	reference := e.reference(route)
 	e.overall.add(endpoint, reference, good, failed+slow)
 	e.routes[route].add(endpoint, reference, good, failed+slow)
+	if e.underLoad {
+		e.load.add(endpoint, reference, good, failed+slow)
+	}
 	if mean, deviation, ok := e.oldTiming(route); ok && !cold && good > 0 {
 		variance := max(deviation, minLogDeviation) * max(deviation, minLogDeviation)
 		middle := mean + (slowShift+toleratedShift)/2
@@ -246,11 +269,46 @@
 	}
 }
 
+// clearingResponses is how many responses of other targets clear a suspicion if they are good.
+const clearingResponses = 8
+
+// missing returns how many responses of other targets a suspicion needs to be cleared.
+func (e *evidence) missing(a *suspicion) float64 {
+	s := e.scopes()[a.scope]
+	return max(0, clearingResponses-(s.good+s.bad-a.before))
+}
+
+// doubts describes a suspicion that is not cleared, empty if there is none. It is cleared by
+// good responses of other targets. One that came up under load needs another target under
+// load (loaded), or that the first one is bad without load too, so that it is at fault itself.
+func (e *evidence) doubts(loaded bool) string {
+	for _, endpoint := range slices.Sorted(maps.Keys(e.setAside)) {
+		a := e.setAside[endpoint]
+		if e.missing(a) > 0 || a.underLoad && !loaded && a.recheck.sum < suspiciousScore {
+			return fmt.Sprintf("target %s was bad on %s, and other responses do not show that only the target is", endpoint, a.scope)
+		}
+	}
+	return ""
+}
+
+// toRecheck returns a target to which calls without load are to be sent, empty if there is none.
+func (e *evidence) toRecheck() (endpoint string, calls float64) {
+	for _, endpoint := range slices.Sorted(maps.Keys(e.setAside)) {
+		a := e.setAside[endpoint]
+		if left := clearingResponses - a.recheck.good - a.recheck.bad; a.underLoad && left > 0 && a.recheck.sum < suspiciousScore {
+			return endpoint, left
+		}
+	}
+	return "", 0
+}
+
+func routeScope(route string) string { return "route " + route }
+
 // scopes returns the tests by name.
 func (e *evidence) scopes() map[string]*score {
-	scopes := map[string]*score{"all routes": &e.overall, "response times": &e.timing}
+	scopes := map[string]*score{"all routes": &e.overall, "response times": &e.timing, "calls under load": &e.load}
 	for route, s := range e.routes {
-		scopes["route "+route] = s
+		scopes[routeScope(route)] = s
 	}
 	return scopes
 }
@@ -272,8 +330,8 @@
 			s.sum >= onlyTargetScore && !canTry():
 			return fmt.Sprintf("%s: %s; old version's bad share %.3f; %d targets set aside before",
 				name, s.String(), e.overallReference(), len(e.setAside)), true
-		case len(e.setAside) < needed && s.sum >= laterScore && contribution >= dominance*s.sum && canTry():
-			e.setAside[top] = true
+		case len(e.setAside) < needed && s.sum >= targetScore && contribution >= dominance*s.sum && canTry():
+			e.setAside[top] = &suspicion{scope: name, before: s.good + s.bad, underLoad: e.underLoad, recheck: newScore()}
 			for _, other := range scopes {
 				other.remove(top)
 			}
@@ -292,37 +350,62 @@
 
 func (e *evidence) commonlyBad() bool { return e.overallReference() > commonBadShare }
 
-// suspicious reports whether the rollout must not advance on what is known.
-func (e *evidence) suspicious() bool {
-	for _, s := range e.scopes() {
-		if s.sum >= suspiciousScore {
-			return true
+// suspicious describes the evidence because of which the rollout must not advance, empty if there
+// is none.
+func (e *evidence) suspicious() string {
+	scopes := e.scopes()
+	for _, name := range slices.Sorted(maps.Keys(scopes)) {
+		if scopes[name].sum >= suspiciousScore {
+			return name + ": " + scopes[name].String()
 		}
 	}
-	return false
+	return ""
 }
 
 // tested reports whether the new version had enough responses, in all and on each route that the old
 // version is called on.
 func (e *evidence) tested() bool {
-	all := 0.0
-	for _, t := range e.new {
-		all += t.good + t.bad
-	}
-	return all >= minResponses && len(e.untestedRoutes()) == 0
+	return e.responses() >= minResponses && len(e.untestedRoutes()) == 0
 }
 
-// untestedRoutes returns the routes that need more responses of the new version.
+// untestedRoutes returns the routes that need more responses of the new version: they have few,
+// or suspicious ones.
 func (e *evidence) untestedRoutes() []string {
 	var routes []string
 	for _, route := range slices.Sorted(maps.Keys(e.old)) {
-		if t := e.new[route]; t == nil || t.good+t.bad < minRouteResponses {
+		if e.routeNeed(route) > 0 {
 			routes = append(routes, route)
 		}
 	}
 	return routes
 }
 
+// routeNeed returns how many more responses are wanted on a route.
+func (e *evidence) routeNeed(route string) float64 {
+	need := float64(minRouteResponses)
+	if t := e.new[route]; t != nil {
+		need -= t.good + t.bad
+	}
+	if s := e.routes[route]; s != nil && s.sum >= suspiciousScore {
+		need = max(need, minRouteResponses/2)
+	}
+	for _, a := range e.setAside {
+		if a.scope == routeScope(route) {
+			need = max(need, e.missing(a))
+		}
+	}
+	return max(0, need)
+}
+
+// routesNeed returns how many more responses are wanted on all routes.
+func (e *evidence) routesNeed() float64 {
+	sum := 0.0
+	for route := range e.old {
+		sum += e.routeNeed(route)
+	}
+	return sum
+}
+
 // responses returns the number of responses of the new version.
 func (e *evidence) responses() float64 {
 	sum := 0.0
@@ -331,3 +414,12 @@
 	}
 	return sum
 }
+
+// goodResponses returns the number of good responses of the new version.
+func (e *evidence) goodResponses() float64 {
+	sum := 0.0
+	for _, t := range e.new {
+		sum += t.good
+	}
+	return sum
+}
--- a/internal/coordination/rollout/exposure.go
+++ b/internal/coordination/rollout/exposure.go
@@ -11,28 +11,28 @@
 	// reservedShare is the part of the budget for the calls so far that is granted even if
 	// the rest does not cover the shift.
 	reservedShare = 0.3
-	// firstCalls may be exposed before there are responses.
+	// firstCalls may be exposed before there are responses, and by each later probe.
 	firstCalls = 12
 	// loadTime is how long a target must carry the load of an old one.
 	loadTime = 1200 * time.Millisecond
 	// loadFactor makes sure that the load of an old one is reached although grants are used unevenly.
-	loadFactor = 1.2
+	loadFactor = 1.15
 	// wantedResponses is how many responses there should be before Shifting where there are
 	// so few calls that the share of one target does not yield them.
 	wantedResponses = 60
 	// maxShare leaves calls for the old version as a reference, except in bursts.
 	maxShare = 0.5
-	// maxRouteShare is the share of a rare route.
-	maxRouteShare = 0.5
-	// testedRouteFactor reduces the share of routes with enough responses while others have few.
-	testedRouteFactor = 0.3
+	// maxRouteShare is the share of a route that needs more responses.
+	maxRouteShare = 0.8
 	// trickleShare is the part of the exposed share that is used between bursts.
 	trickleShare = 0.25
+	// afterBurst is how long after a burst its responses may come.
+	afterBurst = 3 * time.Second
 	// maxBurst ends a burst that does not reach the load of an old target.
 	maxBurst = 3 * time.Second
-	// responsesFactor limits the calls to firstCalls + it x the responses, so that a version
-	// that is bad at once gets few calls before its first responses are known.
-	responsesFactor = 3
+	// goodFactor limits the calls to firstCalls, twice that once the targets are warm, and it x
+	// the good responses: a version that is bad at once gets few calls before that is known.
+	goodFactor = 3
 	// rateBuckets x rateBucket is the period over which rates are measured.
 	rateBuckets = 8
 	rateBucket  = 250 * time.Millisecond
@@ -54,6 +54,10 @@
 		from    time.Time
 		exposed float64
 	}
+	// probes is the number of calls that a probe may still use, in addition to the credit.
+	probes float64
+	// burstEnd is when the last burst ended.
+	burstEnd time.Time
 	// loaded is set once targets have carried the load of an old one.
 	loaded bool
 	// rotation counts the changes of targets in Expanding.
@@ -95,7 +99,23 @@
 }
 
 // spend notes calls that were granted.
-func (x *exposure) spend(calls float64) { x.credit -= calls }
+func (x *exposure) spend(calls float64) {
+	fromProbes := min(calls, x.probes)
+	x.probes -= fromProbes
+	x.credit -= calls - fromProbes
+}
+
+// probe requests a few calls at once.
+func (x *exposure) probe() { x.probes = max(x.probes, firstCalls) }
+
+// targetChanged restarts the test of a target, after one was set aside.
+func (x *exposure) targetChanged(now time.Time) {
+	if x.bursting {
+		x.burstEnd = now
+	}
+	x.loaded, x.bursting = false, false
+	x.probe()
+}
 
 // planInput is the state that a plan depends on.
 type planInput struct {
@@ -106,13 +126,24 @@
 	limit, charged, exposed float64
 	shiftIn                 time.Duration
 	exposeShare             float64
-	responses               float64
+	// responses counts those of the new version, good the good ones of them.
+	responses, good float64
+	// patient is set while rare routes wait for a first burst.
+	patient bool
+	// recheck is the target to which single calls go, if any.
+	recheck string
+	// warm is set if the targets may no longer be slow because they have just been started.
+	warm bool
+	// routesNeed is the number of responses that are missing on single routes.
+	routesNeed float64
 }
 
 // plan is what the next grants may be.
 type plan struct {
 	// want is how many more calls may be granted now.
-	want      float64
+	want float64
+	// forRoutes is how many may be granted for routes with few responses.
+	forRoutes float64
 	share     float64
 	endpoints []string
 }
@@ -137,35 +168,48 @@
 			p.share = max(p.share, min(maxShare, needed))
 		}
 	}
-	probing := in.exposed < firstCalls
-	if probing {
-		p.share = max(p.share, oldLoad)
-	}
 	x.share = p.share
 	// Credit is bounded, so that calls that could not be granted in time are not made up for.
-	x.credit = min(x.credit, max(2, p.share*rate*2*rateBucket.Seconds()))
-	if probing {
-		x.credit = max(x.credit, firstCalls-in.charged)
+	x.credit = max(-2, min(x.credit, max(2, p.share*rate*2*rateBucket.Seconds())))
+	if x.probes > 0 {
+		p.share = max(p.share, min(maxShare, oldLoad))
+	}
+	first := float64(firstCalls)
+	if in.warm {
+		first *= 2
+	}
+	ramp := first + goodFactor*in.good - in.charged
+	p.want = min(room, x.credit+x.probes, ramp)
+	if x.loaded || !in.patient {
+		// Rare routes get calls after the first burst, which covers the other ones.
+		p.forRoutes = min(room, ramp, in.routesNeed-(in.charged-in.exposed))
+	}
+	if in.recheck != "" && !x.bursting {
+		p.endpoints = []string{in.recheck}
+		p.want = min(room, max(p.want, clearingResponses-(in.charged-in.exposed)))
 	}
-	ramp := firstCalls + responsesFactor*in.responses - in.charged
-	p.want = min(room, x.credit, ramp)
 	return p
 }
 
+// loading reports whether targets carry the load of an old one, or did so a moment ago.
+func (x *exposure) loading(now time.Time) bool {
+	return x.bursting || now.Sub(x.burstEnd) < afterBurst
+}
+
 // updateBurst begins a burst when the budget covers the load of old targets for loadTime, and
 // ends it when they have carried it, or when the budget is used up. OldLoad is in calls per second.
 func (x *exposure) updateBurst(now time.Time, oldLoad, room float64, in planInput) {
 	if x.bursting {
 		lasted := now.Sub(x.burst.from)
 		if lasted >= loadTime && in.exposed-x.burst.exposed >= oldLoad*lasted.Seconds() {
-			x.loaded, x.bursting = true, false
+			x.loaded, x.bursting, x.burstEnd = true, false, now
 		} else if room < 1 || lasted >= maxBurst {
-			x.bursting = false
+			x.bursting, x.burstEnd = false, now
 		}
 		return
 	}
-	needed := loadFactor * oldLoad * (loadTime + rateBucket).Seconds()
-	if in.responses >= firstCalls/2 && oldLoad > 0 && room >= needed && (in.expanding || !x.loaded) {
+	needed := oldLoad * (loadTime + rateBucket).Seconds()
+	if in.warm && x.probes < 1 && in.responses >= firstCalls/2 && oldLoad > 0 && room >= needed && (in.expanding || !x.loaded) {
 		x.bursting = true
 		x.burst.from, x.burst.exposed = now, in.exposed
 		x.rotation++
--- a/internal/coordination/rollout/ledger.go
+++ b/internal/coordination/rollout/ledger.go
@@ -46,7 +46,7 @@
 	}
 	a.calls, a.exposed, a.reportedAt = r.Calls, r.Exposed, now
 	a.idle = a.idle || r.Idle
-	a.stopped = a.stopped || r.Stopped
+	a.stopped = r.Stopped
 	live := a.grants[:0]
 	for _, g := range a.grants {
 		if now.Before(g.until) {
--- a/internal/coordination/rollout/node.go
+++ b/internal/coordination/rollout/node.go
@@ -12,6 +12,10 @@
 // coordinator, because a node sees fewer targets and may itself be what is slow.
 const localStopScore = 12
 
+// overruledAfter is how many directives must continue a rollout until a node that has stopped on
+// its own goes on: the coordinator knows the responses of all nodes.
+const overruledAfter = 4
+
 // unlimited is the grant in Shifting, which is limited in time only.
 const unlimited = math.MaxUint32
 
@@ -85,6 +89,9 @@
 
 	local      score
 	stopReason string
+	// overruled counts the directives that continued the rollout although the node had
+	// reported that it stopped.
+	overruled int
 }
 
 // NewNode returns the part of the node with this ID and incarnation for a rollout. Random
@@ -218,7 +225,7 @@
 	} else {
 		n.local.add(a.endpoint, reference, 1, 0)
 	}
-	if n.local.sum >= localStopScore && len(n.local.contributors()) >= 2 {
+	if _, most := n.local.top(); n.local.sum >= localStopScore && most < dominance*n.local.sum {
 		n.stopReason = "responses of the new version at this node: " + n.local.String()
 	}
 }
@@ -307,6 +314,12 @@
 	n.grantUntil = report.SentAt.Add(d.GrantFor)
 	n.contactUntil = report.SentAt.Add(n.settings.GrantValidity)
 	n.Learn(now, d.Record)
+	if !report.Stopped || n.record.Phase.Final() {
+		return
+	}
+	if n.overruled++; n.overruled >= overruledAfter {
+		n.stopReason, n.overruled, n.local = "", 0, newScore()
+	}
 }
 
 // Learn takes over a record of this order. The node then follows its phase at once.
