Rollouts: failures and slow responses are tested apart

In Shifting the last responses of the old version are those of its slowest calls, which raised the reference in the same way. Change: two scores for each scope; the reference is frozen in Shifting.

--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -135,6 +135,7 @@
 		return nil
 	}
 	c.exposure.advance(now, float64(c.ledger.calls-callsBefore))
+	c.evidence.frozen = c.record.Phase >= Shifting
 	c.evidence.underLoad = c.exposure.loading(now)
 	c.receiveStats(now, a, r.Stats)
 	c.judge(now)
@@ -163,7 +164,7 @@
 			if isNew {
 				c.evidence.addNew(now, s.Route, s.Endpoint, good, failed, slow, s.LogSum-last.LogSum)
 			} else {
-				c.evidence.addOld(now, s.Route, totals{good, failed + slow, s.LogSum - last.LogSum, s.LogSquares - last.LogSquares})
+				c.evidence.addOld(now, s.Route, totals{good, failed, slow, s.LogSum - last.LogSum, s.LogSquares - last.LogSquares})
 			}
 		}
 	}
@@ -183,7 +184,7 @@
 	if len(c.evidence.setAside) > setAside {
 		c.exposure.targetChanged(now)
 	}
-	if c.evidence.load.sum >= suspiciousScore {
+	if c.evidence.load.suspicious() {
 		c.exposure.loaded = false // only another burst can clear this
 	}
 	stops := 0
--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -54,18 +54,21 @@
 
 // totals sums the responses of one version on one route.
 type totals struct {
-	good, bad, logSum, logSquares float64
+	good, failed, slow, logSum, logSquares float64
 }
 
+func (t totals) all() float64 { return t.good + t.failed + t.slow }
+
 func (t *totals) add(d totals) {
 	t.good += d.good
-	t.bad += d.bad
+	t.failed += d.failed
+	t.slow += d.slow
 	t.logSum += d.logSum
 	t.logSquares += d.logSquares
 }
 
 func (t totals) minus(d totals) totals {
-	return totals{t.good - d.good, t.bad - d.bad, t.logSum - d.logSum, t.logSquares - d.logSquares}
+	return totals{t.good - d.good, t.failed - d.failed, t.slow - d.slow, t.logSum - d.logSum, t.logSquares - d.logSquares}
 }
 
 // timing returns the mean and the standard deviation of the log response times.
@@ -77,6 +80,42 @@
 	return mean, math.Sqrt(max(0, t.logSquares/t.good-mean*mean)), true
 }
 
+// test has the scores of one set of responses. Failures and slow responses are tested apart: an
+// old version with slow targets must not excuse failures, nor the reverse.
+type test struct {
+	failures, slow score
+}
+
+func newTest() *test { return &test{failures: newScore(), slow: newScore()} }
+
+func (t *test) add(endpoint string, reference shares, good, failed, slow float64) {
+	t.failures.add(endpoint, reference.failed, good+slow, failed)
+	t.slow.add(endpoint, reference.slow, good, slow)
+}
+
+func (t *test) suspicious() bool {
+	return t.failures.sum >= suspiciousScore || t.slow.sum >= suspiciousScore
+}
+
+// shares are the shares of failed and of slow responses.
+type shares struct {
+	failed, slow float64
+}
+
+func (t totals) shares() shares {
+	return shares{badShare(t.good+t.slow, t.failed), badShare(t.good, t.slow)}
+}
+
+// shrunk are the shares, moved towards those of all routes if there are few responses.
+func (t totals) shrunk(overall shares) shares {
+	return shares{
+		(t.failed + priorResponses*overall.failed) / (t.all() + priorResponses),
+		(t.slow + priorResponses*overall.slow) / (t.good + t.slow + priorResponses),
+	}
+}
+
+func (s shares) max(o shares) shares { return shares{max(s.failed, o.failed), max(s.slow, o.slow)} }
+
 // evidence compares the new version with the old one.
 type evidence struct {
 	old, new map[string]*totals
@@ -84,13 +123,17 @@
 	snapshots []map[string]totals
 	snapAt    time.Time
 	// references caches reference for the routes, until responses of the old version come.
-	references map[string]float64
+	references map[string]shares
 
 	// load has the responses under the load of an old target only: those without it must not
 	// make up for them. UnderLoad says whether responses come under that load now.
-	overall, timing, load score
-	underLoad             bool
-	routes                map[string]*score
+	overall, load *test
+	underLoad     bool
+	timing        score
+	routes        map[string]*test
+	// frozen ends the measurement of the old version in Shifting: its last responses are
+	// those of its slowest calls.
+	frozen bool
 	// since is when a target was first seen ready, used when it first had a response.
 	since, used map[string]time.Time
 	// setAside has the targets that may be bad on their own.
@@ -105,19 +148,22 @@
 	// underLoad is set if the target carried the load of an old one. Recheck has its later
 	// responses, without that load.
 	underLoad bool
-	recheck   score
+	recheck   *test
 }
 
 func newEvidence() *evidence {
 	return &evidence{
-		old: make(map[string]*totals), new: make(map[string]*totals), references: make(map[string]float64),
-		overall: newScore(), timing: newScore(), load: newScore(), routes: make(map[string]*score),
+		old: make(map[string]*totals), new: make(map[string]*totals), references: make(map[string]shares),
+		overall: newTest(), timing: newScore(), load: newTest(), routes: make(map[string]*test),
 		since: make(map[string]time.Time), used: make(map[string]time.Time), setAside: make(map[string]*suspicion),
 	}
 }
 
 // addOld takes in responses of the old version.
 func (e *evidence) addOld(now time.Time, route string, d totals) {
+	if e.frozen {
+		return
+	}
 	if e.old[route] == nil {
 		e.old[route] = &totals{}
 	}
@@ -149,32 +195,23 @@
 	return all.minus(e.snapshots[0][route])
 }
 
-// reference returns the bad share of the old version on a route: the greater of that since
-// the order and that of the last seconds, of the route or, if it has few responses, of all.
-func (e *evidence) reference(route string) float64 {
+// reference returns the shares of the old version on a route: the greater ones of those since
+// the order and in the last seconds.
+func (e *evidence) reference(route string) shares {
 	if cached, ok := e.references[route]; ok {
 		return cached
 	}
-	e.references[route] = e.computeReference(route)
-	return e.references[route]
-}
-
-func (e *evidence) computeReference(route string) float64 {
-	var all, recent totals
-	for r := range e.old {
-		all.add(*e.old[r])
+	var all, recent, own totals
+	for r, t := range e.old {
+		all.add(*t)
 		recent.add(e.recent(r))
 	}
-	overall := max(badShare(all.good, all.bad), badShare(recent.good, recent.bad))
-	own := e.recent(route)
-	total := totals{}
 	if t := e.old[route]; t != nil {
-		total = *t
-	}
-	shrunk := func(t totals) float64 {
-		return (t.bad + priorResponses*overall) / (t.good + t.bad + priorResponses)
+		own = *t
 	}
-	return max(shrunk(own), shrunk(total))
+	overall := all.shares().max(recent.shares())
+	e.references[route] = own.shrunk(overall).max(e.recent(route).shrunk(overall))
+	return e.references[route]
 }
 
 // slowLimit returns the response time from which a response on a route counts as slow.
@@ -240,10 +277,10 @@
 	if e.new[route] == nil {
 		e.new[route] = &totals{}
 	}
-	e.new[route].add(totals{good: good, bad: failed + slow, logSum: logSum})
+	e.new[route].add(totals{good: good, failed: failed, slow: slow, logSum: logSum})
 	if aside := e.setAside[endpoint]; aside != nil {
 		if !e.underLoad {
-			aside.recheck.add(endpoint, e.reference(route), good, failed+slow)
+			aside.recheck.add(endpoint, e.reference(route), good, failed, slow)
 		}
 		return
 	}
@@ -252,14 +289,13 @@
 		slow = 0
 	}
 	if e.routes[route] == nil {
-		s := newScore()
-		e.routes[route] = &s
+		e.routes[route] = newTest()
 	}
 	reference := e.reference(route)
-	e.overall.add(endpoint, reference, good, failed+slow)
-	e.routes[route].add(endpoint, reference, good, failed+slow)
+	e.overall.add(endpoint, reference, good, failed, slow)
+	e.routes[route].add(endpoint, reference, good, failed, slow)
 	if e.underLoad {
-		e.load.add(endpoint, reference, good, failed+slow)
+		e.load.add(endpoint, reference, good, failed, slow)
 	}
 	if mean, deviation, ok := e.oldTiming(route); ok && !cold && good > 0 {
 		variance := max(deviation, minLogDeviation) * max(deviation, minLogDeviation)
@@ -284,7 +320,7 @@
 func (e *evidence) doubts(loaded bool) string {
 	for _, endpoint := range slices.Sorted(maps.Keys(e.setAside)) {
 		a := e.setAside[endpoint]
-		if e.missing(a) > 0 || a.underLoad && !loaded && a.recheck.sum < suspiciousScore {
+		if e.missing(a) > 0 || a.underLoad && !loaded && !a.recheck.suspicious() {
 			return fmt.Sprintf("target %s was bad on %s, and other responses do not show that only the target is", endpoint, a.scope)
 		}
 	}
@@ -295,20 +331,29 @@
 func (e *evidence) toRecheck() (endpoint string, calls float64) {
 	for _, endpoint := range slices.Sorted(maps.Keys(e.setAside)) {
 		a := e.setAside[endpoint]
-		if left := clearingResponses - a.recheck.good - a.recheck.bad; a.underLoad && left > 0 && a.recheck.sum < suspiciousScore {
+		if left := clearingResponses - a.recheck.failures.good - a.recheck.failures.bad; a.underLoad && left > 0 && !a.recheck.suspicious() {
 			return endpoint, left
 		}
 	}
 	return "", 0
 }
 
-func routeScope(route string) string { return "route " + route }
+// The names of scopes.
+const (
+	failuresOf = "failures, "
+	slownessOf = "slow responses, "
+)
 
-// scopes returns the tests by name.
+// scopes returns the scores by name.
 func (e *evidence) scopes() map[string]*score {
-	scopes := map[string]*score{"all routes": &e.overall, "response times": &e.timing, "calls under load": &e.load}
-	for route, s := range e.routes {
-		scopes[routeScope(route)] = s
+	scopes := map[string]*score{"response times": &e.timing}
+	add := func(name string, t *test) {
+		scopes[failuresOf+name], scopes[slownessOf+name] = &t.failures, &t.slow
+	}
+	add("all routes", e.overall)
+	add("calls under load", e.load)
+	for route, t := range e.routes {
+		add("route "+route, t)
 	}
 	return scopes
 }
@@ -328,10 +373,11 @@
 		case len(e.setAside) >= needed && s.sum >= laterScore,
 			s.sum >= spreadScore && contribution < dominance*s.sum,
 			s.sum >= onlyTargetScore && !canTry():
-			return fmt.Sprintf("%s: %s; old version's bad share %.3f; %d targets set aside before",
-				name, s.String(), e.overallReference(), len(e.setAside)), true
+			old := e.overallReference()
+			return fmt.Sprintf("%s: %s; shares of the old version %.3f failed, %.3f slow; %d targets set aside before",
+				name, s.String(), old.failed, old.slow, len(e.setAside)), true
 		case len(e.setAside) < needed && s.sum >= targetScore && contribution >= dominance*s.sum && canTry():
-			e.setAside[top] = &suspicion{scope: name, before: s.good + s.bad, underLoad: e.underLoad, recheck: newScore()}
+			e.setAside[top] = &suspicion{scope: name, before: s.good + s.bad, underLoad: e.underLoad, recheck: newTest()}
 			for _, other := range scopes {
 				other.remove(top)
 			}
@@ -340,15 +386,18 @@
 	return "", false
 }
 
-func (e *evidence) overallReference() float64 {
+func (e *evidence) overallReference() shares {
 	var all totals
 	for _, t := range e.old {
 		all.add(*t)
 	}
-	return badShare(all.good, all.bad)
+	return all.shares()
 }
 
-func (e *evidence) commonlyBad() bool { return e.overallReference() > commonBadShare }
+func (e *evidence) commonlyBad() bool {
+	old := e.overallReference()
+	return max(old.failed, old.slow) > commonBadShare
+}
 
 // suspicious describes the evidence because of which the rollout must not advance, empty if there
 // is none.
@@ -384,13 +433,13 @@
 func (e *evidence) routeNeed(route string) float64 {
 	need := float64(minRouteResponses)
 	if t := e.new[route]; t != nil {
-		need -= t.good + t.bad
+		need -= t.all()
 	}
-	if s := e.routes[route]; s != nil && s.sum >= suspiciousScore {
+	if t := e.routes[route]; t != nil && t.suspicious() {
 		need = max(need, minRouteResponses/2)
 	}
 	for _, a := range e.setAside {
-		if a.scope == routeScope(route) {
+		if a.scope == failuresOf+"route "+route || a.scope == slownessOf+"route "+route {
 			need = max(need, e.missing(a))
 		}
 	}
@@ -410,7 +459,7 @@
 func (e *evidence) responses() float64 {
 	sum := 0.0
 	for _, t := range e.new {
-		sum += t.good + t.bad
+		sum += t.all()
 	}
 	return sum
 }
--- a/internal/coordination/rollout/node.go
+++ b/internal/coordination/rollout/node.go
@@ -87,7 +87,7 @@
 	contactUntil time.Time
 	idleReported bool
 
-	local      score
+	local      *test
 	stopReason string
 	// overruled counts the directives that continued the rollout although the node had
 	// reported that it stopped.
@@ -100,7 +100,7 @@
 	return &Node{
 		id: id, incarnation: incarnation, domain: domain, record: record, settings: settings, random: random,
 		stats: make(map[statsKey]*VersionStats), attempts: make(map[uint64]*attempt),
-		local: newScore(),
+		local: newTest(),
 	}
 }
 
@@ -178,17 +178,17 @@
 	switch {
 	case outcome == Failed:
 		s.Failures++
+		n.observed(a, 0, 1, 0)
 	case n.isSlow(a.route, took):
 		s.Slow++
+		n.observed(a, 0, 0, 1)
 	default:
 		s.Successes++
 		millis := math.Log(max(0.1, float64(took)/float64(time.Millisecond)))
 		s.LogSum += millis
 		s.LogSquares += millis * millis
-		n.observed(a, false)
-		return
+		n.observed(a, 1, 0, 0)
 	}
-	n.observed(a, true)
 }
 
 func (n *Node) isSlow(route string, took time.Duration) bool {
@@ -215,31 +215,27 @@
 // observed updates the evidence of this node and stops the use of the new version if bad
 // responses came from two targets or more. With one target only the coordinator can tell a
 // bad target from a bad version.
-func (n *Node) observed(a *attempt, bad bool) {
+func (n *Node) observed(a *attempt, good, failed, slow float64) {
 	if !a.isNew || n.record.Phase.Final() || n.stopReason != "" {
 		return
 	}
-	reference := n.oldBadShare()
-	if bad {
-		n.local.add(a.endpoint, reference, 0, 1)
-	} else {
-		n.local.add(a.endpoint, reference, 1, 0)
-	}
-	if _, most := n.local.top(); n.local.sum >= localStopScore && most < dominance*n.local.sum {
-		n.stopReason = "responses of the new version at this node: " + n.local.String()
+	n.local.add(a.endpoint, n.oldShares(), good, failed, slow)
+	for _, s := range []*score{&n.local.failures, &n.local.slow} {
+		if _, most := s.top(); s.sum >= localStopScore && most < dominance*s.sum {
+			n.stopReason = "responses of the new version at this node: " + s.String()
+		}
 	}
 }
 
-// oldBadShare returns the share of bad responses of the old version at this node.
-func (n *Node) oldBadShare() float64 {
-	var good, bad uint64
+// oldShares returns the shares of bad responses of the old version at this node.
+func (n *Node) oldShares() shares {
+	var t totals
 	for key, s := range n.stats {
 		if !key.isNew {
-			good += s.Successes
-			bad += s.Failures + s.Slow
+			t.add(totals{good: float64(s.Successes), failed: float64(s.Failures), slow: float64(s.Slow)})
 		}
 	}
-	return badShare(float64(good), float64(bad))
+	return t.shares()
 }
 
 // Refuses reports whether the gate must refuse new calls for its target, whose version
@@ -299,7 +295,7 @@
 		a := n.attempts[id]
 		a.slow = true
 		n.statsOf(a).Slow++
-		n.observed(a, true)
+		n.observed(a, 0, 0, 1)
 	}
 }
 
@@ -318,7 +314,7 @@
 		return
 	}
 	if n.overruled++; n.overruled >= overruledAfter {
-		n.stopReason, n.overruled, n.local = "", 0, newScore()
+		n.stopReason, n.overruled, n.local = "", 0, newTest()
 	}
 }
 
