Rollouts: budget is saved for the first burst, early shift with slow old targets

Cause: where an old target carries a third of the calls, the budget was used up before the load of an old target could be applied, so that failures under load showed only in the shift, over the budget. Responses of a burst that came late cleared the target they were from. Slow old targets become idle late. Change: no reserve for the shift before the first burst, fewer calls until then, the shift waits for it until 0.66 of the duration; a set-aside target is tried again once the responses of the burst are in; the shift is at 0.5 if old targets are slow. Result: go test -race ./internal/coordination/rollout passes (tables only).

--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -17,6 +17,9 @@
 	// minNewCapacity is the capacity of the new version relative to the old one for a shift at
 	// its planned time, minLateCapacity that for a late one.
 	minNewCapacity, minLateCapacity = 0.9, 0.5
+	// slowOldShare is the share of slow responses of the old version from which the shift is early:
+	// the old targets then take long to become idle.
+	slowOldShare = 0.02
 	// probeTime is how long before the planned shift the last probe begins.
 	probeTime = 800 * time.Millisecond
 	// maxProbeTime bounds the probe before Shifting where there are few calls.
@@ -261,8 +264,9 @@
 		}
 		enough := float64(newSlots) >= needed*float64(oldSlots)
 		doubts := c.evidence.doubts(c.exposure.loaded)
-		probed := !now.Before(c.schedule.at(shiftStart).Add(-probeTime)) && c.probedBeforeShift(now)
-		ready := probed && !now.Before(c.schedule.at(shiftStart)) && c.evidence.tested() && c.coversShift(now)
+		probed := !now.Before(c.shiftAt().Add(-probeTime)) && c.probedBeforeShift(now)
+		loaded := c.exposure.loaded || !now.Before(c.schedule.at(loadedBy))
+		ready := probed && loaded && !now.Before(c.shiftAt()) && c.evidence.tested() && c.coversShift(now)
 		if late && doubts != "" {
 			c.rollBack("suspected version: " + doubts)
 			return
@@ -281,6 +285,14 @@
 	}
 }
 
+// shiftAt is the planned time of the shift.
+func (c *Coordinator) shiftAt() time.Time {
+	if c.evidence.overallReference().slow > slowOldShare {
+		return c.schedule.at(earlyShift)
+	}
+	return c.schedule.at(shiftStart)
+}
+
 // probedBeforeShift sends a few more calls to the new version and reports whether they have
 // responses, so that a version that has just turned bad is not shifted to.
 func (c *Coordinator) probedBeforeShift(now time.Time) bool {
@@ -456,6 +468,9 @@
 // sudden failure at the shift needs, but not below reservedShare of the calls.
 func (c *Coordinator) exposureLimit(now time.Time) float64 {
 	limit := c.granted(c.ledger.calls)
+	if !c.exposure.loaded {
+		return limit // the burst saves more than it uses, as a failure under load shows before the shift
+	}
 	reserve := c.expectedBudget(now) - c.exposure.rate()*c.noticeTime().Seconds()
 	floor := reservedShare*c.settings.ExposeShare*float64(c.ledger.calls) + grantShare*float64(c.settings.ExposeSlack)
 	return min(limit, max(reserve, floor))
@@ -478,9 +493,9 @@
 	plan := c.exposure.plan(now, planInput{
 		expanding: c.record.Phase == Expanding, oldTargets: oldTargets, endpoints: endpoints,
 		limit: c.exposureLimit(now), charged: c.ledger.charged(), exposed: float64(c.ledger.exposed),
-		shiftIn: c.schedule.at(shiftStart).Sub(now), patient: now.Before(c.schedule.at(latestStart)),
+		shiftIn: c.shiftAt().Sub(now), patient: now.Before(c.schedule.at(latestStart)),
 		exposeShare: c.settings.ExposeShare, responses: c.evidence.responses(),
-		recheck: c.recheck(now), good: c.evidence.goodResponses(), warm: !c.evidence.cold(now, endpoints[0]), routesNeed: c.evidence.routesNeed(),
+		recheck: c.recheck(), good: c.evidence.goodResponses(), warm: !c.evidence.cold(now, endpoints[0]), routesNeed: c.evidence.routesNeed(),
 	})
 	d.Endpoints, d.Share = plan.endpoints, plan.share
 	left := float64(a.charge() - a.exposed)
@@ -504,10 +519,9 @@
 	}
 }
 
-// recheck returns the target that is to be tried again without load, once there has been time for
-// a burst at another one.
-func (c *Coordinator) recheck(now time.Time) string {
-	if c.exposure.loaded || now.Before(c.schedule.at(latestStart)) {
+// recheck returns the target that is to be tried again without load.
+func (c *Coordinator) recheck() string {
+	if c.exposure.loaded || c.evidence.underLoad {
 		return ""
 	}
 	endpoint, _ := c.evidence.toRecheck()
--- a/internal/coordination/rollout/exposure.go
+++ b/internal/coordination/rollout/exposure.go
@@ -26,8 +26,10 @@
 	maxRouteShare = 0.8
 	// trickleShare is the part of the exposed share that is used between bursts.
 	trickleShare = 0.25
-	// afterBurst is how long after a burst its responses may come.
+	// afterBurst is how long after a burst its responses may come: 8 times 300 ms and more.
 	afterBurst = 3 * time.Second
+	// savingFactor reduces it while budget for the first burst is saved up.
+	savingFactor = 0.6
 	// maxBurst ends a burst that does not reach the load of an old target.
 	maxBurst = 3 * time.Second
 	// goodFactor limits the calls to firstCalls, twice that once the targets are warm, and it x
@@ -158,6 +160,9 @@
 	rate, room := x.rate(), in.limit-in.charged
 	x.updateBurst(now, oldLoad*rate, room, in)
 	p := plan{share: trickleShare * in.exposeShare, endpoints: x.choose(in, number)}
+	if !x.loaded {
+		p.share *= savingFactor
+	}
 	if x.bursting {
 		p.share = min(1, loadFactor*oldLoad)
 	}
--- a/internal/coordination/rollout/schedule.go
+++ b/internal/coordination/rollout/schedule.go
@@ -6,7 +6,9 @@
 const (
 	canaryEnd   = 0.30
 	latestStart = 0.45 // of expanding, without the responses that are wanted before
+	earlyShift  = 0.50 // if old targets are slow
 	shiftStart  = 0.60
+	loadedBy    = 0.66 // without a target that has carried the load of an old one
 	latestShift = 0.72 // without the responses or the budget that are wanted before
 	completeBy  = 0.85
 	lastTenth   = 0.90
