--- a/internal/cli/run_test.go
+++ b/internal/cli/run_test.go
@@ -58,6 +58,14 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		_ = json.NewEncoder(w).Encode(adminapi.Status{Node: "n1", Domain: "casa-port", State: adminapi.NodeServing, Members: []adminapi.Member{{ID: "n2", State: "alive"}}})
 	})
+	rollouts := adminapi.RolloutList{Enabled: true, Rollouts: []adminapi.Rollout{{
+		Service: "depot", Order: 5, Version: "v2", Phase: "canary", Coordinator: "n2", Versions: []adminapi.RolloutVersion{{Version: "v2", Targets: 3, Use: adminapi.VersionHeld}},
+	}}}
+	mux.HandleFunc("GET /rollouts", func(w http.ResponseWriter, r *http.Request) { _ = json.NewEncoder(w).Encode(rollouts) })
+	mux.HandleFunc("DELETE /rollouts/depot", func(w http.ResponseWriter, r *http.Request) {
+		rollouts.Rollouts[0].Phase = "rolled_back"
+		_ = json.NewEncoder(w).Encode(rollouts)
+	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return server.URL
@@ -106,6 +114,10 @@
 		"bad timeout":           {args: "status --node NODE --timeout 0s", code: ExitUsage, errOut: "--timeout"},
 		"status":                {args: "status --node NODE", code: ExitOK, out: "casa-port"},
 		"status in JSON":        {args: "status --node NODE -o json", code: ExitOK, out: `"state": "serving"`},
+		"rollouts":              {args: "rollout list --node NODE", code: ExitOK, out: "canary"},
+		"rollout":               {args: "rollout show depot --node NODE", code: ExitOK, out: "coordinator: n2"},
+		"no such rollout":       {args: "rollout show other --node NODE", code: ExitFailed, errOut: "rollout list"},
+		"rollout abort":         {args: "rollout abort depot --node NODE", code: ExitOK, out: "rolled_back"},
 		"list":                  {args: "ticket list --node NODE", code: ExitOK, out: "stale"},
 		"unreachable":           {args: "status --node 127.0.0.1:1", code: ExitUnreachable, errOut: "try another node"},
 		"publish":               {args: "ticket publish " + ticket + " --node NODE", code: ExitOK, out: "offset 12"},
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -317,9 +317,10 @@
 // accept begins the order's rollout, or ends that of a withdrawn one. An order that is not newer than
 // the known one of its service changes nothing.
 func (r *rollouts) accept(now time.Time, order pendingOrder) {
+	endpoints := r.endpoints()
 	r.mu.Lock()
 	known, exists := r.table.Get(order.Service)
-	r.versions.SetEndpoints(now, calls.EndpointsOf(r.node.members.View()))
+	r.versions.SetEndpoints(now, endpoints)
 	previous, _ := r.versions.Current(order.Service)
 	r.mu.Unlock()
 	switch {
@@ -340,6 +341,9 @@
 	}
 }
 
+// endpoints returns the endpoints that membership knows now.
+func (r *rollouts) endpoints() []entry.Endpoint { return calls.EndpointsOf(r.node.members.View()) }
+
 // abort rolls the order back from this node: all nodes act on it at once, and this one writes the
 // result until it is written or another one is found.
 func (r *rollouts) abort(now time.Time, record rollout.Record, reason string) {
--- a/internal/protocol/adminapi/paths.go
+++ b/internal/protocol/adminapi/paths.go
@@ -14,10 +14,13 @@
 	// PathQuarantine lists requests in quarantine; PathQuarantined is one of them.
 	PathQuarantine  = "/quarantine"
 	PathQuarantined = "/quarantine/{id}"
-	PathHealth      = "/healthz"
-	PathReady       = "/readyz"
-	PathMetrics     = "/metrics"
-	PathProfile     = "/debug/pprof/"
+	// PathRollouts lists rollouts; PathRollout is the one of a service.
+	PathRollouts = "/rollouts"
+	PathRollout  = "/rollouts/{service}"
+	PathHealth   = "/healthz"
+	PathReady    = "/readyz"
+	PathMetrics  = "/metrics"
+	PathProfile  = "/debug/pprof/"
 )
 
 // QueryContent is the query parameter of PathTicket that selects the ticket with
--- a/internal/transport/adminclient/client.go
+++ b/internal/transport/adminclient/client.go
@@ -86,6 +86,20 @@
 	return list, err
 }
 
+// Rollouts returns the last rollout of each service.
+func (c *Client) Rollouts(ctx context.Context) (adminapi.RolloutList, error) {
+	var list adminapi.RolloutList
+	err := c.do(ctx, http.MethodGet, adminapi.PathRollouts, nil, &list)
+	return list, err
+}
+
+// AbortRollout rolls the running rollout of the service back, and returns the rollouts.
+func (c *Client) AbortRollout(ctx context.Context, service string) (adminapi.RolloutList, error) {
+	var list adminapi.RolloutList
+	err := c.do(ctx, http.MethodDelete, adminapi.RolloutPath(url.PathEscape(service)), nil, &list)
+	return list, err
+}
+
 // do sends one request and decodes the response into result.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, result any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
