The new version of an order is not taken for the one that serves

A node that had just started and knew the targets of the new version only accepted the order with it as the previous version. Records merge by the greater name, and a version that is new and previous at once is not held back.

Change: entry.Versions.Previous names the target version only if it has been the only one for two change bounds, and nothing if that is not known. The current version of a node follows the majority for the first change bound. An order's repeated phase is not logged.

--- a/internal/coordination/entry/versions.go
+++ b/internal/coordination/entry/versions.go
@@ -10,6 +10,10 @@
 	"jasminegate/internal/coordination/rollout"
 )
 
+// knownForChangeBounds is how many change bounds a version must have been known as the only one to
+// count as serving when an order names it.
+const knownForChangeBounds = 2
+
 // VersionPolicy decides to which versions of a service's targets attempts may go. Each attempt
 // begins with Route and ends with Cancel or Observe.
 type VersionPolicy interface {
@@ -73,6 +77,9 @@
 	options  VersionOptions
 	random   *rand.Rand
 	services map[string]*serviceVersions
+	// settledAt is when the first endpoints have been known for a change bound; until then a node that has
+	// just started may know few of them.
+	settledAt time.Time
 }
 
 // serviceVersions is what is known of the versions of one service.
@@ -122,6 +129,9 @@
 
 // SetEndpoints implements VersionPolicy.
 func (v *Versions) SetEndpoints(now time.Time, endpoints []Endpoint) {
+	if v.settledAt.IsZero() && len(endpoints) > 0 {
+		v.settledAt = now.Add(v.options.Settings.ChangeBound)
+	}
 	counts := make(map[string]map[string]int)
 	for _, e := range endpoints {
 		if counts[e.Service] == nil {
@@ -131,11 +141,11 @@
 		counts[e.Service][e.Version]++
 	}
 	for name, s := range v.services {
-		s.setPresent(now, counts[name], v.options.Settings.ChangeBound)
+		s.setPresent(now, counts[name], v.options.Settings.ChangeBound, now.Before(v.settledAt))
 	}
 }
 
-func (s *serviceVersions) setPresent(now time.Time, counts map[string]int, changeBound time.Duration) {
+func (s *serviceVersions) setPresent(now time.Time, counts map[string]int, changeBound time.Duration, settling bool) {
 	for version, p := range s.present {
 		if p.targets = counts[version]; p.targets == 0 && now.Sub(p.lastSeen) >= changeBound {
 			delete(s.present, version)
@@ -162,7 +172,7 @@
 	if target := s.record.TargetVersion; s.record.Phase == rollout.Completed && s.present[target].targets > 0 {
 		s.current, s.known = target, true
 	}
-	if _, present := s.present[s.current]; s.known && (present || s.running()) {
+	if _, present := s.present[s.current]; s.known && (present && !(settling && s.record.Order == 0) || s.running()) {
 		return
 	}
 	if version, found := s.mostFrequent(); found {
@@ -189,18 +199,28 @@
 
 func (s *serviceVersions) running() bool { return s.record.Order > 0 && !s.record.Phase.Final() }
 
-// Current returns the version of the service that serves now.
-func (v *Versions) Current(service string) (version string, known bool) {
+// Previous returns the version that serves when an order to roll out target is accepted; it is empty
+// if that is not known. It is target only if that has been the only version for longer than a new
+// node, or a target that starts with the order, can have known it: an error would make all nodes take
+// the new version for one that serves already.
+func (v *Versions) Previous(now time.Time, service, target string) string {
 	s := v.services[service]
 	if s == nil {
-		return "", false
+		return ""
 	}
-	if s.present[s.current].targets == 0 {
-		if version, found := s.mostFrequent(); found {
-			return version, true
+	if s.known && s.current != target && (s.present[s.current].targets > 0 || s.record.Order > 0) {
+		return s.current
+	}
+	most, previous := 0, ""
+	for _, version := range slices.Sorted(maps.Keys(s.present)) {
+		if targets := s.present[version].targets; targets > most && version != target && !s.held[version] {
+			most, previous = targets, version
 		}
 	}
-	return s.current, s.known
+	if p := s.present[target]; most == 0 && p.targets > 0 && now.Sub(p.firstSeen) >= knownForChangeBounds*v.options.Settings.ChangeBound {
+		return target
+	}
+	return previous
 }
 
 // SetRecord takes over the newest record of a service.
--- a/internal/coordination/entry/versions_test.go
+++ b/internal/coordination/entry/versions_test.go
@@ -164,3 +164,24 @@
 	d.now = d.now.Add(rolloutUnavailableTime)
 	d.Equal(d.toNew(60), 0)
 }
+
+// TestNewVersionIsTakenForServing guards against an order that is accepted by a node that has just
+// started and knows targets of the new version only: with the new version as the one that serves,
+// all nodes sent it all their calls.
+func TestNewVersionIsTakenForServing(t *testing.T) {
+	d := newVersionDriver(t)
+	added := versioned(endpoints("near", 3, 2), "v2")
+	other := NewVersions(d.versions.options)
+	other.SetEndpoints(d.now, added)
+	d.Equal(other.Previous(d.now, "depot", "v2"), "")
+	other.SetEndpoints(d.now, oldAndNew(added...))
+	d.Equal(other.Previous(d.now, "depot", "v2"), "v1")
+
+	choice := other.Route(d.now, "depot", "r") // of a node that has just started, and learns of the old targets after the new ones
+	d.True(choice.Restricted)
+	d.Equal(choice.Versions, []string{"v1"})
+
+	only := NewVersions(d.versions.options)
+	only.SetEndpoints(d.now, added)
+	d.Equal(only.Previous(d.now.Add(time.Minute), "depot", "v2"), "v2") // it serves already
+}
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -321,7 +321,7 @@
 	r.mu.Lock()
 	known, exists := r.table.Get(order.Service)
 	r.versions.SetEndpoints(now, endpoints)
-	previous, _ := r.versions.Current(order.Service)
+	previous := r.versions.Previous(now, order.Service, order.TargetVersion)
 	r.mu.Unlock()
 	switch {
 	case exists && known.Order >= order.Number:
@@ -389,6 +389,8 @@
 func (r *rollouts) logRecord(now time.Time, previous, record rollout.Record) {
 	event := logging.RolloutPhase
 	switch {
+	case record.Order == previous.Order && record.Phase == previous.Phase:
+		return
 	case record.Phase == rollout.Completed:
 		event = logging.RolloutCompleted
 	case record.Phase == rollout.RolledBack:
