Rollouts: calls to each first target grow with its responses

Change: the limit starts anew with each first target and grows with all responses once the target is warm.

--- a/internal/coordination/rollout/exposure.go
+++ b/internal/coordination/rollout/exposure.go
@@ -32,9 +32,9 @@
 	savingFactor = 0.6
 	// maxBurst ends a burst that does not reach the load of an old target.
 	maxBurst = 3 * time.Second
-	// goodFactor limits the calls to firstCalls, twice that once the targets are warm, and it x
-	// the good responses: a version that is bad at once gets few calls before that is known.
-	goodFactor = 3
+	// goodFactor limits the calls to a first target to firstCalls and, once it is warm, the responses
+	// and goodFactor x the good ones: a version that is bad at once gets few calls before that is known.
+	goodFactor = 2
 	// rateBuckets x rateBucket is the period over which rates are measured.
 	rateBuckets = 8
 	rateBucket  = 250 * time.Millisecond
@@ -62,6 +62,9 @@
 	burstEnd time.Time
 	// loaded is set once targets have carried the load of an old one.
 	loaded bool
+	// base is the state when the present first target was taken, for the limit of its first calls.
+	base    planInput
+	restart bool
 	// rotation counts the changes of targets in Expanding.
 	rotation int
 
@@ -115,7 +118,7 @@
 	if x.bursting {
 		x.burstEnd = now
 	}
-	x.loaded, x.bursting = false, false
+	x.loaded, x.bursting, x.restart = false, false, true
 	x.probe()
 }
 
@@ -179,11 +182,13 @@
 	if x.probes > 0 {
 		p.share = max(p.share, min(maxShare, oldLoad))
 	}
-	first := float64(firstCalls)
+	if x.restart {
+		x.restart, x.base = false, in
+	}
+	ramp := x.base.charged + firstCalls - in.charged
 	if in.warm {
-		first *= 2
+		ramp += in.responses - x.base.responses + goodFactor*(in.good-x.base.good)
 	}
-	ramp := first + goodFactor*in.good - in.charged
 	p.want = min(room, x.credit+x.probes, ramp)
 	if x.loaded || !in.patient {
 		// Rare routes get calls after the first burst, which covers the other ones.
