--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -29,9 +29,11 @@
 	// between two attempts of a node that has just started to learn the records.
 	rolloutCompareInterval = time.Second
 	rolloutStartInterval   = 100 * time.Millisecond
-	// rolloutTimeout bounds one exchange with a node, and reportTimeout one report.
+	// rolloutTimeout bounds one exchange with a node, and reportTimeout one report. A shorter time for
+	// reports takes a coordinator that is short of CPU share for a failed one; a longer one lets
+	// grants end before the next report.
 	rolloutTimeout = time.Second
-	reportTimeout  = 400 * time.Millisecond
+	reportTimeout  = 800 * time.Millisecond
 	// rolloutSenders bounds the exchanges in flight.
 	rolloutSenders = 32
 	// failedReports is how many reports in a row fail until the next node in rank is taken for
