--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -41,6 +41,8 @@
 	grantsFrom time.Time
 	inherits   bool
 	shiftedAt  time.Time
+	// first is the target that gets the calls of Canary.
+	first string
 	// probedAt is when the last probe before Shifting began, and probedFrom the number of
 	// responses then.
 	probedAt   time.Time
@@ -107,7 +109,8 @@
 }
 
 // newEndpoints returns the ready targets of the new version that are not set aside, ranked by
-// rendezvous hash so that every coordinator of an order has the same order of them.
+// rendezvous hash so that every coordinator of an order has the same order of them. The first target
+// in use stays first when others become ready.
 func (c *Coordinator) newEndpoints() []string {
 	type ranked struct {
 		id   string
@@ -124,6 +127,9 @@
 	for i, f := range found {
 		ids[i] = f.id
 	}
+	if i := slices.Index(ids, c.first); i > 0 {
+		return append([]string{c.first}, slices.Delete(ids, i, i+1)...)
+	}
 	return ids
 }
 
@@ -209,6 +215,7 @@
 	if !now.Before(c.grantsFrom) && c.inherits {
 		c.inherits = false
 		c.ledger.inherited = c.inheritedCharge()
+		c.exposure.targetChanged(now)
 	}
 	c.judge(now)
 	if !c.ended && c.wanted.Phase != Completed {
@@ -481,7 +488,7 @@
 // Load pattern: 12 to 1,500 nodes with 0.1 to 100 calls per second each, of which the new
 // version may get a few percent: most nodes get one call at a time, or none.
 func (c *Coordinator) grant(now time.Time, a *account, d *Directive) {
-	if now.Before(c.grantsFrom) {
+	if c.inherits {
 		return
 	}
 	d.GrantFor = c.settings.GrantValidity
@@ -490,6 +497,7 @@
 	if len(endpoints) == 0 {
 		return
 	}
+	c.first = endpoints[0]
 	plan := c.exposure.plan(now, planInput{
 		expanding: c.record.Phase == Expanding, oldTargets: oldTargets, endpoints: endpoints,
 		limit: c.exposureLimit(now), charged: c.ledger.charged(), exposed: float64(c.ledger.exposed),
--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -29,7 +29,7 @@
 	// coldTime is the age of a target up to which slow responses do not count, and
 	// warmUpTime the time after its first call.
 	coldTime   = 2 * time.Second
-	warmUpTime = time.Second
+	warmUpTime = 500 * time.Millisecond
 	// recentSnapshots x snapshotInterval is the period over which the old version is
 	// measured in addition to the whole time, to follow overload and faults that begin later.
 	recentSnapshots  = 6
