--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -20,6 +20,8 @@
 	// Address is the network address at which the gate accepts calls.
 	Address string
 	Slots   int
+	// Version is the version of the target's software, empty if unknown.
+	Version string
 }
 
 // Event is an input of Machine.Step.
@@ -67,10 +69,12 @@
 	// Failed marks a response with which the target reports that it cannot serve
 	// requests, such as status 502, 503 or 504.
 	Failed bool
-	Load   int
 	// ServiceTime is the time that the target takes at present for calls of the route; 0 if it
 	// is not known.
 	ServiceTime time.Duration
+	// ServerError marks a response with a status of 500 or above.
+	ServerError bool
+	Load        int
 	// TargetReport is what the gate's target states, or nil if the gate knows of
 	// nothing that it ever stated.
 	TargetReport *call.TargetReport
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/rollout"
 )
 
 // Options configures a Machine.
@@ -30,6 +31,8 @@
 	// ExpectedTime places calls by the service times that gates report, and refuses a call that
 	// no gate can take after at most one further try.
 	ExpectedTime bool
+	// Versions decides to which versions of targets calls go; nil does not distinguish them.
+	Versions VersionPolicy
 	// Seed seeds the random number generator of all choices.
 	Seed uint64
 }
@@ -85,6 +88,9 @@
 	resolving       bool
 	resolveAttempts int
 	waiting         bool
+	// choice is that of the attempt in progress, if choiceOpen is set.
+	choice     VersionChoice
+	choiceOpen bool
 	// newConnection says that the attempt uses a new connection.
 	newConnection bool
 	// bodyConsumed says that a part of the request body is consumed, so that the call
@@ -151,9 +157,9 @@
 	case Resume:
 		return m.resume(now, e.Handle)
 	case GiveUp:
-		return m.giveUp(e)
+		return m.giveUp(now, e)
 	case End:
-		m.end(e.Handle)
+		m.end(now, e.Handle)
 	}
 	return nil
 }
@@ -177,6 +183,9 @@
 		g.endpoints = append(g.endpoints, e)
 	}
 	m.groups = groups
+	if m.options.Versions != nil {
+		m.options.Versions.SetEndpoints(now, list)
+	}
 	m.forgetOldReports(now)
 }
 
@@ -259,13 +268,22 @@
 	}
 }
 
-func (m *Machine) end(handle uint64) {
+func (m *Machine) end(now time.Time, handle uint64) {
 	if c := m.requests[handle]; c != nil {
+		m.observe(now, c, rollout.NotCounted)
 		m.detach(c)
 		delete(m.requests, handle)
 	}
 }
 
+// observe ends the attempt in progress for the version policy, once.
+func (m *Machine) observe(now time.Time, c *request, outcome rollout.Outcome) {
+	if c.choiceOpen {
+		c.choiceOpen = false
+		m.options.Versions.Observe(now, c.choice, c.Service, c.choice.sentVersion, outcome)
+	}
+}
+
 func (c *request) isExcluded(e *endpoint) bool {
 	for _, id := range c.excluded {
 		if id == e.ID {
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -408,8 +408,8 @@
 // noteResponse tells the entry machine of a response.
 func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
 	r.entry.notify(entry.ResponseReceived{
-		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
-		ServiceTime:  time.Duration(got.start.ServiceMs) * time.Millisecond,
+		ServiceTime: time.Duration(got.start.ServiceMs) * time.Millisecond,
+		Handle:      c.handle, Failed: got.failed(), ServerError: got.start.Status >= http.StatusInternalServerError, Load: int(got.start.Load),
 		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
 	})
 }
