Requests over their tenant's quota get 429, fleet-wide

Cause: a tenant's quota was in the configuration and limited nothing. Change: an entry charges each caller's request once, after authentication and before its body, and refuses it with 429 (type over-quota) and the tenant's Retry-After. Nested calls are not charged; a request that did not run is refunded. internal/node/usage.go reports to the domain's coordinator and exchanges totals between domains, only while there is something to send. The response does not wait for the body: net/http writes it after the body without full duplex.

--- a/internal/coordination/usagecap/coordinator.go
+++ b/internal/coordination/usagecap/coordinator.go
@@ -46,8 +46,9 @@
 	tenants map[string]*capTenant
 	// closed holds the tenants that are not open.
 	closed map[string]*capTenant
-	// changes counts the changes of the own totals.
+	// changes counts the changes of the own totals, begun is that count at the last exchange.
 	changes  uint64
+	begun    uint64
 	streams  map[string]stream
 	peers    map[string]*peerState
 	rebased  time.Time
@@ -395,8 +396,8 @@
 }
 
 func (c *Coordinator) sentToAll() bool {
-	if len(c.peers) < len(c.domains) {
-		return c.changes == 0
+	if c.begun < c.changes {
+		return false
 	}
 	for _, p := range c.peers {
 		if p.acked < c.changes {
@@ -409,7 +410,7 @@
 // BeginExchange starts an exchange: Totals and Exchanged follow for each coordinator of another
 // domain.
 func (c *Coordinator) BeginExchange(now time.Time, peers []string) {
-	c.pushed, c.urgent = now, false
+	c.pushed, c.begun, c.urgent = now, c.changes, false
 	maps.DeleteFunc(c.peers, func(name string, _ *peerState) bool { return !slices.Contains(peers, name) })
 	for _, name := range peers {
 		if c.peers[name] == nil {
--- a/internal/coordination/usagecap/node.go
+++ b/internal/coordination/usagecap/node.go
@@ -68,6 +68,17 @@
 // SetNodes sets the number of live nodes.
 func (n *Node) SetNodes(nodes int) { n.nodes = max(1, nodes) }
 
+// Keep forgets the tenants that are not in the configuration any more.
+func (n *Node) Keep(known func(tenant string) bool) {
+	for name := range n.tenants {
+		if !known(name) {
+			delete(n.tenants, name)
+			delete(n.dirty, name)
+			delete(n.limited, name)
+		}
+	}
+}
+
 // Admit decides on one request of the tenant and counts it. For a refused one it returns the time
 // until the tenant's quota admits a request again.
 func (n *Node) Admit(now time.Time, tenant string, quota Quota) (ok bool, retryAfter time.Duration) {
--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -85,6 +85,7 @@
 		c.end()
 		return nil
 	}
+	c.overQuota = r.charge(c)
 	r.counters.requests.Add(1)
 	a = &aheadRequest{runner: r, startedAt: arrivedAt, callerRequest: c, span: span, done: make(chan struct{})}
 	go a.run()
@@ -176,6 +177,9 @@
 
 // endRequest ends a request in the entry machine and releases what it holds.
 func (r *Runner) endRequest(c *callerRequest) {
+	if c.notRun() {
+		r.refund(c)
+	}
 	if c.begun {
 		r.entry.notify(entry.End{Handle: c.handle})
 	}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -41,6 +41,10 @@
 	judgedBy *state.Snapshot
 	// priority is the tenant's, or the route's without one.
 	priority int
+	// chargedTo is the tenant whose quota the request is charged to, empty if none is.
+	chargedTo string
+	// overQuota is the refusal of a request that was started before its turn.
+	overQuota *problem.Problem
 	// hasTenants is set if the configuration in force at the admission has tenants:
 	// credentials in the headers are API keys then.
 	hasTenants bool
@@ -148,8 +152,14 @@
 	}
 	c.controller = http.NewResponseController(w)
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
+	if refused := r.charge(c); refused != nil {
+		// The response would be written after the body otherwise.
+		_ = c.controller.EnableFullDuplex()
+		return nil, refused
+	}
 	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
 	if err != nil {
+		r.refund(c)
 		return nil, badBody(err)
 	}
 	if body.rest != nil {
@@ -325,11 +335,16 @@
 	failure  *entry.Fail
 	// overloaded says that the node had too many requests in work to accept this one.
 	overloaded bool
+	// overQuota is set if the tenant's quota was used up.
+	overQuota *problem.Problem
 }
 
 // dispatch performs the entry machine's actions until there is a response for the caller,
 // or none will come.
 func (r *Runner) dispatch(c *callerRequest) dispatchResult {
+	if c.overQuota != nil {
+		return dispatchResult{overQuota: c.overQuota}
+	}
 	if q := r.checkQuarantine(c); q != nil {
 		return dispatchResult{failure: &entry.Fail{Outcome: call.NotRun, Reason: call.ReasonQuarantined, RetryAfter: q.wait}}
 	}
@@ -388,6 +403,9 @@
 	case result.overloaded:
 		c.outcome = string(problem.NotRun)
 		r.refuse(w, request, overloaded())
+	case result.overQuota != nil:
+		c.outcome = string(problem.NotRun)
+		r.refuse(w, request, result.overQuota)
 	case result.failure != nil:
 		r.fail(w, request, c, *result.failure)
 	case result.response != nil:
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -63,7 +63,9 @@
 	// does nothing.
 	ShareQuarantine   func([]quarantine.Record)
 	PersistQuarantine func(quarantine.Record)
-	Logger            *logging.Logger
+	// Quotas charges requests to their tenants' quotas; nil limits none.
+	Quotas Quotas
+	Logger *logging.Logger
 	// Tracer starts a span for each hop; nil disables tracing.
 	Tracer     trace.Tracer
 	RandomSeed uint64
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -61,6 +61,7 @@
 	calls         *calls.Runner
 	targets       *targetRegistry
 	quarantine    *quarantineSpread
+	usage         *usageExchange
 
 	metrics  *metrics.Set
 	stopping atomic.Bool
@@ -150,6 +151,7 @@
 		seed = n.self.Incarnation
 	}
 	n.quarantine = newQuarantineSpread(n)
+	n.usage = newUsageExchange(n, seed)
 	// Only with tenants.revoke_strict do nodes have to know how old their configuration is.
 	var currentBound time.Duration
 	if n.settings.Tenants.RevokeStrict {
@@ -208,6 +210,7 @@
 		OnTargetLeaving:   func(target calls.Target) { n.targets.markLeaving(target) },
 		ShareQuarantine:   n.quarantine.share,
 		PersistQuarantine: n.quarantine.persist,
+		Quotas:            n.usage,
 		Logger:            n.logger,
 		Tracer:            n.telemetry.tracer,
 		RandomSeed:        seed,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -115,6 +115,7 @@
 	parts.start("targets", func() error { return n.targets.run(ctx) })
 	parts.start("rediscovery", func() error { return n.rediscoverTarget(ctx) })
 	parts.start("quarantine", func() error { return n.quarantine.run(ctx) })
+	parts.start("tenant quotas", func() error { return n.usage.run(ctx) })
 	parts.start("held reports", func() error { return n.confirmReports(ctx) })
 }
 
