--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -63,6 +63,7 @@
 	quarantine    *quarantineSpread
 	// rollouts is nil if rollouts are not enabled.
 	rollouts *rollouts
+	usage    *usageExchange
 
 	metrics  *metrics.Set
 	stopping atomic.Bool
@@ -152,6 +153,7 @@
 		seed = n.self.Incarnation
 	}
 	n.quarantine = newQuarantineSpread(n)
+	n.usage = newUsageExchange(n, seed)
 	// Only with tenants.revoke_strict do nodes have to know how old their configuration is.
 	var currentBound time.Duration
 	if n.settings.Tenants.RevokeStrict {
@@ -213,6 +215,7 @@
 		OnTargetLeaving:   func(target calls.Target) { n.targets.markLeaving(target) },
 		ShareQuarantine:   n.quarantine.share,
 		PersistQuarantine: n.quarantine.persist,
+		Quotas:            n.usage,
 		Logger:            n.logger,
 		Tracer:            n.telemetry.tracer,
 		RandomSeed:        seed,
