A request without a known key is refused before its body arrives

Cause: net/http reads up to 256 KiB of an unread body before it writes a response, so the 401 came only when the caller had sent its body, or never (TestRefusedBeforeBody: no response in 20 s). Change: refusals for credentials are written in full-duplex mode; the rest of the body is read for up to lingerTimeout, else the connection is closed. Other refusals before the body (404, 431) are as before.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -108,8 +108,8 @@
 	var refused *problem.Problem
 	c, refused = r.admit(ctx, w, request)
 	if refused != nil {
-		r.refuse(w, request, refused)
 		r.metrics.observeRequest(noClass, string(refused.Outcome), startedAt)
+		r.refuseUnread(w, request, refused)
 		return
 	}
 	c.outcome = outcomeCallerLeft
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -1,7 +1,9 @@
 package calls
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"jasminegate/internal/coordination/call"
@@ -10,6 +12,7 @@
 	"jasminegate/internal/protocol/problem"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
+	"jasminegate/internal/transport/callerconn"
 )
 
 // credentials are what a request offers to be admitted by. They do not contain the key.
@@ -143,6 +146,28 @@
 	return nil
 }
 
+// refuseUnread is refuse for a request whose body may not have been read. A request that is
+// refused for its credentials gets its response at once: net/http would read up to 256 KiB of
+// the body first. The rest of the body is read for up to lingerTimeout.
+func (r *Runner) refuseUnread(w http.ResponseWriter, request *http.Request, refused *problem.Problem) {
+	isIdentity := identityProblem(call.Reason(strings.TrimPrefix(refused.Type, problemBase))) != nil
+	// After a refusal of a body that is only announced (Expect), net/http closes the connection.
+	if !isIdentity || request.ContentLength == 0 || request.Header.Get("Expect") != "" {
+		r.refuse(w, request, refused)
+		return
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.EnableFullDuplex()
+	r.refuse(w, request, refused)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		panic(http.ErrAbortHandler) // the rest of the body would be taken for the next request
+	}
+	callerconn.FromContext(request.Context()).RequestRead()
+	_ = controller.SetReadDeadline(time.Time{})
+}
+
 // priorityOf returns the priority of the request: its tenant's, or else the route's.
 func (c *callerRequest) priorityOf(snapshot *state.Snapshot) int {
 	if tenant, ok := snapshot.Tenant(c.tenant); ok {
--- a/internal/node/calls/tenants_test.go
+++ b/internal/node/calls/tenants_test.go
@@ -302,3 +302,26 @@
 	}
 	is.True(!strings.Contains(out.String(), testKey))
 }
+
+// TestRefusedBeforeBody guards against a refusal that waits for the body of a request
+// without a known key, and against a rest of it that is taken for the next request.
+func TestRefusedBeforeBody(t *testing.T) {
+	f, caller := newPipeline(t, func(http.ResponseWriter, *http.Request) {})
+	f.publishTenants(nord())
+	const head = "POST /file/1 HTTP/1.1\r\nHost: a.example\r\n"
+	body := get("/open")
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	caller.send(head + length)
+	f.is.Equal(caller.receive().status, 401)
+	caller.send(body, get("/read/2", "Authorization: Token "+testKey))
+	f.is.Equal(caller.receive().status, 200)
+
+	caller.send(head+"Expect: 100-continue\r\n"+length, body)
+	f.is.Equal(caller.receive().status, 401)
+	f.is.True(caller.receive().err != nil) // the connection is closed
+
+	late := f.dialCaller()
+	late.send(head + length)
+	f.is.Equal(late.receive().status, 401)
+	f.is.True(late.receive().err != nil) // closed after lingerTimeout
+}
