--- a/internal/protocol/adminapi/reference_test.go
+++ b/internal/protocol/adminapi/reference_test.go
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../../../docs/operators/admin-api.md")
 	is.NoErr(err)
-	for _, path := range []string{PathTickets, PathTicket, PathStatus, PathTarget, PathHealth, PathReady, PathMetrics, PathProfile} {
+	for _, path := range []string{PathTickets, PathTicket, PathStatus, PathTarget, PathTenants, PathHealth, PathReady, PathMetrics, PathProfile} {
 		is.True(strings.Contains(string(page), " "+path+"`")) // the path has a row
 	}
 	blocks := jsonBlock.FindAllSubmatch(page, -1)
--- a/internal/transport/adminclient/client.go
+++ b/internal/transport/adminclient/client.go
@@ -86,6 +86,20 @@
 	return list, err
 }
 
+// Tenants returns the tenants in force at the node.
+func (c *Client) Tenants(ctx context.Context) (adminapi.TenantList, error) {
+	var list adminapi.TenantList
+	err := c.do(ctx, http.MethodGet, adminapi.PathTenants, nil, &list)
+	return list, err
+}
+
+// Tenant returns the tenant with the name, and the digests of its keys.
+func (c *Client) Tenant(ctx context.Context, name string) (adminapi.TenantList, error) {
+	var list adminapi.TenantList
+	err := c.do(ctx, http.MethodGet, adminapi.TenantPath(name), nil, &list)
+	return list, err
+}
+
 // do sends one request and decodes the response into result.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, result any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
