Events when a node refuses keys for lack of contact, and when it ends

Cause: operators saw the refusals of tenants.revoke_strict only as counts. Change: events 410 and 411, at the first request after the change. Result: go test -race ./internal/logging and -run 'Strict|Tenant|Key|Refused' ./internal/node/calls pass.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -69,5 +69,7 @@
 	RequestQuarantined   = Event{407, log.WarnLevel, "request is in quarantine: targets crashed while they ran it, and it is refused"}
 	QuarantineEnded      = Event{408, log.InfoLevel, "request is no longer in quarantine"}
 	TenantInvalid        = Event{409, log.WarnLevel, "tenant in the configuration cannot be used as it is written: what is unambiguous is in force"}
+	KeysUnconfirmed      = Event{410, log.WarnLevel, "requests with an API key are refused: without contact the node cannot know whether keys were removed"}
+	KeysConfirmed        = Event{411, log.InfoLevel, "requests with an API key are admitted again"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -100,6 +100,8 @@
 	link            *linkPacer
 	transit         transitDelays
 	quarantine      *quarantineKeeper
+	// keysRefused is set while API keys may have been removed unnoticed; see keysConfirmed.
+	keysRefused atomic.Bool
 	// aheadSlots has a slot for each request that may be in work before its turn.
 	aheadSlots *semaphore.Weighted
 	// baseCtx ends with Run, and with it the calls at the target.
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -8,6 +8,7 @@
 
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/entry"
+	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/problem"
 	"jasminegate/internal/protocol/wire"
@@ -55,8 +56,8 @@
 	if tenant, running := r.runningRequests.tenantOf(offered.parent); running {
 		return identity{tenant: tenant}, ""
 	}
-	confirmed := r.keysConfirmed(r.options.Now())
-	if offered.hasKey && confirmed {
+	confirmed := offered.hasKey && r.keysConfirmed(r.options.Now())
+	if confirmed {
 		if tenant, known := snapshot.TenantByKeyDigest(offered.digest); known {
 			return identity{tenant: tenant.Name, charged: true}, ""
 		}
@@ -74,7 +75,19 @@
 // be in the configuration, or whether that is not required.
 func (r *Runner) keysConfirmed(now time.Time) bool {
 	settings := r.options.Tenants
-	return !settings.RevokeStrict || now.Sub(r.options.CurrentAt()) <= settings.RevokeBound
+	if !settings.RevokeStrict {
+		return true
+	}
+	age := now.Sub(r.options.CurrentAt())
+	confirmed := age <= settings.RevokeBound
+	if r.keysRefused.CompareAndSwap(confirmed, !confirmed) {
+		event := logging.KeysUnconfirmed
+		if confirmed {
+			event = logging.KeysConfirmed
+		}
+		r.options.Logger.Event(event).Int("age_ms", age.Milliseconds()).Send()
+	}
+	return confirmed
 }
 
 // authenticate sets the request's identity, or returns the problem to refuse it with.
--- a/internal/node/calls/tenants_test.go
+++ b/internal/node/calls/tenants_test.go
@@ -230,7 +230,8 @@
 func TestStrictRevocation(t *testing.T) {
 	var currentAt atomic.Int64 // Unix nanoseconds
 	runs := make(chan struct{}, 9)
-	f := newFleet(t, fleetOptions{nodes: 2, contract: platformContract()}, func(w http.ResponseWriter, r *http.Request) {
+	var log syncBuffer
+	f := newFleet(t, fleetOptions{nodes: 2, contract: platformContract(), logger: logging.New(&log, "info", "n")}, func(w http.ResponseWriter, r *http.Request) {
 		runs <- struct{}{}
 		if r.URL.Path == "/read/retried" {
 			currentAt.Store(0)
@@ -255,6 +256,8 @@
 	<-runs
 	f.is.Equal(status("/read/retried", testKey), 503)
 	f.is.Equal(len(runs), 1)
+	f.is.Equal(strings.Count(log.String(), `"event":410`), 2) // once for each time without contact
+	f.is.Equal(strings.Count(log.String(), `"event":411`), 1)
 }
 
 // tappedConn copies what is written to it.
