--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -94,6 +94,7 @@
 			statusCommand(streams),
 			quarantineCommand(streams),
 			rolloutCommand(streams),
+			tenantsCommand(streams),
 			explainCommand(streams),
 			versionCommand(streams),
 		},
--- a/internal/node/calls/tenants_test.go
+++ b/internal/node/calls/tenants_test.go
@@ -230,7 +230,8 @@
 func TestStrictRevocation(t *testing.T) {
 	var currentAt atomic.Int64 // Unix nanoseconds
 	runs := make(chan struct{}, 9)
-	f := newFleet(t, fleetOptions{nodes: 2, contract: platformContract()}, func(w http.ResponseWriter, r *http.Request) {
+	var log syncBuffer
+	f := newFleet(t, fleetOptions{nodes: 2, contract: platformContract(), logger: logging.New(&log, "info", "n")}, func(w http.ResponseWriter, r *http.Request) {
 		runs <- struct{}{}
 		if r.URL.Path == "/read/retried" {
 			currentAt.Store(0)
@@ -255,6 +256,8 @@
 	<-runs
 	f.is.Equal(status("/read/retried", testKey), 503)
 	f.is.Equal(len(runs), 1)
+	f.is.Equal(strings.Count(log.String(), `"event":410`), 2) // once for each time without contact
+	f.is.Equal(strings.Count(log.String(), `"event":411`), 1)
 }
 
 // tappedConn copies what is written to it.
@@ -302,3 +305,26 @@
 	}
 	is.True(!strings.Contains(out.String(), testKey))
 }
+
+// TestRefusedBeforeBody guards against a refusal that waits for the body of a request
+// without a known key, and against a rest of it that is taken for the next request.
+func TestRefusedBeforeBody(t *testing.T) {
+	f, caller := newPipeline(t, func(http.ResponseWriter, *http.Request) {})
+	f.publishTenants(nord())
+	const head = "POST /file/1 HTTP/1.1\r\nHost: a.example\r\n"
+	body := get("/open")
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	caller.send(head + length)
+	f.is.Equal(caller.receive().status, 401)
+	caller.send(body, get("/read/2", "Authorization: Token "+testKey))
+	f.is.Equal(caller.receive().status, 200)
+
+	caller.send(head+"Expect: 100-continue\r\n"+length, body)
+	f.is.Equal(caller.receive().status, 401)
+	f.is.True(caller.receive().err != nil) // the connection is closed
+
+	late := f.dialCaller()
+	late.send(head + length)
+	f.is.Equal(late.receive().status, 401)
+	f.is.True(late.receive().err != nil) // closed after lingerTimeout
+}
