Test of domains with uneven load

Cause: the second load pattern names domains that differ; no test replayed it. Change: TestUnevenDomainsRefuseCalls.

--- a/internal/coordination/entry/expected_test.go
+++ b/internal/coordination/entry/expected_test.go
@@ -73,6 +73,23 @@
 	is.True(f.starts[1] >= f.starts[0]/2)
 }
 
+// TestUnevenDomainsRefuseCalls guards against calls that are late or refused in a domain with more
+// load than capacity while the other domains have room.
+func TestUnevenDomainsRefuseCalls(t *testing.T) {
+	is := is.New(t)
+	var inTime [2]float64
+	for i, overload := range []bool{false, true} {
+		f := newSheddingFleet(4, 5, overload)
+		rates := []float64{225, 150, 150, 75} // a domain serves 187 a second
+		f.run(10*time.Second, rates)
+		f.served, f.inTime, f.failed = 0, 0, 0
+		f.run(20*time.Second, rates)
+		inTime[i] = float64(f.inTime) / float64(f.served+f.failed)
+		t.Logf("overload %v: in time %.3f, late %d, failed %d", overload, inTime[i], f.served-f.inTime, f.failed)
+	}
+	is.True(inTime[1] >= 0.97 && inTime[1] > inTime[0])
+}
+
 // BenchmarkExpected measures a request's steps at an entry with and without expected times.
 func BenchmarkExpected(b *testing.B) {
 	for _, expected := range []bool{false, true} {
