--- a/internal/node/calls/callerinput.go
+++ b/internal/node/calls/callerinput.go
@@ -45,9 +45,15 @@
 // undo it, and its caller may still read the response.
 func (c *callerRequest) endAfterInputClosed() {
 	c.stopAttempts()
-	if c.route.Idempotent {
-		c.cancel(errInputClosed.New("caller closed its sending side: the call is cancelled"))
+	if !c.route.Idempotent {
+		return
 	}
+	end := func() { c.cancel(errInputClosed.New("caller closed its sending side: the call is cancelled")) }
+	if c.recallFirst {
+		time.AfterFunc(yieldRecallTime, end)
+		return
+	}
+	end()
 }
 
 // cutOffCause returns the cause of the end of ctx as far as the request knows it, and
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -59,6 +59,9 @@
 	begun bool
 	// yield ends the request early for responses behind it on its connection.
 	yield yieldState
+	// recallFirst gives a gate time to state that it has not run the call before it is cancelled
+	// for a caller that closed its sending side.
+	recallFirst bool
 	// crashes counts the targets that crashed while they ran the request. refusedByGate is set
 	// once a gate has refused it because of its quarantine.
 	crashes       int
@@ -195,6 +198,7 @@
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
 	c.body = body
+	c.recallFirst = r.options.Overload.Enabled
 	c.handle = r.entry.handles.Add(1)
 	c.template = r.newTemplate(ctx, c, request)
 }
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -61,6 +61,8 @@
 	// boot is the clock that advances during suspension; nil means clock.BootTime.
 	boot     func() time.Time
 	contract headers.Contract
+	// overload enables load shedding.
+	overload bool
 	// incarnation is that of the added nodes; 0 means 7.
 	incarnation uint64
 }
@@ -130,7 +132,7 @@
 	}}
 	n.pool = peer.NewPool(peer.PoolOptions{MaxPerAddress: 64, DialTimeout: time.Second, IdleTimeout: time.Minute, Dial: options.dial})
 	n.runner = New(Options{
-		Self: n.member, Settings: settings, Contract: options.contract, Pool: n.pool, View: f.view.Load, Snapshot: f.snapshot.Load,
+		Self: n.member, Settings: settings, Overload: config.Overload{Enabled: options.overload}, Contract: options.contract, Pool: n.pool, View: f.view.Load, Snapshot: f.snapshot.Load,
 		Serving:  func(time.Time) bool { return f.serving.Load() },
 		PeerLoad: func(string) (uint32, time.Time, bool) { return 0, time.Time{}, false },
 		Logger:   logging.Discard(), RandomSeed: uint64(i) + 1, Now: time.Now, BootTime: options.boot,
--- a/internal/node/calls/headofline_test.go
+++ b/internal/node/calls/headofline_test.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -51,6 +52,25 @@
 	}
 }
 
+// TestHalfClosedQueuedRequestEndsAsUnknown guards against an outcome that is not known for a
+// request of a caller that closed its sending side while its request waited in a gate's queue.
+func TestHalfClosedQueuedRequestEndsAsUnknown(t *testing.T) {
+	target := newPipelineTarget()
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, slots: 1, overload: true}, target.ServeHTTP)
+	f.serveCallers(0)
+	other, caller := f.dialCaller(), f.dialCaller()
+	other.send(get("/read/runs"))
+	f.waitFor("the slot is taken", func() bool { return len(target.running()) == 1 })
+	caller.send(get("/read/0"))
+	f.waitFor("it is queued", func() bool { return f.nodes[1].runner.gate.queued.Load() == 1 })
+	caller.NoErr(caller.conn.(*net.TCPConn).CloseWrite())
+	got := caller.receive()
+	caller.Equal(got.status, http.StatusServiceUnavailable)
+	caller.Equal(got.header.Get(headers.Outcome), "not-run")
+	target.finish("/read/runs")
+	other.expect("/read/runs")
+}
+
 // TestRequestThatNoTargetGotEndsAsUnknown guards against an outcome that is not known for a
 // request that only waited in a gate's queue while responses behind it were ready.
 func TestRequestThatNoTargetGotEndsAsUnknown(t *testing.T) {
