An endpoint that lost an attempt counts as slow

Cause: with placement by expected time, a frozen gate kept its free slots and its good service times, and got calls again before it was ejected. Change: a lost attempt sets the endpoint's slowness to 12, which is forgotten like any other.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -144,6 +144,7 @@
 		m.eject(now, c.Service, ep)
 	}
 	ep.suspectConnection = true
+	m.recordLost(now, ep)
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
 	if c.resolving {
 		return m.resolveAgain(now, c)
--- a/internal/coordination/entry/expected.go
+++ b/internal/coordination/entry/expected.go
@@ -22,6 +22,9 @@
 	slownessTolerance = 0.1
 	// slownessWeight is the weight of a report in an endpoint's slowness. Gates report averages.
 	slownessWeight = 1.0 / 2
+	// lostSlowness is the slowness of an endpoint that has just lost an attempt: as of a target
+	// that is too slow for most calls.
+	lostSlowness = 12.0
 	// unmeasuredShare is the assumed service time of a route before the first report, as a
 	// share of the time to the soft deadline.
 	unmeasuredShare = 1.0 / 3
@@ -87,6 +90,14 @@
 	ep.slowness, ep.slownessAt = slowness+(x/usual-slowness)*slownessWeight, now
 }
 
+// recordLost makes an endpoint count as slow after an attempt without a response: its node may be
+// frozen, and then loses each further call for as long as the silence timeout.
+func (m *Machine) recordLost(now time.Time, ep *endpoint) {
+	if m.options.ExpectedTime {
+		ep.slowness, ep.slownessAt = max(lostSlowness, ep.slownessNow(now)), now
+	}
+}
+
 // expected returns the expected time from now until the endpoint's response.
 func (m *Machine) expected(now time.Time, c *request, ep *endpoint) time.Duration {
 	usual := c.usual
--- a/internal/coordination/entry/expected_test.go
+++ b/internal/coordination/entry/expected_test.go
@@ -90,6 +90,25 @@
 	is.True(inTime[1] >= 0.97 && inTime[1] > inTime[0])
 }
 
+// TestFrozenGateGetsCalls guards against calls that are placed at a gate that has not responded to
+// those before: each is late after the silence timeout, and takes a token of the retry budget.
+func TestFrozenGateGetsCalls(t *testing.T) {
+	is := is.New(t)
+	var inTime, sent [2]float64
+	for i, overload := range []bool{false, true} {
+		f := newSheddingFleet(4, 2, overload)
+		rates := []float64{35, 35, 35, 35} // a domain serves 75 a second
+		f.run(10*time.Second, rates)
+		f.frozen = 1
+		f.served, f.inTime, f.failed, f.starts = 0, 0, 0, make([]int, 8)
+		f.run(20*time.Second, rates)
+		inTime[i], sent[i] = float64(f.inTime)/float64(f.served+f.failed), float64(f.starts[1])
+		t.Logf("overload %v: in time %.3f, late %d, failed %d, started %v", overload, inTime[i], f.served-f.inTime, f.failed, f.starts)
+	}
+	is.True(sent[1] <= sent[0])
+	is.True(inTime[1] > inTime[0])
+}
+
 // BenchmarkExpected measures a request's steps at an entry with and without expected times.
 func BenchmarkExpected(b *testing.B) {
 	for _, expected := range []bool{false, true} {
--- a/internal/coordination/entry/limited_fleet_test.go
+++ b/internal/coordination/entry/limited_fleet_test.go
@@ -34,6 +34,8 @@
 	starts []int
 	// slowness multiplies the service times of the targets that it holds.
 	slowness map[int]float64
+	// frozen is the gate that responds to nothing, or -1.
+	frozen int
 }
 
 // fleetRequest is a caller's request, over all its tries.
@@ -53,6 +55,7 @@
 	fleetSlots         = 6
 	fleetCallerTries   = 3
 	fleetHop           = time.Millisecond
+	fleetSilence       = 500 * time.Millisecond // until an attempt counts as lost
 	fleetLoadInterval  = 500 * time.Millisecond
 	// fleetRetryDivisor bounds the retry delay that callers accept: a third of the time
 	// left.
@@ -85,7 +88,7 @@
 	targets := domains * targetsPerDomain
 	f := &limitedFleet{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)),
-		attempts: make(map[call.ID]*fleetRequest), starts: make([]int, targets),
+		attempts: make(map[call.ID]*fleetRequest), frozen: -1, starts: make([]int, targets),
 	}
 	var endpoints []Endpoint
 	for i := range targets {
@@ -162,6 +165,8 @@
 		switch a := action.(type) {
 		case Send:
 			f.after(fleetHop, func() { f.arrive(r, a) })
+		case Resolve:
+			f.after(fleetSilence, func() { f.entryStep(r, ConnectionLost{Handle: r.handle}) })
 		case Wait:
 			f.after(a.For, func() { f.entryStep(r, Resume{Handle: r.handle}) })
 		case Fail:
@@ -186,6 +191,11 @@
 	var index int
 	fmt.Sscan(a.Endpoint.ID, &index)
 	f.attempts[a.ID] = r
+	if index == f.frozen {
+		f.starts[index]++
+		f.after(fleetSilence, func() { f.entryStep(r, ConnectionLost{Handle: r.handle}) })
+		return
+	}
 	f.gateStep(index, gate.Arrive{
 		ID: a.ID, GateIncarnation: 1, Route: "read", Idempotent: true, Deadline: r.begun.Add(fleetTimeout),
 		SoftDeadline: r.begun.Add(fleetTargetLatency), RequireSoftDeadline: a.RequireSoftDeadline,
