--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -212,7 +212,7 @@
 	if m.options.OverloadTries > 0 && refusedForOverload(c) {
 		return m.retryOverloaded(now, c)
 	}
-	if c.sent-c.uncharged >= c.MaxAttempts || !m.budgetOf(c.Service).take() {
+	if !m.retryCanEnd(now, c) || c.sent-c.uncharged >= c.MaxAttempts || !m.budgetOf(c.Service).take() {
 		return m.fetchLostOrFail(now, c, "")
 	}
 	m.chargedRetries++
--- a/internal/coordination/entry/expected.go
+++ b/internal/coordination/entry/expected.go
@@ -128,6 +128,13 @@
 	return e.slownessNow(now)*(1+e.queueing(now)) + e.score(now)
 }
 
+// retryCanEnd reports whether a retry that is sent now is expected to end before the
+// deadline at a target of usual speed. A retry that cannot takes a token and work for nothing, and
+// holds the request until its caller gives up.
+func (m *Machine) retryCanEnd(now time.Time, c *request) bool {
+	return !m.options.ExpectedTime || now.Add(time.Duration(m.usual[c.Route])).Before(c.Deadline)
+}
+
 // pickExpected returns the endpoint for the call, or nil if none is left. Endpoints that are
 // expected to respond in time come first, those of the local domain before others.
 func (m *Machine) pickExpected(now time.Time, c *request) *endpoint {
--- a/internal/coordination/entry/expected_test.go
+++ b/internal/coordination/entry/expected_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jasminegate/internal/coordination/call"
 )
 
 // runUneven lets one of four targets, one in each domain, become slower while the others have
@@ -109,6 +111,22 @@
 	is.True(inTime[1] > inTime[0])
 }
 
+// TestRetryThatCannotEndIsSent guards against a retry with less time left than the route's calls
+// take: it costs a token and work, and its caller waits in vain.
+func TestRetryThatCannotEndIsSent(t *testing.T) {
+	for left, retried := range map[time.Duration]bool{300 * time.Millisecond: false, time.Second: true} {
+		is := is.New(t)
+		d := newDriver(endpoints("near", 0, 2))
+		d.machine.options.ExpectedTime = true
+		d.begin(true)
+		d.machine.Step(d.now, ResponseReceived{Handle: d.handle, ServiceTime: 400 * time.Millisecond})
+		d.machine.Step(d.now, Begin{Handle: 9, Service: "depot", Idempotent: true, Deadline: d.now.Add(left), MaxAttempts: 3})
+		action := d.machine.Step(d.now, Refused{Handle: 9, Outcome: call.Unknown, Reason: call.ReasonTargetConnectionLost})[0]
+		_, waits := action.(Wait)
+		is.Equal(waits, retried)
+	}
+}
+
 // BenchmarkExpected measures a request's steps at an entry with and without expected times.
 func BenchmarkExpected(b *testing.B) {
 	for _, expected := range []bool{false, true} {
