Virtual time follows the earliest queued tag, not the last started one

Cause: a call with a late tag that was started out of order (nested, of an underserved flow) moved the virtual time past the tags of all tenants, which forgave a tenant the work that it had taken. Kept calls had lost their tag. Change: the start tag is kept beside the rank; a start moves the virtual time to the earliest tag that is still queued.

--- a/internal/coordination/gate/machine.go
+++ b/internal/coordination/gate/machine.go
@@ -184,7 +184,7 @@
 		if !ok {
 			break
 		}
-		actions = append(actions, m.start(now, m.forgetQueued(item.id), item.rank.tag))
+		actions = append(actions, m.start(now, m.forgetQueued(item.id), m.reachedTag(item)))
 	}
 	return actions
 }
--- a/internal/coordination/gate/queue.go
+++ b/internal/coordination/gate/queue.go
@@ -29,7 +29,9 @@
 	latestStart time.Time
 	// left is the time left until the hard deadline at arrival, and keptFrom is from when the
 	// call is no longer refused for others. Both are set with shedding only.
-	left     time.Duration
+	left time.Duration
+	// tag is the start tag of fair queueing, with shedding only.
+	tag      float64
 	keptFrom time.Time
 }
 
--- a/internal/coordination/gate/shedding.go
+++ b/internal/coordination/gate/shedding.go
@@ -260,6 +260,16 @@
 	return m.shed.tag(now, e, m.limit.expectedServiceTime(now, e))
 }
 
+// reachedTag returns the virtual time that the start of the call reaches: its start tag, unless
+// queued calls with earlier ones were overtaken.
+func (m *Machine) reachedTag(started queuedCall) float64 {
+	tag := started.tag
+	for _, item := range m.queue.interactive {
+		tag = min(tag, item.tag)
+	}
+	return tag
+}
+
 // untag takes back the work of a call that was not started.
 func (s *shedding) untag(now time.Time, e Arrive, work time.Duration) {
 	f := flowOf(s.tenants, now, e.Tenant)
@@ -356,7 +366,8 @@
 	if byQueue := now.Add(m.target.QueueTimeout); byQueue.Before(item.latestStart) {
 		item.latestStart = byQueue
 	}
-	item.rank.tag = m.shed.tag(now, e, work)
+	item.tag = m.shed.tag(now, e, work)
+	item.rank.tag = item.tag
 	m.sortQueue(now)
 	if !m.fits(now, e, &item) || m.endangersKept(now, item) {
 		m.shed.untag(now, e, work)
--- a/internal/coordination/gate/shedding_test.go
+++ b/internal/coordination/gate/shedding_test.go
@@ -24,7 +24,6 @@
 	burstStart      = 30 * time.Second
 	burstEnd        = 38 * time.Second
 	burstTotal      = 48 * time.Second
-	burstHotFactor  = 6.0 // of the hot tenant's usual use
 	burstTenants    = 12
 	burstTries      = 3
 )
@@ -98,7 +97,8 @@
 // burstLoad is the load during the burst.
 type burstLoad struct {
 	routes []burstRoute
-	factor float64
+	// factor multiplies the usual use of all tenants, hotFactor that of one.
+	factor, hotFactor float64
 	// slowness multiplies the service times.
 	slowness time.Duration
 }
@@ -198,7 +198,7 @@
 	if at := b.now.Sub(epoch); at >= burstStart && at < burstEnd {
 		rate = usual * b.factor
 		if hot {
-			rate = usual * burstHotFactor
+			rate = usual * b.hotFactor
 		}
 	}
 	b.after(time.Duration(b.random.ExpFloat64()/rate*float64(time.Second)), func() {
@@ -249,7 +249,7 @@
 	is := is.New(t)
 	before, got := burstResult{}, burstResult{}
 	for seed := range uint64(10) {
-		load := burstLoad{routes: burstRoutes, factor: burstFactor, slowness: 1}
+		load := burstLoad{routes: burstRoutes, factor: burstFactor, hotFactor: 6, slowness: 1}
 		before.add(runBurst(load, false, seed))
 		got.add(runBurst(load, true, seed))
 	}
@@ -274,6 +274,25 @@
 	}
 }
 
+// TestHotTenantTakesShareOfOthers guards against a tenant that sends many times its usual load and
+// displaces the calls of tenants that do not.
+func TestHotTenantTakesShareOfOthers(t *testing.T) {
+	is := is.New(t)
+	var got burstResult
+	for seed := range uint64(5) {
+		got.add(runBurst(burstLoad{routes: burstRoutes[1:2], factor: 1, hotFactor: 20, slowness: 1}, true, seed))
+	}
+	t.Logf("%+v", got)
+	var others [2]int
+	for name, n := range got.flows {
+		if strings.HasPrefix(name, "tenant-") && name != "tenant-3" {
+			others = [2]int{others[0] + n[0], others[1] + n[1]}
+		}
+	}
+	is.True(float64(others[1]) >= 0.9*float64(others[0]))
+	got.checkFloor(is)
+}
+
 // TestUrgentCallsStarveOthers guards against routes and tenants that get nothing while urgent
 // calls alone need three times the capacity.
 func TestUrgentCallsStarveOthers(t *testing.T) {
@@ -285,7 +304,7 @@
 	}
 	var got burstResult
 	for seed := range uint64(5) {
-		got.add(runBurst(burstLoad{routes: routes, factor: 6, slowness: 1}, true, seed))
+		got.add(runBurst(burstLoad{routes: routes, factor: 6, hotFactor: 6, slowness: 1}, true, seed))
 	}
 	t.Logf("%+v", got)
 	got.checkFloor(is)
@@ -295,7 +314,7 @@
 // every soft deadline, holds for most of their time and then does not run.
 func TestSlowTargetHoldsLateCalls(t *testing.T) {
 	is := is.New(t)
-	load := burstLoad{routes: burstRoutes, factor: 1, slowness: 6}
+	load := burstLoad{routes: burstRoutes, factor: 1, hotFactor: 6, slowness: 6}
 	var before, got burstResult
 	for seed := range uint64(10) {
 		before.add(runBurst(load, false, seed))
