--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -170,6 +170,7 @@
 		m.eject(now, c.Service, ep)
 	}
 	ep.suspectConnection = true
+	m.recordLost(now, ep)
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
 	if c.resolving {
 		return m.resolveAgain(now, c)
@@ -239,7 +240,7 @@
 	if m.options.OverloadTries > 0 && refusedForOverload(c) {
 		return m.retryOverloaded(now, c)
 	}
-	if c.sent-c.uncharged >= c.MaxAttempts || !m.budgetOf(c.Service).take() {
+	if !m.retryCanEnd(now, c) || c.sent-c.uncharged >= c.MaxAttempts || !m.budgetOf(c.Service).take() {
 		return m.fetchLostOrFail(now, c, "")
 	}
 	m.chargedRetries++
--- a/internal/coordination/entry/expected.go
+++ b/internal/coordination/entry/expected.go
@@ -22,6 +22,9 @@
 	slownessTolerance = 0.1
 	// slownessWeight is the weight of a report in an endpoint's slowness. Gates report averages.
 	slownessWeight = 1.0 / 2
+	// lostSlowness is the slowness of an endpoint that has just lost an attempt: as of a target
+	// that is too slow for most calls.
+	lostSlowness = 12.0
 	// unmeasuredShare is the assumed service time of a route before the first report, as a
 	// share of the time to the soft deadline.
 	unmeasuredShare = 1.0 / 3
@@ -87,6 +90,14 @@
 	ep.slowness, ep.slownessAt = slowness+(x/usual-slowness)*slownessWeight, now
 }
 
+// recordLost makes an endpoint count as slow after an attempt without a response: its node may be
+// frozen, and then loses each further call for as long as the silence timeout.
+func (m *Machine) recordLost(now time.Time, ep *endpoint) {
+	if m.options.ExpectedTime {
+		ep.slowness, ep.slownessAt = max(lostSlowness, ep.slownessNow(now)), now
+	}
+}
+
 // expected returns the expected time from now until the endpoint's response.
 func (m *Machine) expected(now time.Time, c *request, ep *endpoint) time.Duration {
 	usual := c.usual
@@ -117,6 +128,13 @@
 	return e.slownessNow(now)*(1+e.queueing(now)) + e.score(now)
 }
 
+// retryCanEnd reports whether a retry that is sent now is expected to end before the
+// deadline at a target of usual speed. A retry that cannot takes a token and work for nothing, and
+// holds the request until its caller gives up.
+func (m *Machine) retryCanEnd(now time.Time, c *request) bool {
+	return !m.options.ExpectedTime || now.Add(time.Duration(m.usual[c.Route])).Before(c.Deadline)
+}
+
 // pickExpected returns the endpoint for the call, or nil if none is left. Endpoints that are
 // expected to respond in time come first, those of the local domain before others.
 func (m *Machine) pickExpected(now time.Time, c *request) *endpoint {
--- a/internal/coordination/entry/expected_test.go
+++ b/internal/coordination/entry/expected_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jasminegate/internal/coordination/call"
 )
 
 // runUneven lets one of four targets, one in each domain, become slower while the others have
@@ -73,6 +75,58 @@
 	is.True(f.starts[1] >= f.starts[0]/2)
 }
 
+// TestUnevenDomainsRefuseCalls guards against calls that are late or refused in a domain with more
+// load than capacity while the other domains have room.
+func TestUnevenDomainsRefuseCalls(t *testing.T) {
+	is := is.New(t)
+	var inTime [2]float64
+	for i, overload := range []bool{false, true} {
+		f := newSheddingFleet(4, 5, overload)
+		rates := []float64{225, 150, 150, 75} // a domain serves 187 a second
+		f.run(10*time.Second, rates)
+		f.served, f.inTime, f.failed = 0, 0, 0
+		f.run(20*time.Second, rates)
+		inTime[i] = float64(f.inTime) / float64(f.served+f.failed)
+		t.Logf("overload %v: in time %.3f, late %d, failed %d", overload, inTime[i], f.served-f.inTime, f.failed)
+	}
+	is.True(inTime[1] >= 0.97 && inTime[1] > inTime[0])
+}
+
+// TestFrozenGateGetsCalls guards against calls that are placed at a gate that has not responded to
+// those before: each is late after the silence timeout, and takes a token of the retry budget.
+func TestFrozenGateGetsCalls(t *testing.T) {
+	is := is.New(t)
+	var inTime, sent [2]float64
+	for i, overload := range []bool{false, true} {
+		f := newSheddingFleet(4, 2, overload)
+		rates := []float64{35, 35, 35, 35} // a domain serves 75 a second
+		f.run(10*time.Second, rates)
+		f.frozen = 1
+		f.served, f.inTime, f.failed, f.starts = 0, 0, 0, make([]int, 8)
+		f.run(20*time.Second, rates)
+		inTime[i], sent[i] = float64(f.inTime)/float64(f.served+f.failed), float64(f.starts[1])
+		t.Logf("overload %v: in time %.3f, late %d, failed %d, started %v", overload, inTime[i], f.served-f.inTime, f.failed, f.starts)
+	}
+	is.True(sent[1] <= sent[0])
+	is.True(inTime[1] > inTime[0])
+}
+
+// TestRetryThatCannotEndIsSent guards against a retry with less time left than the route's calls
+// take: it costs a token and work, and its caller waits in vain.
+func TestRetryThatCannotEndIsSent(t *testing.T) {
+	for left, retried := range map[time.Duration]bool{300 * time.Millisecond: false, time.Second: true} {
+		is := is.New(t)
+		d := newDriver(endpoints("near", 0, 2))
+		d.machine.options.ExpectedTime = true
+		d.begin(true)
+		d.machine.Step(d.now, ResponseReceived{Handle: d.handle, ServiceTime: 400 * time.Millisecond})
+		d.machine.Step(d.now, Begin{Handle: 9, Service: "depot", Idempotent: true, Deadline: d.now.Add(left), MaxAttempts: 3})
+		action := d.machine.Step(d.now, Refused{Handle: 9, Outcome: call.Unknown, Reason: call.ReasonTargetConnectionLost})[0]
+		_, waits := action.(Wait)
+		is.Equal(waits, retried)
+	}
+}
+
 // BenchmarkExpected measures a request's steps at an entry with and without expected times.
 func BenchmarkExpected(b *testing.B) {
 	for _, expected := range []bool{false, true} {
--- a/internal/node/calls/callerinput.go
+++ b/internal/node/calls/callerinput.go
@@ -52,9 +52,15 @@
 func (c *callerRequest) endAfterInputClosed() {
 	c.inputEnded.Store(true)
 	c.stopAttempts()
-	if c.route.Idempotent {
-		c.cancel(errInputClosed.New("caller closed its sending side: the call is cancelled"))
+	if !c.route.Idempotent {
+		return
 	}
+	end := func() { c.cancel(errInputClosed.New("caller closed its sending side: the call is cancelled")) }
+	if c.recallFirst {
+		time.AfterFunc(yieldRecallTime, end)
+		return
+	}
+	end()
 }
 
 // cutOffCause returns the cause of the end of ctx as far as the request knows it, and
