Rollouts: the coordinator's cost of a report no longer grows with the fleet

Cause: each directive summed the charges of all nodes and ranked all targets: 1,500 nodes report 6,000 times a second. Change: the sum of charges is kept up to date; targets are ranked when members change; slow limits are computed once a step; evidence is judged when a bad response came. Result: go test -race ./internal/coordination/rollout passes.

--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,7 @@
 	record   Record
 	settings Settings
 	members  map[string]Member
+	targets  targets
 	ledger   *ledger
 	evidence *evidence
 	schedule schedule
@@ -41,6 +43,8 @@
 	grantsFrom time.Time
 	inherits   bool
 	shiftedAt  time.Time
+	// slowLimits are those of the last Step. Directives share them, so they are never changed.
+	slowLimits map[string]time.Duration
 	// first is the target that gets the calls of Canary.
 	first string
 	// probedAt is when the last probe before Shifting began, and probedFrom the number of
@@ -86,51 +90,52 @@
 			c.evidence.since[m.ID] = now
 		}
 	}
+	c.updateTargets()
 }
 
 func (c *Coordinator) isNew(m Member) bool { return m.Version == c.record.TargetVersion }
 func (c *Coordinator) isOld(m Member) bool { return m.Version != "" && !c.isNew(m) }
 
-// capacity returns the number of ready targets of each version and their slots.
-func (c *Coordinator) capacity() (oldTargets, oldSlots, newTargets, newSlots int) {
-	for _, m := range c.members {
+// targets is what the members say about the ready targets.
+type targets struct {
+	oldTargets, oldSlots, newTargets, newSlots int
+	// endpoints are the targets of the new version that are not set aside, ranked by
+	// rendezvous hash so that every coordinator of an order has the same order of them. The
+	// first target in use stays first when others become ready.
+	endpoints []string
+}
+
+// updateTargets computes targets, which is needed for each directive, when members or evidence changed.
+func (c *Coordinator) updateTargets() {
+	c.targets = targets{}
+	ranks := make(map[string]uint64)
+	for id, m := range c.members {
 		if !m.Ready {
 			continue
 		}
-		if c.isNew(m) {
-			newTargets++
-			newSlots += max(1, m.Slots)
-		} else if c.isOld(m) {
-			oldTargets++
-			oldSlots += max(1, m.Slots)
+		if c.isOld(m) {
+			c.targets.oldTargets++
+			c.targets.oldSlots += max(1, m.Slots)
 		}
-	}
-	return oldTargets, oldSlots, newTargets, newSlots
-}
-
-// newEndpoints returns the ready targets of the new version that are not set aside, ranked by
-// rendezvous hash so that every coordinator of an order has the same order of them. The first target
-// in use stays first when others become ready.
-func (c *Coordinator) newEndpoints() []string {
-	type ranked struct {
-		id   string
-		hash uint64
-	}
-	var found []ranked
-	for id, m := range c.members {
-		if c.isNew(m) && m.Ready && c.evidence.setAside[id] == nil {
-			found = append(found, ranked{id, xxhash.Sum64String(fmt.Sprint(c.record.Order, " ", id))})
+		if !c.isNew(m) {
+			continue
+		}
+		c.targets.newTargets++
+		c.targets.newSlots += max(1, m.Slots)
+		if c.evidence.setAside[id] == nil {
+			c.targets.endpoints = append(c.targets.endpoints, id)
+			ranks[id] = xxhash.Sum64String(strconv.FormatUint(c.record.Order, 10) + " " + id)
 		}
 	}
-	slices.SortFunc(found, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id)) })
-	ids := make([]string, len(found))
-	for i, f := range found {
-		ids[i] = f.id
-	}
-	if i := slices.Index(ids, c.first); i > 0 {
-		return append([]string{c.first}, slices.Delete(ids, i, i+1)...)
-	}
-	return ids
+	slices.SortFunc(c.targets.endpoints, func(a, b string) int {
+		if a == c.first {
+			return -1
+		}
+		if b == c.first {
+			return 1
+		}
+		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a, b))
+	})
 }
 
 // Receive takes over a report.
@@ -146,8 +151,9 @@
 	c.exposure.advance(now, float64(c.ledger.calls-callsBefore))
 	c.evidence.frozen = c.record.Phase >= Shifting
 	c.evidence.underLoad = c.exposure.loading(now)
-	c.receiveStats(now, a, r.Stats)
-	c.judge(now)
+	if c.receiveStats(now, a, r.Stats) || a.stopped {
+		c.judge(now)
+	}
 	if !c.ended {
 		return nil
 	}
@@ -155,8 +161,8 @@
 }
 
 // receiveStats passes what a report adds to the last one of its incarnation to the evidence, first
-// that of the old version.
-func (c *Coordinator) receiveStats(now time.Time, a *account, stats []VersionStats) {
+// that of the old version. It reports whether there was a bad response of the new version.
+func (c *Coordinator) receiveStats(now time.Time, a *account, stats []VersionStats) (bad bool) {
 	for _, wantNew := range []bool{false, true} {
 		for _, s := range stats {
 			isNew := s.Version == c.record.TargetVersion
@@ -171,12 +177,14 @@
 				continue
 			}
 			if isNew {
+				bad = bad || failed+slow > 0
 				c.evidence.addNew(now, s.Route, s.Endpoint, good, failed, slow, s.LogSum-last.LogSum)
 			} else {
 				c.evidence.addOld(now, s.Route, totals{good, failed, slow, s.LogSum - last.LogSum, s.LogSquares - last.LogSquares})
 			}
 		}
 	}
+	return bad
 }
 
 // judge rolls back if the evidence is there.
@@ -184,13 +192,14 @@
 	if c.record.Phase == Pending {
 		return
 	}
-	canTry := func() bool { return len(c.newEndpoints()) > 1 }
+	canTry := func() bool { return len(c.targets.endpoints) > 1 }
 	setAside := len(c.evidence.setAside)
 	if reason, bad := c.evidence.verdict(canTry); bad {
 		c.rollBack("bad version: " + reason)
 		return
 	}
 	if len(c.evidence.setAside) > setAside {
+		c.updateTargets()
 		c.exposure.targetChanged(now)
 	}
 	if c.evidence.load.suspicious() {
@@ -212,6 +221,7 @@
 	if c.ended {
 		return c.write(now)
 	}
+	c.slowLimits = c.evidence.slowLimits()
 	if !now.Before(c.grantsFrom) && c.inherits {
 		c.inherits = false
 		c.ledger.inherited = c.inheritedCharge()
@@ -250,7 +260,7 @@
 
 // advance moves to the next phase if it is due.
 func (c *Coordinator) advance(now time.Time) {
-	oldTargets, oldSlots, newTargets, newSlots := c.capacity()
+	newTargets := c.targets.newTargets
 	switch c.record.Phase {
 	case Pending:
 		if newTargets > 0 {
@@ -269,7 +279,7 @@
 		if late {
 			needed = minLateCapacity
 		}
-		enough := float64(newSlots) >= needed*float64(oldSlots)
+		enough := float64(c.targets.newSlots) >= needed*float64(c.targets.oldSlots)
 		doubts := c.evidence.doubts(c.exposure.loaded)
 		probed := !now.Before(c.shiftAt().Add(-probeTime)) && c.probedBeforeShift(now)
 		loaded := c.exposure.loaded || !now.Before(c.schedule.at(loadedBy))
@@ -280,7 +290,7 @@
 		}
 		if (late || ready && doubts == "") && enough && newTargets > 0 && c.evidence.suspicious() == "" {
 			c.shiftedAt = now
-			c.enter(Shifting, fmt.Sprintf("%.0f responses of the new version, %d of %d targets ready", c.evidence.responses(), newTargets, oldTargets))
+			c.enter(Shifting, fmt.Sprintf("%.0f responses of the new version, %d of %d targets ready", c.evidence.responses(), newTargets, c.targets.oldTargets))
 		}
 	case Shifting:
 		if newTargets > 0 && now.Sub(c.shiftedAt) >= c.soakTime() && !now.Before(c.grantsFrom) &&
@@ -425,7 +435,7 @@
 // Directive returns the response to the newest report of a node. The runner must send it
 // only in response to that report.
 func (c *Coordinator) Directive(now time.Time, node string) Directive {
-	d := Directive{Record: c.record, SlowLimits: c.evidence.slowLimits()}
+	d := Directive{Record: c.record, SlowLimits: c.slowLimits}
 	a := c.ledger.current[node]
 	if a == nil || c.ended || a.stopped {
 		return d
@@ -492,14 +502,13 @@
 		return
 	}
 	d.GrantFor = c.settings.GrantValidity
-	oldTargets, _, _, _ := c.capacity()
-	endpoints := c.newEndpoints()
+	endpoints := c.targets.endpoints
 	if len(endpoints) == 0 {
 		return
 	}
 	c.first = endpoints[0]
 	plan := c.exposure.plan(now, planInput{
-		expanding: c.record.Phase == Expanding, oldTargets: oldTargets, endpoints: endpoints,
+		expanding: c.record.Phase == Expanding, oldTargets: c.targets.oldTargets, endpoints: endpoints,
 		limit: c.exposureLimit(now), charged: c.ledger.charged(), exposed: float64(c.ledger.exposed),
 		shiftIn: c.shiftAt().Sub(now), patient: now.Before(c.schedule.at(latestStart)),
 		exposeShare: c.settings.ExposeShare, responses: c.evidence.responses(),
@@ -518,7 +527,7 @@
 		c.exposure.spend(number - left)
 	}
 	if number > 0 {
-		a.grants = append(a.grants, grant{ceiling: a.exposed + uint64(number), until: now.Add(c.settings.GrantValidity)})
+		c.ledger.grant(a, a.exposed+uint64(number), now.Add(c.settings.GrantValidity))
 		expected := max(1, a.rate*c.settings.ReportInterval.Seconds())
 		d.Share = min(1, max(plan.share, number/expected))
 		if plan.want < 1 && !c.exposure.bursting {
--- a/internal/coordination/rollout/ledger.go
+++ b/internal/coordination/rollout/ledger.go
@@ -21,6 +21,8 @@
 	rate    float64
 	idle    bool
 	stopped bool
+	// charged is the charge that is part of ledger.total.
+	charged uint64
 }
 
 // rateSmoothing is the time constant of account.rate.
@@ -64,6 +66,8 @@
 	newest   map[string]uint64
 	// calls and exposed are the sums over all incarnations.
 	calls, exposed uint64
+	// total is the sum of the charges. It is kept up to date, because it is needed for each directive.
+	total uint64
 	// inherited is what a predecessor may have granted without its showing in reports.
 	inherited float64
 }
@@ -92,17 +96,25 @@
 	l.calls += r.Calls - a.calls
 	l.exposed += r.Exposed - a.exposed
 	a.report(now, r)
+	l.recharge(a)
 	if r.Incarnation >= l.newest[r.Node] {
 		l.newest[r.Node], l.current[r.Node] = r.Incarnation, a
 	}
 	return a
 }
 
-// charged returns the calls to the new version that were sent or may still be sent.
-func (l *ledger) charged() float64 {
-	sum := l.inherited
-	for _, a := range l.accounts {
-		sum += float64(a.charge())
-	}
-	return sum
+// grant notes a grant to a node.
+func (l *ledger) grant(a *account, ceiling uint64, until time.Time) {
+	a.grants = append(a.grants, grant{ceiling, until})
+	l.recharge(a)
 }
+
+// recharge takes a changed charge over into the total.
+func (l *ledger) recharge(a *account) {
+	charge := a.charge()
+	l.total += charge - a.charged
+	a.charged = charge
+}
+
+// charged returns the calls to the new version that were sent or may still be sent.
+func (l *ledger) charged() float64 { return l.inherited + float64(l.total) }
