Entries leave a held version out also with older endpoints

A node that accepted an order passed the members that it knew to the entry's policy, which could replace newer ones of the entry machine. A version missing there restricted nothing.

Change: only the entry machine sets the endpoints. While a version is held, or under rollout, the served versions are listed explicitly.

Measured: go test -race ./internal/coordination/entry: ok. TestStaleEndpointsLiftRestriction fails without the second change.

--- a/internal/coordination/entry/versions.go
+++ b/internal/coordination/entry/versions.go
@@ -322,6 +322,8 @@
 func (s *serviceVersions) ordinary(now time.Time, changeBound time.Duration) VersionChoice {
 	choice := VersionChoice{Running: s.running()}
 	currentLeft := s.present[s.current].targets > 0
+	// A version that gets no calls is left out by name only: a target of it may join at any moment.
+	choice.Restricted = len(s.held) > 0 || s.isNew(s.record.TargetVersion)
 	for version, p := range s.present {
 		choice.Restricted = choice.Restricted || p.targets > 0 && !s.serves(now, version, p, currentLeft, changeBound)
 	}
--- a/internal/coordination/entry/versions_test.go
+++ b/internal/coordination/entry/versions_test.go
@@ -102,6 +102,19 @@
 	d.Equal(d.toNew(100), 0) // the grant has ended
 }
 
+// TestStaleEndpointsLiftRestriction: calls went to all versions while the policy knew older endpoints
+// than the machine.
+func TestStaleEndpointsLiftRestriction(t *testing.T) {
+	for _, phase := range []rollout.Phase{rollout.Canary, rollout.RolledBack} {
+		d := newVersionDriver(t)
+		d.set(oldAndNew(versioned(endpoints("near", 3, 2), "v2")...)...)
+		d.versions.SetRecord(d.now, d.record(1, phase))
+		d.versions.SetEndpoints(d.now, oldAndNew())
+		d.now = d.now.Add(slowStartWindow)
+		d.Equal(d.toNew(200), 0)
+	}
+}
+
 // TestOldVersionIsLostWithoutNewEndpoint: a call that may go to the new version must go to the old
 // one if no new target takes it, and must not be charged to the grant.
 func TestOldVersionIsLostWithoutNewEndpoint(t *testing.T) {
--- a/internal/node/admin_rollouts.go
+++ b/internal/node/admin_rollouts.go
@@ -48,7 +48,7 @@
 		item := adminapi.Rollout{
 			Service: record.Service, Order: record.Order, Version: record.TargetVersion, Previous: record.PreviousVersion,
 			Phase: record.Phase.String(), Reason: record.Reason, ElapsedMS: record.Elapsed(now).Milliseconds(), DurationMS: record.Duration.Milliseconds(),
-			Versions: r.listVersions(now, record),
+			Versions: r.listVersions(record),
 		}
 		if !record.Phase.Final() {
 			r.runsMu.Lock()
@@ -60,11 +60,9 @@
 	return list
 }
 
-func (r *rollouts) listVersions(now time.Time, record rollout.Record) []adminapi.RolloutVersion {
-	endpoints := r.endpoints()
+func (r *rollouts) listVersions(record rollout.Record) []adminapi.RolloutVersion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.versions.SetEndpoints(now, endpoints)
 	versions := []adminapi.RolloutVersion{}
 	for _, present := range r.versions.Present(record.Service) {
 		item := adminapi.RolloutVersion{Version: present.Version, Targets: present.Targets, Use: useOf(present)}
--- a/internal/node/calls/entryloop.go
+++ b/internal/node/calls/entryloop.go
@@ -94,18 +94,13 @@
 		return
 	}
 	l.view = view
-	l.machine.Step(now, entry.SetEndpoints{Endpoints: EndpointsOf(view)})
-}
-
-// EndpointsOf returns the endpoints in a view.
-func EndpointsOf(view *membership.View) []entry.Endpoint {
 	var endpoints []entry.Endpoint
 	for _, member := range view.Members {
 		if member.IsEndpoint() {
 			endpoints = append(endpoints, endpointOf(member))
 		}
 	}
-	return endpoints
+	l.machine.Step(now, entry.SetEndpoints{Endpoints: endpoints})
 }
 
 func endpointOf(member membership.Member) entry.Endpoint {
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -17,7 +17,6 @@
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/coordination/rollout"
 	"jasminegate/internal/logging"
-	"jasminegate/internal/node/calls"
 	"jasminegate/internal/node/configuration"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/transport/platformlog"
@@ -319,10 +318,8 @@
 // accept begins the order's rollout, or ends that of a withdrawn one. An order that is not newer than
 // the known one of its service changes nothing.
 func (r *rollouts) accept(now time.Time, order pendingOrder) {
-	endpoints := r.endpoints()
 	r.mu.Lock()
 	known, exists := r.table.Get(order.Service)
-	r.versions.SetEndpoints(now, endpoints)
 	previous := r.versions.Previous(now, order.Service, order.TargetVersion)
 	r.mu.Unlock()
 	switch {
@@ -343,9 +340,6 @@
 	}
 }
 
-// endpoints returns the endpoints that membership knows now.
-func (r *rollouts) endpoints() []entry.Endpoint { return calls.EndpointsOf(r.node.members.View()) }
-
 // abort rolls the order back from this node: all nodes act on it at once, and this one writes the
 // result until it is written or another one is found.
 func (r *rollouts) abort(now time.Time, record rollout.Record, reason string) {
