--- a/internal/cli/run_test.go
+++ b/internal/cli/run_test.go
@@ -58,6 +58,17 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		_ = json.NewEncoder(w).Encode(adminapi.Status{Node: "n1", Domain: "casa-port", State: adminapi.NodeServing, Members: []adminapi.Member{{ID: "n2", State: "alive"}}})
 	})
+	mux.HandleFunc("GET /tenants", func(w http.ResponseWriter, r *http.Request) {
+		list := adminapi.TenantList{Version: "3@00", Tenants: []adminapi.Tenant{{Name: "nord", Keys: 2, Priority: 1, RatePerS: 632.5}}}
+		switch r.URL.Query().Get(adminapi.QueryName) {
+		case "nord":
+			list.Tenants[0].KeyDigests = []string{"00ff"}
+		case "sud":
+			problem.Write(w, problem.Problem{Status: 404, Outcome: problem.NotFound, Detail: "no tenant", Remedy: "list them"})
+			return
+		}
+		_ = json.NewEncoder(w).Encode(list)
+	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return server.URL
@@ -116,6 +127,10 @@
 		"publish, not in time":  {state: "unconfirmed", args: "ticket publish " + ticket + " --node NODE --wait --timeout 300ms", code: ExitNotInForce, errOut: "is unconfirmed"},
 		"read back, accepted":   {state: "accepted", args: "ticket status 7 --node NODE -o json", code: ExitNotInForce, out: `"laggards"`},
 		"read back, in force":   {state: "in_force", args: "ticket status 7 --node NODE --content 00", code: ExitOK, out: "in_force"},
+		"tenants":               {args: "tenants list --node NODE", code: ExitOK, out: "nord    2     1         632.5       -"},
+		"tenants in JSON":       {args: "tenants list --node NODE -o json", code: ExitOK, out: `"rate_per_s": 632.5`},
+		"tenant":                {args: "tenants show nord --node NODE", code: ExitOK, out: "key digest: 00ff"},
+		"tenant unknown":        {args: "tenants show sud --node NODE", code: ExitFailed, errOut: "no tenant"},
 		"not a number":          {args: "ticket status seven --node NODE", code: ExitUsage, errOut: "not a ticket number"},
 	}
 	for name, tc := range cases {
