Stated revocation kept nodes from starting if no bound was stated

Cause: with deployment.revoke_strict alone, platform.read_wait followed only from the times of changes, up to 5 s, and exceeded half of the default tenants.revoke_bound: the settings were rejected. Change: the wait follows from tenants.revoke_bound, stated, given or default. Result: go test -race ./internal/config ./internal/cli passes; the new cases of TestSettingsFollowFromDeployment fail on the earlier code.

--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -28,7 +28,7 @@
 	minReadWait = 500 * time.Millisecond
 	maxReadWait = 5 * time.Second
 	// readsPerRevokeBound is how often a reader finds the log's end within
-	// deployment.revoke_bound if it is strict. A read that finds nothing tells that the
+	// tenants.revoke_bound with tenants.revoke_strict. A read that finds nothing tells that the
 	// configuration was the newest when it was sent, so this information is up to two waits
 	// old; the rest of the bound is for its way to the other nodes.
 	readsPerRevokeBound = 8
@@ -63,17 +63,6 @@
 		s.Calls.RetryRatio = min(1, math.Round(retryShare*d.RetryRatio*1000)/1000)
 		return d.RetryRatio > 0
 	}},
-	{"platform.read_wait", "deployment.change_bound, deployment.settle_time, deployment.revoke_bound", func(s *Settings, d Deployment) bool {
-		stated := d.ChangeBound > 0 && d.SettleTime > 0
-		if stated {
-			s.Platform.ReadWait = min(maxReadWait, max(minReadWait, d.ChangeBound+d.SettleTime-readReserve))
-		}
-		strict := d.RevokeStrict && d.RevokeBound > 0
-		if strict {
-			s.Platform.ReadWait = min(s.Platform.ReadWait, max(minStrictReadWait, d.RevokeBound/readsPerRevokeBound))
-		}
-		return stated || strict
-	}},
 	{"tenants.revoke_bound", "deployment.revoke_bound", func(s *Settings, d Deployment) bool {
 		s.Tenants.RevokeBound = min(maxRevokeBound, max(minRevokeBound, d.RevokeBound))
 		return d.RevokeBound > 0
@@ -82,6 +71,16 @@
 		s.Tenants.RevokeStrict = true
 		return d.RevokeStrict
 	}},
+	{"platform.read_wait", "deployment.change_bound, deployment.settle_time, tenants.revoke_bound", func(s *Settings, d Deployment) bool {
+		stated := d.ChangeBound > 0 && d.SettleTime > 0
+		if stated {
+			s.Platform.ReadWait = min(maxReadWait, max(minReadWait, d.ChangeBound+d.SettleTime-readReserve))
+		}
+		if s.Tenants.RevokeStrict {
+			s.Platform.ReadWait = min(s.Platform.ReadWait, max(minStrictReadWait, s.Tenants.RevokeBound/readsPerRevokeBound))
+		}
+		return stated || s.Tenants.RevokeStrict
+	}},
 	{"platform.heartbeat", "deployment.heartbeat", func(s *Settings, d Deployment) bool {
 		s.Platform.Heartbeat = min(maxHeartbeat, max(minHeartbeat, d.Heartbeat))
 		return d.Heartbeat > 0
--- a/internal/config/derive_test.go
+++ b/internal/config/derive_test.go
@@ -36,9 +36,14 @@
 		"given by hand":      {"stop_grace: 6s", 4 * time.Second, time.Second, 2 * time.Second, 0.1, "", "calls: {drain_timeout: 4s, leave_delay: 1s}\n"},
 		"one of two by hand": {"stop_grace: 6s", 4 * time.Second, 2500 * time.Millisecond, 2 * time.Second, 0.1, "calls.leave_delay", "calls: {drain_timeout: 4s}\n"},
 		"strict revocation": {"change_bound: 2s, settle_time: 3s, revoke_bound: 4s, revoke_strict: true", Defaults().Calls.DrainTimeout, 0, 500 * time.Millisecond, 0.1,
-			"platform.read_wait tenants.revoke_bound tenants.revoke_strict", ""},
+			"tenants.revoke_bound tenants.revoke_strict platform.read_wait", ""},
 		"strict revocation at once": {"revoke_bound: 1ms, revoke_strict: true", Defaults().Calls.DrainTimeout, 0, 50 * time.Millisecond, 0.1,
-			"platform.read_wait tenants.revoke_bound tenants.revoke_strict", ""},
+			"tenants.revoke_bound tenants.revoke_strict platform.read_wait", ""},
+		// The derived read wait was too long for the default bound, and no node started.
+		"strict without bound": {"change_bound: 3s, settle_time: 4s, revoke_strict: true", Defaults().Calls.DrainTimeout, 0, 625 * time.Millisecond, 0.1,
+			"tenants.revoke_strict platform.read_wait", ""},
+		"strict by hand": {"change_bound: 3s, settle_time: 4s", Defaults().Calls.DrainTimeout, 0, 125 * time.Millisecond, 0.1,
+			"platform.read_wait", "tenants: {revoke_strict: true, revoke_bound: 1s}\n"},
 		"revocation":          {"revoke_bound: 4s, revoke_strict: false", Defaults().Calls.DrainTimeout, 0, 2 * time.Second, 0.1, "tenants.revoke_bound", ""},
 		"settle time missing": {"change_bound: 2s", Defaults().Calls.DrainTimeout, 0, 2 * time.Second, 0.1, "", ""},
 	} {
@@ -140,7 +145,8 @@
 		}
 		stated := Deployment{
 			StopGrace: around(6 * time.Second), ChangeBound: around(2 * time.Second), SettleTime: around(3 * time.Second),
-			RetryRatio: 0.06 + 0.74*random.Float64(),
+			RetryRatio:  0.06 + 0.74*random.Float64(),
+			RevokeBound: around(5 * time.Second), RevokeStrict: seed%2 == 0,
 		}
 		settings := Defaults()
 		settings.Deployment = stated
