The time for a gate to drop a queued call is half of the margin

Cause: 5 ms is less than a round trip to a node with a fifth of a core; the request was then reported with an unknown outcome. Change: half of the margin, 5 to 50 ms.

--- a/internal/node/calls/callerinput.go
+++ b/internal/node/calls/callerinput.go
@@ -50,7 +50,7 @@
 	}
 	end := func() { c.cancel(errInputClosed.New("caller closed its sending side: the call is cancelled")) }
 	if c.recallFirst {
-		time.AfterFunc(yieldRecallTime, end)
+		time.AfterFunc(c.recallTime(), end)
 		return
 	}
 	end()
--- a/internal/node/calls/yield.go
+++ b/internal/node/calls/yield.go
@@ -40,10 +40,21 @@
 	if c.callerDeadline.IsZero() {
 		return time.Time{}
 	}
+	return c.callerDeadline.Add(-c.yieldMargin())
+}
+
+// yieldMargin returns how long before its caller's time a request ends.
+func (c *callerRequest) yieldMargin() time.Duration {
+	if c.callerDeadline.IsZero() {
+		return maxYieldMargin
+	}
 	margin := time.Duration(float64(c.callerDeadline.Sub(c.receivedAt)) * yieldShare)
-	return c.callerDeadline.Add(-min(maxYieldMargin, max(minYieldMargin, margin)))
+	return min(maxYieldMargin, max(minYieldMargin, margin))
 }
 
+// recallTime returns the time for a gate to refuse a call that it has queued.
+func (c *callerRequest) recallTime() time.Duration { return c.yieldMargin() / 2 }
+
 // watchBehind ends the request, if others behind it on its connection are in work, just before
 // its caller gives it up, or gives up one of those whose response is ready. It returns a function
 // that ends the watch.
@@ -91,17 +102,14 @@
 		return
 	}
 	// A queued call is recalled, so that its refusal states that it was not run. One that runs
-	// is cancelled after yieldRecallTime.
+	// is cancelled after recallTime.
 	y.finished, y.yielded = true, true
 	c.stopAttempts()
-	y.timer = time.AfterFunc(yieldRecallTime, func() {
+	y.timer = time.AfterFunc(c.recallTime(), func() {
 		c.cancel(errYielded.New("the caller is about to give up a request on the connection: the call is cancelled"))
 	})
 }
 
-// yieldRecallTime is the time for a gate to refuse a call that it has queued.
-const yieldRecallTime = minYieldMargin / 2
-
 func (c *callerRequest) stopYield() {
 	y := &c.yield
 	y.mu.Lock()
