--- a/internal/coordination/gate/shedding_test.go
+++ b/internal/coordination/gate/shedding_test.go
@@ -67,22 +67,6 @@
 	}
 }
 
-// add adds the counts of another run.
-func (r *burstResult) add(other burstResult) {
-	r.offered += other.offered
-	r.inTime += other.inTime
-	r.late += other.late
-	r.refused += other.refused
-	r.held += other.held
-	r.worth += other.worth
-	if r.flows == nil {
-		r.flows = make(map[string][2]int)
-	}
-	for name, n := range other.flows {
-		r.flows[name] = [2]int{r.flows[name][0] + n[0], r.flows[name][1] + n[1]}
-	}
-}
-
 type burstRun struct {
 	burstLoad
 	machine  *Machine
@@ -91,7 +75,7 @@
 	timers   []burstTimer
 	requests map[call.ID]*burstRequest
 	counter  uint64
-	result   burstResult
+	result   *burstResult
 }
 
 // burstLoad is the load during the burst.
@@ -209,11 +193,19 @@
 	})
 }
 
-func runBurst(load burstLoad, shedding bool, seed uint64) burstResult {
+// runBurst replays the load with several seeds and sums the results.
+func runBurst(load burstLoad, shedding bool, seeds uint64) burstResult {
+	result := burstResult{flows: make(map[string][2]int)}
+	for seed := range seeds {
+		runBurstOnce(load, shedding, seed, &result)
+	}
+	return result
+}
+
+func runBurstOnce(load burstLoad, shedding bool, seed uint64, result *burstResult) {
 	options := testOptions()
 	options.Shedding = shedding
-	b := &burstRun{burstLoad: load, machine: New(options), now: epoch, random: rand.New(rand.NewPCG(seed, 1)), requests: make(map[call.ID]*burstRequest)}
-	b.result.flows = make(map[string][2]int)
+	b := &burstRun{burstLoad: load, machine: New(options), now: epoch, random: rand.New(rand.NewPCG(seed, 1)), requests: make(map[call.ID]*burstRequest), result: result}
 	b.step(SetTarget{Slots: burstSlots, QueueLength: 1000, QueueTimeout: time.Minute, FixedLimit: true, Ready: true})
 	total := 0.0
 	for i := range burstTenants {
@@ -239,7 +231,6 @@
 		}
 		timer.action()
 	}
-	return b.result
 }
 
 // TestBurstIsShed guards against a burst in which calls that cost callers much are refused or late
@@ -247,12 +238,8 @@
 // the same load with and without shedding.
 func TestBurstIsShed(t *testing.T) {
 	is := is.New(t)
-	before, got := burstResult{}, burstResult{}
-	for seed := range uint64(10) {
-		load := burstLoad{routes: burstRoutes, factor: burstFactor, hotFactor: 6, slowness: 1}
-		before.add(runBurst(load, false, seed))
-		got.add(runBurst(load, true, seed))
-	}
+	load := burstLoad{routes: burstRoutes, factor: burstFactor, hotFactor: 6, slowness: 1}
+	before, got := runBurst(load, false, 10), runBurst(load, true, 10)
 	t.Logf("before: %+v", before)
 	t.Logf("with:   %+v", got)
 	is.True(got.worth >= before.worth)
@@ -278,10 +265,7 @@
 // displaces the calls of tenants that do not.
 func TestHotTenantTakesShareOfOthers(t *testing.T) {
 	is := is.New(t)
-	var got burstResult
-	for seed := range uint64(5) {
-		got.add(runBurst(burstLoad{routes: burstRoutes[1:2], factor: 1, hotFactor: 20, slowness: 1}, true, seed))
-	}
+	got := runBurst(burstLoad{routes: burstRoutes[1:2], factor: 1, hotFactor: 20, slowness: 1}, true, 5)
 	t.Logf("%+v", got)
 	var others [2]int
 	for name, n := range got.flows {
@@ -302,10 +286,7 @@
 		{"usual", 0.15, 3, 1200 * time.Millisecond, 1300 * time.Millisecond, 0},
 		{"rare", 0.05, 9, 1200 * time.Millisecond, 1300 * time.Millisecond, 0},
 	}
-	var got burstResult
-	for seed := range uint64(5) {
-		got.add(runBurst(burstLoad{routes: routes, factor: 6, hotFactor: 6, slowness: 1}, true, seed))
-	}
+	got := runBurst(burstLoad{routes: routes, factor: 6, hotFactor: 6, slowness: 1}, true, 5)
 	t.Logf("%+v", got)
 	got.checkFloor(is)
 }
@@ -315,11 +296,7 @@
 func TestSlowTargetHoldsLateCalls(t *testing.T) {
 	is := is.New(t)
 	load := burstLoad{routes: burstRoutes, factor: 1, hotFactor: 6, slowness: 6}
-	var before, got burstResult
-	for seed := range uint64(10) {
-		before.add(runBurst(load, false, seed))
-		got.add(runBurst(load, true, seed))
-	}
+	before, got := runBurst(load, false, 10), runBurst(load, true, 10)
 	t.Logf("before: %+v", before)
 	t.Logf("with:   %+v", got)
 	is.True(got.held*100 <= got.offered)
