Rollouts: up to three reports in flight, own writes repeated every 500 ms

Cause: one report that is lost or slow kept the next ones back for 800 ms, and the node's grant of 1 s ended. An abort or a missing state was written again at each tick of 250 ms while the store was unavailable.

Change: up to three reports of an order in flight; own repetitions of a write at least 500 ms apart.

--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -33,6 +33,9 @@
 	// grants end before the next report.
 	rolloutTimeout = time.Second
 	reportTimeout  = 800 * time.Millisecond
+	// reportsInFlight is how many reports of an order a node has in flight at most. With one, a single
+	// lost report would let the node's grant end.
+	reportsInFlight = 3
 	// rolloutSenders bounds the exchanges in flight.
 	rolloutSenders = 32
 	// failedReports is how many reports in a row fail until the next node in rank is taken for
@@ -45,6 +48,9 @@
 	// unknownServiceTime is how long an order waits for its service to be configured: both may
 	// have been written together.
 	unknownServiceTime = time.Second
+	// repeatInterval is the least time between two writes that this node repeats on its own: calls to
+	// the store are expensive.
+	repeatInterval = 500 * time.Millisecond
 	// freshTime is how long after its acceptance an order cannot have had another coordinator.
 	freshTime = time.Second
 	// verifyTime is how long after its limit the result of an order is checked in the store.
@@ -96,8 +102,8 @@
 	coordinator      *rollout.Coordinator
 	coordinatesSince time.Time
 	reportedAt       map[string]time.Time
-	// reporting is set while a report is in flight; failures counts those in a row that failed.
-	reporting bool
+	// reporting counts the reports in flight, failures those in a row that failed.
+	reporting int
 	failures  int
 	// avoided has the nodes that are not taken for the coordinator, and until when.
 	avoided map[string]time.Time
@@ -110,6 +116,8 @@
 	// written or superseded; nil for none.
 	writing bool
 	wanted  *rollout.Record
+	// repeatedAt is when this node last repeated a write on its own.
+	repeatedAt time.Time
 	// status is the last state that this node has written for operators.
 	status platformlog.RolloutState
 }
@@ -434,7 +442,7 @@
 		r.step(now, record)
 	}
 	if wanted != nil {
-		r.write(*wanted)
+		r.repeat(now, *wanted)
 	}
 }
 
@@ -549,17 +557,17 @@
 		return
 	}
 	to := r.rank(now, run, record)
-	if run.reporting {
+	if run.reporting >= reportsInFlight {
 		r.runsMu.Unlock()
 		return
 	}
-	run.reporting = true
+	run.reporting++
 	r.runsMu.Unlock()
 	r.background(func() {
 		ok := r.sendReport(to, report)
 		r.runsMu.Lock()
 		defer r.runsMu.Unlock()
-		run.reporting = false
+		run.reporting--
 		if ok {
 			run.failures = 0
 			return
--- a/internal/node/rollout_store.go
+++ b/internal/node/rollout_store.go
@@ -218,5 +218,19 @@
 	if r.hasStatus(record) || now.Sub(record.Limit()) >= verifyTime {
 		return
 	}
-	r.write(record)
+	r.repeat(now, record)
+}
+
+// repeat writes the record unless this node has tried so a moment ago.
+func (r *rollouts) repeat(now time.Time, record rollout.Record) {
+	r.runsMu.Lock()
+	run := r.runOf(record)
+	due := now.Sub(run.repeatedAt) >= repeatInterval
+	if due {
+		run.repeatedAt = now
+	}
+	r.runsMu.Unlock()
+	if due {
+		r.write(record)
+	}
 }
