Rollouts: a route is tested once the evidence for a good version suffices

Cause: a route counted as tested after 10 responses, of which a version that fails half of that route's calls passes 2 or fewer bad ones in one play of twenty; and a run of good responses cleared bad ones before it. Change: Wald's lower bound decides how many responses a route needs; the sum over all responses counts as suspicious too; completion waits for tested routes until the last tenth.

--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -294,6 +294,7 @@
 		}
 	case Shifting:
 		if newTargets > 0 && now.Sub(c.shiftedAt) >= c.soakTime() && !now.Before(c.grantsFrom) &&
+			(c.evidence.tested() || !now.Before(c.schedule.fraction(lastTenth))) &&
 			c.evidence.suspicious() == "" && c.busyGate(now) == "" {
 			c.wanted = c.record
 			c.wanted.Phase, c.wanted.Reason = Completed, fmt.Sprintf("%.0f responses of the new version, no call at an old target", c.evidence.responses())
--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -46,10 +46,8 @@
 	// minLogDeviation bounds the standard deviation from below: responses of one target are not
 	// independent.
 	minLogDeviation = 0.6
-	// minRouteResponses and minResponses are how many responses of the new version are wanted
-	// on each route and in all before the rollout advances early.
-	minRouteResponses = 10
-	minResponses      = 30
+	// minResponses is how many responses of the new version are wanted before the rollout advances early.
+	minResponses = 30
 )
 
 // totals sums the responses of one version on one route.
@@ -94,7 +92,7 @@
 }
 
 func (t *test) suspicious() bool {
-	return t.failures.sum >= suspiciousScore || t.slow.sum >= suspiciousScore
+	return t.failures.suspicious() || t.slow.suspicious()
 }
 
 // shares are the shares of failed and of slow responses.
@@ -404,7 +402,7 @@
 func (e *evidence) suspicious() string {
 	scopes := e.scopes()
 	for _, name := range slices.Sorted(maps.Keys(scopes)) {
-		if scopes[name].sum >= suspiciousScore {
+		if scopes[name].suspicious() {
 			return name + ": " + scopes[name].String()
 		}
 	}
@@ -431,13 +429,11 @@
 
 // routeNeed returns how many more responses are wanted on a route.
 func (e *evidence) routeNeed(route string) float64 {
-	need := float64(minRouteResponses)
-	if t := e.new[route]; t != nil {
-		need -= t.all()
-	}
-	if t := e.routes[route]; t != nil && t.suspicious() {
-		need = max(need, minRouteResponses/2)
+	t := e.routes[route]
+	if t == nil {
+		t = newTest()
 	}
+	need := max(t.failures.missing(), t.slow.missing())
 	for _, a := range e.setAside {
 		if a.scope == failuresOf+"route "+route || a.scope == slownessOf+"route "+route {
 			need = max(need, e.missing(a))
--- a/internal/coordination/rollout/score.go
+++ b/internal/coordination/rollout/score.go
@@ -21,6 +21,13 @@
 	// priorResponses and priorBad stand for responses of the old version before there are any.
 	priorResponses = 25
 	priorBad       = 0.5
+	// acceptedScore is the evidence at which a route counts as tested: a bad version reaches it
+	// with a probability of at most e^-3.
+	acceptedScore = 3
+	// maxDisproof bounds the evidence that good responses must make up for.
+	maxDisproof = 6
+	// typicalPerGood is what one response adds to the evidence if the old version has few bad ones.
+	typicalPerGood = 0.3
 	// minContribution is the score from which a target contributes to the evidence.
 	minContribution = 1
 )
@@ -35,9 +42,16 @@
 	by map[string]float64
 	// good and bad count the responses.
 	good, bad float64
+	// accepted is the evidence for a good version: the log-likelihood ratio of a good against
+	// a bad one over all responses, and perGood what a good response adds to it now.
+	accepted, perGood float64
+	// acceptedBy is the part of each target.
+	acceptedBy map[string]float64
 }
 
-func newScore() score { return score{by: make(map[string]float64)} }
+func newScore() score {
+	return score{by: make(map[string]float64), acceptedBy: make(map[string]float64)}
+}
 
 // badShare estimates the share of bad responses of the old version.
 func badShare(good, bad float64) float64 {
@@ -50,7 +64,24 @@
 	p1 := p0 + badDifference
 	s.good += good
 	s.bad += bad
-	s.addIncrement(endpoint, bad*math.Log(p1/p0)-good*math.Log((1-p0)/(1-p1)))
+	s.perGood = math.Log((1 - p0) / (1 - p1))
+	increment := bad*math.Log(p1/p0) - good*s.perGood
+	s.accepted -= increment
+	s.acceptedBy[endpoint] -= increment
+	s.addIncrement(endpoint, increment)
+}
+
+// missing returns how many good responses are missing until the version counts as good.
+func (s *score) missing() float64 {
+	if s.perGood == 0 {
+		return math.Ceil(acceptedScore / typicalPerGood)
+	}
+	return math.Ceil(max(0, acceptedScore-max(-maxDisproof, s.accepted)) / s.perGood)
+}
+
+// suspicious reports whether the recent responses or all together point to a bad version.
+func (s *score) suspicious() bool {
+	return s.sum >= suspiciousScore || s.accepted <= -suspiciousScore
 }
 
 func (s *score) addIncrement(endpoint string, increment float64) {
@@ -62,6 +93,8 @@
 func (s *score) remove(endpoint string) {
 	s.sum = max(0, s.sum-s.by[endpoint])
 	delete(s.by, endpoint)
+	s.accepted -= s.acceptedBy[endpoint]
+	delete(s.acceptedBy, endpoint)
 }
 
 // top returns the target with the greatest score and that score.
