Rollouts on the product's own log, ordered through the admin API

Cause: the own log had no conditional appends, and no orders.

The stand-in's fleet may give targets a version. States for operators are read from the nodes there. On the users' platform POST is refused.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -55,8 +55,10 @@
 // defaultAdapter returns an adapter for the product's own log protocol and header
 // contract. Targets announce themselves on the admin address.
 func defaultAdapter(o AdapterOptions) Adapter {
+	log := platformlog.New(o.Settings.Platform.URL, o.Settings.Platform.RequestTimeout, o.Client)
 	return Adapter{
-		Log:      platformlog.New(o.Settings.Platform.URL, o.Settings.Platform.RequestTimeout, o.Client),
-		Contract: headers.DefaultContract(),
+		Log:        log,
+		RolloutLog: log,
+		Contract:   headers.DefaultContract(),
 	}
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -25,6 +25,7 @@
 	router.HandleFunc(adminapi.PathQuarantine, n.getQuarantine).Methods(http.MethodGet)
 	router.HandleFunc(adminapi.PathQuarantined, n.deleteQuarantine).Methods(http.MethodDelete)
 	router.HandleFunc(adminapi.PathRollouts, n.getRollouts).Methods(http.MethodGet)
+	router.HandleFunc(adminapi.PathRollouts, n.postRollout).Methods(http.MethodPost)
 	router.HandleFunc(adminapi.PathRollout, n.deleteRollout).Methods(http.MethodDelete)
 	router.HandleFunc(adminapi.PathTarget, n.putTarget).Methods(http.MethodPut)
 	router.HandleFunc(adminapi.PathTarget, n.deleteTarget).Methods(http.MethodDelete)
--- a/internal/node/admin_rollouts.go
+++ b/internal/node/admin_rollouts.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"jasminegate/internal/coordination/rollout"
 	"jasminegate/internal/protocol/adminapi"
 	"jasminegate/internal/protocol/problem"
+	"jasminegate/internal/state"
 )
 
 // getRollouts lists the last rollout of each service.
@@ -18,6 +20,42 @@
 	writeJSON(w, http.StatusOK, n.rollouts.list(time.Now()))
 }
 
+// maxRolloutDuration is the longest time limit of an order.
+const maxRolloutDuration = 24 * time.Hour
+
+// postRollout accepts an order on the product's own log.
+func (n *node) postRollout(w http.ResponseWriter, r *http.Request) {
+	var order adminapi.RolloutOrder
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAdminBodyBytes)).Decode(&order); err != nil {
+		writeBadRequest(w, "order: "+err.Error(), "send service, version and duration_ms as JSON")
+		return
+	}
+	duration := time.Duration(order.DurationMS) * time.Millisecond
+	text, remedy := state.CheckName(order.Version, state.MaxNameBytes)
+	switch {
+	case n.rollouts == nil:
+		writeNoRollout(w, "rollouts are not enabled at this node", "set rollout.expose_share")
+		return
+	case n.settings.Platform.Adapter != "":
+		writeBadRequest(w, "orders of this platform are records of its operators", "write the order there")
+		return
+	case text != "":
+		writeBadRequest(w, "version "+text, remedy)
+		return
+	case order.DurationMS <= 0 || duration > maxRolloutDuration || duration <= 0:
+		writeBadRequest(w, "duration_ms is "+strconv.FormatInt(order.DurationMS, 10), "use 1 to "+strconv.FormatInt(maxRolloutDuration.Milliseconds(), 10))
+		return
+	case !n.rollouts.hasService(order.Service):
+		writeNoRollout(w, "the configuration has no service "+strconv.Quote(order.Service), "add it, or correct the order")
+		return
+	}
+	if err := n.rollouts.order(r.Context(), order.Service, order.Version, duration); err != nil {
+		writePublishFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusAccepted, n.rollouts.list(time.Now()))
+}
+
 // deleteRollout rolls a running rollout back.
 func (n *node) deleteRollout(w http.ResponseWriter, r *http.Request) {
 	service, now := mux.Vars(r)["service"], time.Now()
--- a/internal/node/rollout_store.go
+++ b/internal/node/rollout_store.go
@@ -234,3 +234,42 @@
 		r.write(record)
 	}
 }
+
+// order accepts an order by an operator's request, on a log where orders are records of rollouts
+// themselves: the number of the order is the offset of its first record plus one.
+func (r *rollouts) order(ctx context.Context, service, version string, duration time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var err error
+	for range storeTries {
+		stored, next, readErr := r.readRecords(ctx)
+		if readErr != nil {
+			return readErr
+		}
+		now := time.Now()
+		for _, record := range stored {
+			r.learn(now, record, false)
+		}
+		r.mu.Lock()
+		record := rollout.Record{
+			Service: service, Order: uint64(next) + 1, TargetVersion: version, PreviousVersion: r.versions.Previous(now, service, version),
+			Duration: duration, AcceptedAt: now, Phase: rollout.Pending, Reason: "the order was accepted",
+		}
+		r.mu.Unlock()
+		data, marshalErr := proto.Marshal(storedRecord(record))
+		if marshalErr != nil {
+			return marshalErr
+		}
+		if err = r.log.PutIf(ctx, platformlog.StreamRollouts, service, data, next); err == nil {
+			r.mu.Lock()
+			r.accepted[service] = record.Order
+			r.mu.Unlock()
+			r.learn(now, record, true)
+			return nil
+		}
+		if !errorx.IsOfType(err, platformlog.ErrConditionFailed) {
+			break
+		}
+	}
+	return err
+}
--- a/internal/protocol/adminapi/rollouts.go
+++ b/internal/protocol/adminapi/rollouts.go
@@ -47,5 +47,14 @@
 	VersionBeside  = "beside"
 )
 
+// RolloutOrder is the body of POST PathRollouts, on the product's own log.
+type RolloutOrder struct {
+	Service string `json:"service"`
+	// Version is the new version of the targets' software.
+	Version string `json:"version"`
+	// DurationMS is the time limit in milliseconds, counted from the order's acceptance.
+	DurationMS int64 `json:"duration_ms"`
+}
+
 // RolloutPath returns PathRollout for the service.
 func RolloutPath(service string) string { return PathRollouts + "/" + service }
--- a/internal/standin/fleet/node.go
+++ b/internal/standin/fleet/node.go
@@ -82,6 +82,7 @@
 			"-slots", strconv.Itoa(n.Slots),
 			"-connections", strconv.Itoa(n.Connections),
 			"-node", n.AdminAddress,
+			"-software-version", n.Version,
 		}, n.fleet.plan.TargetArgs...),
 		printsReadyLine: true,
 	})
--- a/internal/standin/fleet/plan.go
+++ b/internal/standin/fleet/plan.go
@@ -54,6 +54,8 @@
 	// Slots and Connections are the limits of the target.
 	Slots       int
 	Connections int
+	// Version is the software version that the target announces; empty announces none.
+	Version string
 }
 
 // PlatformPlan configures the simulated platform. Zero values mean no limit on
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -40,7 +41,7 @@
 	if !p.injectFaults(w, r) {
 		return
 	}
-	offset, status := p.append(mux.Vars(r)["stream"], data)
+	offset, status := p.append(mux.Vars(r)["stream"], data, r.URL.Query().Get("next"))
 	if status != http.StatusOK {
 		http.Error(w, http.StatusText(status), status)
 		return
@@ -52,8 +53,8 @@
 }
 
 // append appends a record and returns its offset and status 200, or the HTTP
-// status of the refusal.
-func (p *Platform) append(name string, data []byte) (int64, int) {
+// status of the refusal. If next is not empty, it must be the offset of the append.
+func (p *Platform) append(name string, data []byte, next string) (int64, int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.stream(name)
@@ -65,6 +66,10 @@
 		s.stats.RefusedAppends++
 		return 0, http.StatusServiceUnavailable
 	}
+	if next != "" && next != strconv.FormatInt(s.bounds().Next, 10) {
+		s.stats.RefusedAppends++
+		return 0, http.StatusPreconditionFailed
+	}
 	s.stats.Appends++
 	return s.append(p.options.Now(), data), http.StatusOK
 }
--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -34,7 +34,10 @@
 	http           *http.Client
 }
 
-var _ Log = (*Client)(nil)
+var (
+	_ Log        = (*Client)(nil)
+	_ RolloutLog = (*Client)(nil)
+)
 
 // New returns a client of the log at url, for example
 // "http://10.0.0.5:7400". requestTimeout bounds the time without progress of each
@@ -88,6 +91,46 @@
 	return response.bounds()
 }
 
+// NewestByKey implements RolloutLog. The log has no keys: it returns all retained records in the order
+// of their offsets, so that the last one with a key is its newest. StreamStatus is always empty.
+func (c *Client) NewestByKey(ctx context.Context, stream string) (Batch, error) {
+	if stream == StreamStatus {
+		return Batch{}, nil
+	}
+	bounds, err := c.Bounds(ctx, stream)
+	all := Batch{Bounds: bounds}
+	for from := bounds.First; err == nil && from < bounds.Next; {
+		var batch Batch
+		batch, err = c.Read(ctx, stream, from, 0)
+		if err == nil && len(batch.Records) == 0 {
+			return Batch{}, malformed("a read below the end of the stream returned no record")
+		}
+		for _, record := range batch.Records {
+			if from++; record.Offset < bounds.Next {
+				all.Records = append(all.Records, record)
+			}
+		}
+	}
+	if err != nil {
+		return Batch{}, err
+	}
+	return all, nil
+}
+
+// PutIf implements RolloutLog. The key has to be part of the data.
+func (c *Client) PutIf(ctx context.Context, stream, _ string, data []byte, next int64) error {
+	var response appendResponse
+	query := url.Values{"next": {strconv.FormatInt(next, 10)}}
+	if err := c.do(ctx, 0, http.MethodPost, c.streamURL(stream)+"/records?"+query.Encode(), data, &response); err != nil {
+		return err
+	}
+	_, err := response.offset()
+	return err
+}
+
+// PutStatus does nothing: operators read the states from the nodes.
+func (c *Client) PutStatus(context.Context, RolloutStatus, int64) error { return nil }
+
 func (c *Client) streamURL(stream string) string {
 	return c.base + "/streams/" + url.PathEscape(stream)
 }
--- a/internal/transport/platformlog/contract_test.go
+++ b/internal/transport/platformlog/contract_test.go
@@ -279,3 +279,17 @@
 	f.NoErr(err)
 	f.Equal(bounds.Next, next)
 }
+
+// TestConditionalAppend guards against two results of one rollout: an append must fail if the stream
+// has grown since it was read.
+func TestConditionalAppend(t *testing.T) {
+	f := newFixture(t, generousTimeout, platform.Options{})
+	ctx := context.Background()
+	log := f.log.(platformlog.RolloutLog)
+	f.True(errorx.IsOfType(log.PutIf(ctx, stream, "", []byte("r3"), 2), platformlog.ErrConditionFailed))
+	f.NoErr(log.PutIf(ctx, stream, "", []byte("r3"), 3))
+	batch, err := log.NewestByKey(ctx, stream)
+	f.NoErr(err)
+	f.Equal(f.texts(batch), "r0 r1 r2 r3")
+	f.Equal(batch.Bounds.Next, int64(4))
+}
--- a/internal/transport/platformlog/responses.go
+++ b/internal/transport/platformlog/responses.go
@@ -90,6 +90,8 @@
 			return err
 		}
 		return &trimmedError{bounds}
+	case http.StatusPreconditionFailed:
+		return ErrConditionFailed.New("the stream has records that were not read: read them and decide again")
 	case http.StatusRequestEntityTooLarge:
 		return ErrTooLarge.New("record is over the platform's size limit: split the ticket")
 	}
