--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -460,7 +460,7 @@
 // a suspicion before, there must be time to see that.
 func (c *Coordinator) soakTime() time.Duration {
 	if c.exposure.loaded {
-		return c.noticeTime()
+		return max(loadTime, c.noticeTime())
 	}
 	return loadTime + c.noticeTime()
 }
@@ -531,9 +531,11 @@
 		c.ledger.grant(a, a.exposed+uint64(number), now.Add(c.settings.GrantValidity))
 		expected := max(1, a.rate*c.settings.ReportInterval.Seconds())
 		d.Share = min(1, max(plan.share, number/expected))
+		others := d.Share
 		if plan.want < 1 && !c.exposure.bursting {
-			d.RouteShares = c.routeShares()
+			others = 0 // the grant is for routes that need responses
 		}
+		d.RouteShares = c.routeShares(others)
 	}
 }
 
@@ -546,15 +548,19 @@
 	return endpoint
 }
 
-// routeShares reserves a grant for the routes that need more responses of the new version, so that a
-// version that is bad on a rare route is found within the budget.
-func (c *Coordinator) routeShares() map[string]float64 {
+// routeShares prefers the routes that need more responses of the new version, so that a version that
+// is bad on a rare route is found within the budget. Others is the share of the other routes.
+func (c *Coordinator) routeShares(others float64) map[string]float64 {
+	untested := c.evidence.untestedRoutes()
+	if len(untested) == 0 {
+		return nil
+	}
 	shares := make(map[string]float64, len(c.evidence.old))
 	for route := range c.evidence.old {
-		shares[route] = 0
-		if c.evidence.routeNeed(route) > 0 {
-			shares[route] = maxRouteShare
-		}
+		shares[route] = others
+	}
+	for _, route := range untested {
+		shares[route] = max(others, maxRouteShare)
 	}
 	return shares
 }
--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -17,6 +17,8 @@
 	// that are tried then: a second bad target is rare unless the version is bad.
 	targetScore = 8
 	laterScore  = 5
+	// laterResponses is for how many responses laterScore applies.
+	laterResponses = 100
 	// onlyTargetScore is that of the only target.
 	onlyTargetScore = 16
 	// dominance is the part of a score from which a single target is set aside for it.
@@ -141,8 +143,8 @@
 // suspicion is the reason why a target was set aside.
 type suspicion struct {
 	scope string
-	// before is the number of responses in the scope at that time.
-	before float64
+	// before and beforeAll are the numbers of responses in the scope and in all at that time.
+	before, beforeAll float64
 	// underLoad is set if the target carried the load of an old one. Recheck has its later
 	// responses, without that load.
 	underLoad bool
@@ -368,14 +370,14 @@
 			needed = 2
 		}
 		switch {
-		case len(e.setAside) >= needed && s.sum >= laterScore,
+		case len(e.setAside) >= needed && s.sum >= e.neededLater(),
 			s.sum >= spreadScore && contribution < dominance*s.sum,
 			s.sum >= onlyTargetScore && !canTry():
 			old := e.overallReference()
 			return fmt.Sprintf("%s: %s; shares of the old version %.3f failed, %.3f slow; %d targets set aside before",
 				name, s.String(), old.failed, old.slow, len(e.setAside)), true
 		case len(e.setAside) < needed && s.sum >= targetScore && contribution >= dominance*s.sum && canTry():
-			e.setAside[top] = &suspicion{scope: name, before: s.good + s.bad, underLoad: e.underLoad, recheck: newTest()}
+			e.setAside[top] = &suspicion{scope: name, before: s.good + s.bad, beforeAll: e.responses(), underLoad: e.underLoad, recheck: newTest()}
 			for _, other := range scopes {
 				other.remove(top)
 			}
@@ -384,6 +386,17 @@
 	return "", false
 }
 
+// neededLater returns the score at which the targets that are tried after others were set aside show
+// a bad version. It is low for their first responses only: in many responses it comes up by chance.
+func (e *evidence) neededLater() float64 {
+	for _, a := range e.setAside {
+		if e.responses()-a.beforeAll <= laterResponses {
+			return laterScore
+		}
+	}
+	return targetScore
+}
+
 func (e *evidence) overallReference() shares {
 	var all totals
 	for _, t := range e.old {
