Nodes without the records of rollouts do not answer for them

Cause: found by reading. A node that could not read the records within the change bound answered comparisons with its empty table, and the asking node took that for all records and read the store no more. A fleet that starts while the store is unavailable could forget a rollback.

Change: only a node that has read or been given the records answers. The bound after which a node serves without them counts from its first configuration. Reads at the start are repeated with a growing interval, up to 1.5 s.

Measured: go test -race ./internal/node: ok; go test -race ./platform -run 'BadVersionIs|StoreOutageLoses': ok. A fleet test of this start passed on the code before as well, so that it was left out: the fault is not shown by a run.

--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -79,8 +79,10 @@
 	accepted map[string]uint64
 	pending  []pendingOrder
 	// loaded is set once the records were read from the platform or another node.
-	loaded   bool
-	outcomes versionOutcomes
+	loaded bool
+	// configuredAt is when the node was first seen to have a configuration.
+	configuredAt time.Time
+	outcomes     versionOutcomes
 	// stops has for each service the order whose new version this node found bad.
 	stops map[string]uint64
 
@@ -148,14 +150,18 @@
 }
 
 // ready reports whether the node may serve: it knows the records, or could not learn them for the
-// time in which an order becomes known. A domain that is cut off with the store must serve.
+// time in which an order becomes known, counted from when it had a configuration. A domain that is
+// cut off with the store must serve.
 func (r *rollouts) ready(now time.Time) bool {
 	if r == nil {
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.loaded || now.Sub(r.started) >= r.settings.ChangeBound
+	if r.configuredAt.IsZero() && r.node.configuration.Snapshot() != nil {
+		r.configuredAt = now
+	}
+	return r.loaded || !r.configuredAt.IsZero() && now.Sub(r.configuredAt) >= r.settings.ChangeBound
 }
 
 // run works until ctx ends. Timers fire only while a rollout runs, a record may be unknown to other
@@ -205,9 +211,9 @@
 	switch {
 	case active || len(r.pending) > 0:
 		return r.settings.ReportInterval
-	case !r.loaded:
+	case !r.loaded && time.Since(r.started) < r.settings.ChangeBound:
 		return rolloutStartInterval
-	case len(r.table.Records()) > 0:
+	case !r.loaded || len(r.table.Records()) > 0:
 		return rolloutCompareInterval
 	}
 	return time.Hour // woken by the first order or record
@@ -218,9 +224,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case !r.loaded:
+	case !r.loaded && time.Since(r.started) < r.settings.ChangeBound:
 		return rolloutStartInterval
-	case len(r.table.Records()) > 0:
+	case !r.loaded || len(r.table.Records()) > 0:
 		return rolloutCompareInterval
 	}
 	return 0
@@ -757,6 +763,12 @@
 	return r.table.Records(), r.table.Digest()
 }
 
+func (r *rollouts) isLoaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
 func (r *rollouts) markLoaded() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -777,7 +789,7 @@
 	for _, record := range recordsFromWire(now, message.GetRecords()) {
 		r.learn(now, record, false)
 	}
-	if !r.ready(now) {
+	if !r.isLoaded() {
 		return nil, errNoRollout.New("the records are not known yet: ask another node")
 	}
 	records, digest := r.recordsAndDigest()
--- a/internal/node/rollout_store.go
+++ b/internal/node/rollout_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,13 +19,16 @@
 	// condition may fail, since other services' records are in the same stream.
 	storeTimeout = 3 * time.Second
 	storeTries   = 5
-	// loadRetryInterval is the time between two reads of the records at the start.
-	loadRetryInterval = 300 * time.Millisecond
+	// loadRetryInterval is the time between the first two reads of the records at the start. It
+	// doubles with each that fails, up to maxLoadRetryInterval, so that the records are usually
+	// read within the change bound after an outage of the store.
+	loadRetryInterval    = 300 * time.Millisecond
+	maxLoadRetryInterval = 1500 * time.Millisecond
 )
 
 // load reads the records from the platform until that succeeds or another node has sent them.
 func (r *rollouts) load() {
-	for r.ctx.Err() == nil {
+	for wait := loadRetryInterval; r.ctx.Err() == nil; wait = min(2*wait, maxLoadRetryInterval) {
 		ctx, cancel := context.WithTimeout(r.ctx, storeTimeout)
 		stored, _, err := r.readRecords(ctx)
 		cancel()
@@ -36,15 +40,12 @@
 			r.markLoaded()
 			return
 		}
-		r.mu.Lock()
-		loaded := r.loaded
-		r.mu.Unlock()
-		if loaded {
+		if r.isLoaded() {
 			return
 		}
 		select {
 		case <-r.ctx.Done():
-		case <-time.After(loadRetryInterval):
+		case <-time.After(wait/2 + rand.N(wait)):
 		}
 	}
 }
