--- a/internal/coordination/rollout/sim_faults_test.go
+++ b/internal/coordination/rollout/sim_faults_test.go
@@ -102,13 +102,29 @@
 	}
 }
 
+// TestDomainCutOffInShift guards against nodes that send all calls to the new version without contact.
+func TestDomainCutOffInShift(t *testing.T) {
+	is := is.New(t)
+	cutAt := time.Duration(0)
+	s := newSim(faultOptions(79, good, func(s *sim, now time.Duration) {
+		if cutAt == 0 && s.store.Phase == Shifting {
+			cutAt = now
+			cutOff(true)(s)
+		}
+	})).play()
+	is.True(cutAt > 0)
+	is.True(s.lastNewWhenCut > cutAt)
+	is.True(s.lastNewWhenCut <= cutAt+s.settings.GrantValidity)
+	is.Equal(s.problems(), nil)
+}
+
 // TestStoreAwayThroughLimit guards against a bad version that is used until the store can be
 // written, against nodes that act on a completion that is not written, and against an order that stays without a
 // result.
 func TestStoreAwayThroughLimit(t *testing.T) {
 	is := is.New(t)
 	for _, kind := range []badness{good, failing} {
-		completedEarly := false
+		completedEarly, notRolledBack := false, 0
 		s := newSim(faultOptions(12, kind, both(
 			once(0, func(s *sim) { s.storeAway = true }),
 			once(14500*time.Millisecond, func(s *sim) { s.storeAway = false }),
@@ -116,7 +132,14 @@
 				for _, n := range s.nodes {
 					completedEarly = completedEarly || s.storeAway && n.node.Record().Phase == Completed
 				}
-			}))).play()
+			},
+			once(13500*time.Millisecond, func(s *sim) {
+				for _, n := range s.nodes {
+					if n.node.Record().Phase != RolledBack {
+						notRolledBack++
+					}
+				}
+			})))).play()
 		is.True(!completedEarly)
 		is.Equal(len(s.results), 1)
 		if kind == good {
@@ -124,6 +147,7 @@
 			continue
 		}
 		is.Equal(s.store.Phase, RolledBack)
+		is.Equal(notRolledBack, 0) // nodes act on a rollback that is not written
 		is.True(float64(s.exposed) <= s.budget())
 		is.True(s.lastNewInTouch < s.fiftiethBadAt+s.settings.RollbackBound || s.badResponses < 50)
 	}
