--- a/internal/coordination/rollout/evidence.go
+++ b/internal/coordination/rollout/evidence.go
@@ -17,6 +17,8 @@
 	// that are tried then: a second bad target is rare unless the version is bad.
 	targetScore = 8
 	laterScore  = 5
+	// laterResponses is for how many responses laterScore applies.
+	laterResponses = 100
 	// onlyTargetScore is that of the only target.
 	onlyTargetScore = 16
 	// dominance is the part of a score from which a single target is set aside for it.
@@ -46,10 +48,8 @@
 	// minLogDeviation bounds the standard deviation from below: responses of one target are not
 	// independent.
 	minLogDeviation = 0.6
-	// minRouteResponses and minResponses are how many responses of the new version are wanted
-	// on each route and in all before the rollout advances early.
-	minRouteResponses = 10
-	minResponses      = 30
+	// minResponses is how many responses of the new version are wanted before the rollout advances early.
+	minResponses = 30
 )
 
 // totals sums the responses of one version on one route.
@@ -94,7 +94,7 @@
 }
 
 func (t *test) suspicious() bool {
-	return t.failures.sum >= suspiciousScore || t.slow.sum >= suspiciousScore
+	return t.failures.suspicious() || t.slow.suspicious()
 }
 
 // shares are the shares of failed and of slow responses.
@@ -143,8 +143,8 @@
 // suspicion is the reason why a target was set aside.
 type suspicion struct {
 	scope string
-	// before is the number of responses in the scope at that time.
-	before float64
+	// before and beforeAll are the numbers of responses in the scope and in all at that time.
+	before, beforeAll float64
 	// underLoad is set if the target carried the load of an old one. Recheck has its later
 	// responses, without that load.
 	underLoad bool
@@ -370,14 +370,14 @@
 			needed = 2
 		}
 		switch {
-		case len(e.setAside) >= needed && s.sum >= laterScore,
+		case len(e.setAside) >= needed && s.sum >= e.neededLater(),
 			s.sum >= spreadScore && contribution < dominance*s.sum,
 			s.sum >= onlyTargetScore && !canTry():
 			old := e.overallReference()
 			return fmt.Sprintf("%s: %s; shares of the old version %.3f failed, %.3f slow; %d targets set aside before",
 				name, s.String(), old.failed, old.slow, len(e.setAside)), true
 		case len(e.setAside) < needed && s.sum >= targetScore && contribution >= dominance*s.sum && canTry():
-			e.setAside[top] = &suspicion{scope: name, before: s.good + s.bad, underLoad: e.underLoad, recheck: newTest()}
+			e.setAside[top] = &suspicion{scope: name, before: s.good + s.bad, beforeAll: e.responses(), underLoad: e.underLoad, recheck: newTest()}
 			for _, other := range scopes {
 				other.remove(top)
 			}
@@ -386,6 +386,17 @@
 	return "", false
 }
 
+// neededLater returns the score at which the targets that are tried after others were set aside show
+// a bad version. It is low for their first responses only: in many responses it comes up by chance.
+func (e *evidence) neededLater() float64 {
+	for _, a := range e.setAside {
+		if e.responses()-a.beforeAll <= laterResponses {
+			return laterScore
+		}
+	}
+	return targetScore
+}
+
 func (e *evidence) overallReference() shares {
 	var all totals
 	for _, t := range e.old {
@@ -404,7 +415,7 @@
 func (e *evidence) suspicious() string {
 	scopes := e.scopes()
 	for _, name := range slices.Sorted(maps.Keys(scopes)) {
-		if scopes[name].sum >= suspiciousScore {
+		if scopes[name].suspicious() {
 			return name + ": " + scopes[name].String()
 		}
 	}
@@ -431,13 +442,11 @@
 
 // routeNeed returns how many more responses are wanted on a route.
 func (e *evidence) routeNeed(route string) float64 {
-	need := float64(minRouteResponses)
-	if t := e.new[route]; t != nil {
-		need -= t.all()
-	}
-	if t := e.routes[route]; t != nil && t.suspicious() {
-		need = max(need, minRouteResponses/2)
+	t := e.routes[route]
+	if t == nil {
+		t = newTest()
 	}
+	need := max(t.failures.missing(), t.slow.missing())
 	for _, a := range e.setAside {
 		if a.scope == failuresOf+"route "+route || a.scope == slownessOf+"route "+route {
 			need = max(need, e.missing(a))
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -33,6 +33,9 @@
 	// grants end before the next report.
 	rolloutTimeout = time.Second
 	reportTimeout  = 800 * time.Millisecond
+	// reportsInFlight is how many reports of an order a node has in flight at most. With one, a single
+	// lost report would let the node's grant end.
+	reportsInFlight = 3
 	// rolloutSenders bounds the exchanges in flight.
 	rolloutSenders = 32
 	// failedReports is how many reports in a row fail until the next node in rank is taken for
@@ -45,6 +48,9 @@
 	// unknownServiceTime is how long an order waits for its service to be configured: both may
 	// have been written together.
 	unknownServiceTime = time.Second
+	// repeatInterval is the least time between two writes that this node repeats on its own: calls to
+	// the store are expensive.
+	repeatInterval = 500 * time.Millisecond
 	// freshTime is how long after its acceptance an order cannot have had another coordinator.
 	freshTime = time.Second
 	// verifyTime is how long after its limit the result of an order is checked in the store.
@@ -73,8 +79,10 @@
 	accepted map[string]uint64
 	pending  []pendingOrder
 	// loaded is set once the records were read from the platform or another node.
-	loaded   bool
-	outcomes versionOutcomes
+	loaded bool
+	// configuredAt is when the node was first seen to have a configuration.
+	configuredAt time.Time
+	outcomes     versionOutcomes
 	// stops has for each service the order whose new version this node found bad.
 	stops map[string]uint64
 
@@ -96,8 +104,8 @@
 	coordinator      *rollout.Coordinator
 	coordinatesSince time.Time
 	reportedAt       map[string]time.Time
-	// reporting is set while a report is in flight; failures counts those in a row that failed.
-	reporting bool
+	// reporting counts the reports in flight, failures those in a row that failed.
+	reporting int
 	failures  int
 	// avoided has the nodes that are not taken for the coordinator, and until when.
 	avoided map[string]time.Time
@@ -110,6 +118,8 @@
 	// written or superseded; nil for none.
 	writing bool
 	wanted  *rollout.Record
+	// repeatedAt is when this node last repeated a write on its own.
+	repeatedAt time.Time
 	// status is the last state that this node has written for operators.
 	status platformlog.RolloutState
 }
@@ -140,14 +150,18 @@
 }
 
 // ready reports whether the node may serve: it knows the records, or could not learn them for the
-// time in which an order becomes known. A domain that is cut off with the store must serve.
+// time in which an order becomes known, counted from when it had a configuration. A domain that is
+// cut off with the store must serve.
 func (r *rollouts) ready(now time.Time) bool {
 	if r == nil {
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.loaded || now.Sub(r.started) >= r.settings.ChangeBound
+	if r.configuredAt.IsZero() && r.node.configuration.Snapshot() != nil {
+		r.configuredAt = now
+	}
+	return r.loaded || !r.configuredAt.IsZero() && now.Sub(r.configuredAt) >= r.settings.ChangeBound
 }
 
 // run works until ctx ends. Timers fire only while a rollout runs, a record may be unknown to other
@@ -197,9 +211,9 @@
 	switch {
 	case active || len(r.pending) > 0:
 		return r.settings.ReportInterval
-	case !r.loaded:
+	case !r.loaded && time.Since(r.started) < r.settings.ChangeBound:
 		return rolloutStartInterval
-	case len(r.table.Records()) > 0:
+	case !r.loaded || len(r.table.Records()) > 0:
 		return rolloutCompareInterval
 	}
 	return time.Hour // woken by the first order or record
@@ -210,9 +224,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case !r.loaded:
+	case !r.loaded && time.Since(r.started) < r.settings.ChangeBound:
 		return rolloutStartInterval
-	case len(r.table.Records()) > 0:
+	case !r.loaded || len(r.table.Records()) > 0:
 		return rolloutCompareInterval
 	}
 	return 0
@@ -434,7 +448,7 @@
 		r.step(now, record)
 	}
 	if wanted != nil {
-		r.write(*wanted)
+		r.repeat(now, *wanted)
 	}
 }
 
@@ -549,17 +563,17 @@
 		return
 	}
 	to := r.rank(now, run, record)
-	if run.reporting {
+	if run.reporting >= reportsInFlight {
 		r.runsMu.Unlock()
 		return
 	}
-	run.reporting = true
+	run.reporting++
 	r.runsMu.Unlock()
 	r.background(func() {
 		ok := r.sendReport(to, report)
 		r.runsMu.Lock()
 		defer r.runsMu.Unlock()
-		run.reporting = false
+		run.reporting--
 		if ok {
 			run.failures = 0
 			return
@@ -749,6 +763,12 @@
 	return r.table.Records(), r.table.Digest()
 }
 
+func (r *rollouts) isLoaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
 func (r *rollouts) markLoaded() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -769,7 +789,7 @@
 	for _, record := range recordsFromWire(now, message.GetRecords()) {
 		r.learn(now, record, false)
 	}
-	if !r.ready(now) {
+	if !r.isLoaded() {
 		return nil, errNoRollout.New("the records are not known yet: ask another node")
 	}
 	records, digest := r.recordsAndDigest()
--- a/internal/node/rollout_store.go
+++ b/internal/node/rollout_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,13 +19,16 @@
 	// condition may fail, since other services' records are in the same stream.
 	storeTimeout = 3 * time.Second
 	storeTries   = 5
-	// loadRetryInterval is the time between two reads of the records at the start.
-	loadRetryInterval = 300 * time.Millisecond
+	// loadRetryInterval is the time between the first two reads of the records at the start. It
+	// doubles with each that fails, up to maxLoadRetryInterval, so that the records are usually
+	// read within the change bound after an outage of the store.
+	loadRetryInterval    = 300 * time.Millisecond
+	maxLoadRetryInterval = 1500 * time.Millisecond
 )
 
 // load reads the records from the platform until that succeeds or another node has sent them.
 func (r *rollouts) load() {
-	for r.ctx.Err() == nil {
+	for wait := loadRetryInterval; r.ctx.Err() == nil; wait = min(2*wait, maxLoadRetryInterval) {
 		ctx, cancel := context.WithTimeout(r.ctx, storeTimeout)
 		stored, _, err := r.readRecords(ctx)
 		cancel()
@@ -36,15 +40,12 @@
 			r.markLoaded()
 			return
 		}
-		r.mu.Lock()
-		loaded := r.loaded
-		r.mu.Unlock()
-		if loaded {
+		if r.isLoaded() {
 			return
 		}
 		select {
 		case <-r.ctx.Done():
-		case <-time.After(loadRetryInterval):
+		case <-time.After(wait/2 + rand.N(wait)):
 		}
 	}
 }
@@ -218,5 +219,58 @@
 	if r.hasStatus(record) || now.Sub(record.Limit()) >= verifyTime {
 		return
 	}
-	r.write(record)
+	r.repeat(now, record)
+}
+
+// repeat writes the record unless this node has tried so a moment ago.
+func (r *rollouts) repeat(now time.Time, record rollout.Record) {
+	r.runsMu.Lock()
+	run := r.runOf(record)
+	due := now.Sub(run.repeatedAt) >= repeatInterval
+	if due {
+		run.repeatedAt = now
+	}
+	r.runsMu.Unlock()
+	if due {
+		r.write(record)
+	}
+}
+
+// order accepts an order by an operator's request, on a log where orders are records of rollouts
+// themselves: the number of the order is the offset of its first record plus one.
+func (r *rollouts) order(ctx context.Context, service, version string, duration time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var err error
+	for range storeTries {
+		stored, next, readErr := r.readRecords(ctx)
+		if readErr != nil {
+			return readErr
+		}
+		now := time.Now()
+		for _, record := range stored {
+			r.learn(now, record, false)
+		}
+		r.mu.Lock()
+		record := rollout.Record{
+			Service: service, Order: uint64(next) + 1, TargetVersion: version, PreviousVersion: r.versions.Previous(now, service, version),
+			Duration: duration, AcceptedAt: now, Phase: rollout.Pending, Reason: "the order was accepted",
+		}
+		r.mu.Unlock()
+		data, marshalErr := proto.Marshal(storedRecord(record))
+		if marshalErr != nil {
+			return marshalErr
+		}
+		if err = r.log.PutIf(ctx, platformlog.StreamRollouts, service, data, next); err == nil {
+			r.mu.Lock()
+			r.accepted[service] = record.Order
+			r.mu.Unlock()
+			r.learn(now, record, true)
+			return nil
+		}
+		if !errorx.IsOfType(err, platformlog.ErrConditionFailed) {
+			break
+		}
+	}
+	return err
 }
