Within a tenant's priority the route's orders requests

Cause: a tenant's priority replaced the route's. Change: the tenant's priority goes first, the route's second; gates measure demand for up to 32 priorities in place of eight fixed ones. Result: go test -race of the tests of tenants and shedding in node/calls and coordination/gate: ok. TestTenantPriority fails without the change.

--- a/internal/coordination/gate/shedding.go
+++ b/internal/coordination/gate/shedding.go
@@ -53,7 +53,7 @@
 	probeInterval = time.Second
 	probeWeight   = 1.0 / 2
 	// maxBands is how many priorities are told apart when demand is measured.
-	maxBands = 8
+	maxBands = 32
 	// backgroundPriority is added to the priority of background calls.
 	backgroundPriority = 1 << 16
 )
@@ -77,8 +77,9 @@
 	// Refused ones count: otherwise late calls would displace those in time and find the capacity
 	// spare that they take.
 	inTime decaying
-	// bands is the service time that was asked for by priority, the lowest ones together.
-	bands [maxBands]decaying
+	// bands is the service time that was asked for by priority, in the order of priorities.
+	// Priorities beyond maxBands count to the next one that is tracked.
+	bands []band
 	// since is the time of the first call.
 	since time.Time
 	// promisedUntil is when the work of the refused calls will have been done, if they return
@@ -155,7 +156,7 @@
 	if !now.Add(work).After(softEnd(e)) {
 		s.inTime.add(now, shareTime, work.Seconds())
 	}
-	s.bands[bandOf(e.Nested, priorityOf(e))].add(now, shareTime, work.Seconds())
+	s.bandOf(e).add(now, shareTime, work.Seconds())
 	if !e.Nested {
 		tenant.usual.add(now, usualTime, work.Seconds())
 		s.usual.add(now, usualTime, work.Seconds())
@@ -291,12 +292,23 @@
 	return e.Priority
 }
 
-// bandOf returns the index in bands.
-func bandOf(nested bool, priority int) int {
-	if nested {
-		return 0
+// band is the service time that calls of one priority asked for.
+type band struct {
+	priority int
+	work     decaying
+}
+
+// bandOf returns the demand of the call's priority. Nested calls count as the most urgent.
+func (s *shedding) bandOf(e Arrive) *decaying {
+	priority := priorityOf(e)
+	if e.Nested {
+		priority = 0
 	}
-	return min(max(0, priority), maxBands-1)
+	i, known := slices.BinarySearchFunc(s.bands, priority, func(b band, p int) int { return cmp.Compare(b.priority, p) })
+	if !known && len(s.bands) < maxBands {
+		s.bands = slices.Insert(s.bands, i, band{priority: priority})
+	}
+	return &s.bands[min(i, len(s.bands)-1)].work
 }
 
 // capacityShare returns the share of the capacity that calls of more urgent priorities leave to
@@ -306,8 +318,10 @@
 		return 1
 	}
 	urgent := 0.0
-	for i := range bandOf(false, r.priority) {
-		urgent += s.bands[i].value(now, shareTime)
+	for i := range s.bands {
+		if s.bands[i].priority < r.priority {
+			urgent += s.bands[i].work.value(now, shareTime)
+		}
 	}
 	return max(0, 1-urgent/s.capacity(now, limit))
 }
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -181,10 +181,12 @@
 	_ = controller.SetReadDeadline(time.Time{})
 }
 
-// priorityOf returns the priority of the request: its tenant's, or else the route's.
+// priorityOf returns the priority of the request. That of its tenant takes precedence over the
+// route's, which orders the requests of tenants of equal priority: without it, urgent requests
+// wait behind those that tolerate more delay.
 func (c *callerRequest) priorityOf(snapshot *state.Snapshot) int {
 	if tenant, ok := snapshot.Tenant(c.tenant); ok {
-		return tenant.Priority
+		return tenant.Priority*(state.MaxPriority+1) + c.route.Priority
 	}
 	return c.route.Priority
 }
