Keep the run of a gate that went silent until it is not needed

Change: the stream of a silent attempt is kept, for idempotent calls without key and with the body in the first frame, beside the next attempt. A response on either is used, for the entry machine with the ID of its gate. The kept attempt is cancelled once the other one runs (CallStart.report_start asks for AnswerFrame.started), so that its slot is free then, and at the end of the request. An entry that stops asks for the response of a lost attempt before it fails the call (entry.GiveUp). Connections that break, and are not just silent, are treated as before.

Ruled out: keeping every lost run for orphanGrace, which cost slots. A failed attempt: giveUp that lets a call which is being resolved go on broke TestResolvingCallIsSaidNotToHaveRun; taken out again, the test is unchanged.

Without kept attempts TestRunOfStalledGateIsCut fails in both cases and TestStalledGatesResponseIsDropped does not end; without the change of giveUp the case of the stopping entry fails; without the end at the start of the other run TestRetriedRunGoesOn does not end.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -38,9 +38,14 @@
 		return
 	}
 	ep := c.endpoint
+	m.detach(c)
+	if e.From != "" && e.From != ep.ID {
+		if ep = m.endpoints[e.From]; ep == nil {
+			return
+		}
+	}
 	m.recordLoad(now, ep, e.Load)
 	m.recordReport(ep, e.TargetReport)
-	m.detach(c)
 	if e.Failed {
 		m.countFailure(now, c.Service, ep)
 		return
@@ -308,13 +313,19 @@
 
 // giveUp fails the request with the outcome of the attempts made so far. A retry that
 // was only scheduled counts as not run; an attempt that is still being resolved may have
-// run.
-func (m *Machine) giveUp(e GiveUp) []Action {
+// run. A node that shuts down asks for the response of a lost attempt.
+//
+// Load pattern: planned stops of entries while gates and links stall for longer than the silence
+// timeout.
+func (m *Machine) giveUp(now time.Time, e GiveUp) []Action {
 	c := m.requests[e.Handle]
 	if c == nil {
 		return nil
 	}
 	m.detach(c)
+	if e.Reason == call.ReasonLeaving && !c.resolving && c.lost != nil {
+		return m.fetchLostOrFail(now, c, e.Reason)
+	}
 	c.outcomeUnknown = c.outcomeUnknown || c.resolving
 	if !c.outcomeUnknown {
 		c.lastRefusal = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: cmp.Or(e.RetryAfter, shutdownRetryAfter)}
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -59,6 +59,9 @@
 // still be on the way.
 type ResponseReceived struct {
 	Handle uint64
+	// From is the ID of the endpoint that responded, if that may be another one than that of
+	// the last attempt; empty otherwise.
+	From string
 	// Failed marks a response with which the target reports that it cannot serve
 	// requests, such as status 502, 503 or 504.
 	Failed bool
@@ -104,7 +107,8 @@
 }
 
 // GiveUp ends the request instead of the Send or Wait that Step returned last: no
-// further attempt is made, because this node is shutting down or for another Reason.
+// further attempt is made, because this node is shutting down or for another Reason. A node that
+// shuts down still asks for the response of an attempt that may run.
 type GiveUp struct {
 	Handle uint64
 	Reason call.Reason
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -138,7 +138,7 @@
 	case Resume:
 		return m.resume(now, e.Handle)
 	case GiveUp:
-		return m.giveUp(e)
+		return m.giveUp(now, e)
 	case End:
 		m.end(e.Handle)
 	}
--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -179,5 +179,6 @@
 	if c.begun {
 		r.entry.notify(entry.End{Handle: c.handle})
 	}
+	c.endKept()
 	c.end()
 }
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -50,7 +50,30 @@
 	stopCallerWatch   func() bool
 	stopAttemptsWatch func() bool
 	// ended is set by end.
-	ended bool
+	ended atomic.Bool
+	// onSilence says what the end of silenceTimer does. silent gets an item if it is
+	// silenceReported.
+	onSilence atomic.Int32
+	silent    chan struct{}
+	// results gets what the reading of the response led to.
+	results chan readResult
+}
+
+// Values of attempt.onSilence.
+const (
+	// silenceCancels ends the attempt.
+	silenceCancels int32 = iota
+	// silenceReported is reported to exchange.
+	silenceReported
+	// silenceIgnored is that of an attempt that is kept beside another one.
+	silenceIgnored
+)
+
+// readResult is the response, or the function that ends the attempt without one and returns
+// the event for the entry machine.
+type readResult struct {
+	got *gateResponse
+	end func() entry.Event
 }
 
 // noConnectionError reports that no connection was available for the start of a
@@ -79,6 +102,10 @@
 	start.AimMs = c.softDeadlineMs(r.options.Now())
 	start.SentMs = uint64(r.options.BootTime().UnixMilli())
 	start.ConfirmAfterMs = c.confirmAfterMs()
+	start.ReportStart = len(c.kept) > 0
+	if c.mayKeepAttempts() {
+		a.onSilence.Store(silenceReported)
+	}
 	if action.TargetReport != nil {
 		start.TargetReport = toWireReport(r.options.Now(), *action.TargetReport)
 	}
@@ -115,7 +142,7 @@
 // open starts a stream to the gate. A call to this node's own gate needs no
 // connection.
 func (r *Runner) open(c *callerRequest, endpoint entry.Endpoint, newConnection bool, deadline time.Time) (*attempt, error) {
-	a := &attempt{runner: r, request: c, handle: c.handle, endpoint: endpoint, started: make(chan struct{})}
+	a := &attempt{runner: r, request: c, handle: c.handle, endpoint: endpoint, started: make(chan struct{}), silent: make(chan struct{}, 1), results: make(chan readResult, 1)}
 	wait := deadline.Sub(r.options.Now()) + gateGracePeriod
 	ctx, cancelTimeout := context.WithTimeout(r.baseCtx, wait)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -125,9 +152,7 @@
 		a.cancel(nil)
 		return nil, err
 	}
-	a.silenceTimer = newSilenceTimer(r.options.Settings.SilenceTimeout, func() {
-		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: the attempt is treated as lost", endpoint.ID))
-	})
+	a.silenceTimer = newSilenceTimer(r.options.Settings.SilenceTimeout, a.endSilence)
 	a.stopCallerWatch = context.AfterFunc(c.ctx, a.cancelByCaller)
 	c.attempt = a
 	return a, nil
@@ -178,9 +203,29 @@
 		a.request.uploads.Add(1)
 		go a.upload()
 	}
-	start, event := a.readStart()
-	if event != nil {
-		return nil, event
+	if a.onSilence.Load() == silenceCancels && len(a.request.kept) == 0 {
+		return a.take(a.read())
+	}
+	go a.readInBackground()
+	return a.await()
+}
+
+// take consumes the result of read.
+func (a *attempt) take(result readResult) (*gateResponse, entry.Event) {
+	if result.end != nil {
+		return nil, result.end()
+	}
+	if a.onSilence.Swap(silenceCancels) != silenceCancels && !result.got.complete {
+		a.silenceTimer.reset() // it may have ended without effect
+	}
+	return result.got, nil
+}
+
+// read reads the response up to the buffer limit.
+func (a *attempt) read() readResult {
+	start, end := a.readStart()
+	if end != nil {
+		return readResult{end: end}
 	}
 	return a.readBuffered(start)
 }
@@ -214,20 +259,20 @@
 	}
 }
 
-// readStart reads the start of the response, or the gate's refusal.
-func (a *attempt) readStart() (*wire.AnswerFrame, entry.Event) {
+// readStart reads the start of the response. It returns the function that ends the attempt if there is none.
+func (a *attempt) readStart() (*wire.AnswerFrame, func() entry.Event) {
 	frame, err := a.recv()
 	if err != nil {
-		return nil, a.endLost()
+		return nil, a.endLost
 	}
 	if frame.Aborted != "" {
-		return nil, a.endRefused(call.Unknown, frame.Aborted, &wire.AnswerStart{})
+		return nil, func() entry.Event { return a.endRefused(call.Unknown, frame.Aborted, &wire.AnswerStart{}) }
 	}
 	if !validStart(frame.Start) {
-		return nil, a.endLost()
+		return nil, a.endLost
 	}
 	if outcome := call.Outcome(frame.Start.Outcome); outcome != call.Answered {
-		return nil, a.endRefused(outcome, frame.Start.Reason, frame.Start)
+		return nil, func() entry.Event { return a.endRefused(outcome, frame.Start.Reason, frame.Start) }
 	}
 	return frame, nil
 }
@@ -250,20 +295,22 @@
 
 // readBuffered reads the response until it is complete or exceeds the buffer
 // limit.
-func (a *attempt) readBuffered(first *wire.AnswerFrame) (*gateResponse, entry.Event) {
+func (a *attempt) readBuffered(first *wire.AnswerFrame) readResult {
 	got := &gateResponse{attempt: a, start: first.Start, data: first.Data, complete: first.Last}
 	for !got.complete && int64(len(got.data)) <= a.runner.options.Settings.BufferBytes {
 		frame, err := a.recv()
 		if err != nil {
-			return nil, a.endLost()
+			return readResult{end: a.endLost}
 		}
 		if frame.Aborted != "" {
-			return nil, a.endRefused(abortOutcome(frame.Aborted), frame.Aborted, &wire.AnswerStart{Load: first.Start.Load, TargetReport: first.Start.TargetReport})
+			return readResult{end: func() entry.Event {
+				return a.endRefused(abortOutcome(frame.Aborted), frame.Aborted, &wire.AnswerStart{Load: first.Start.Load, TargetReport: first.Start.TargetReport})
+			}}
 		}
 		got.data = append(got.data, frame.Data...)
 		got.complete = frame.Last
 	}
-	return got, nil
+	return readResult{got: got}
 }
 
 func abortOutcome(reason string) call.Outcome {
@@ -331,12 +378,18 @@
 // to the gate, which are likely to have failed too.
 func (a *attempt) endLost() entry.Event {
 	a.end(false)
+	a.noteLost()
+	return entry.ConnectionLost{Handle: a.handle, BodyConsumed: a.request.body.consumed.Load()}
+}
+
+// noteLost counts a lost connection and closes the idle ones to the gate, unless the caller
+// disconnected.
+func (a *attempt) noteLost() {
 	if a.request.ctx.Err() == nil {
 		a.runner.counters.connectionsLost.Add(1)
 		a.runner.options.Pool.DropIdle(a.endpoint.Address)
 		a.runner.options.Logger.Event(logging.PeerConnectionsDropped).Str("gate", a.endpoint.ID).Send()
 	}
-	return entry.ConnectionLost{Handle: a.handle, BodyConsumed: a.request.body.consumed.Load()}
 }
 
 // endRefused ends the attempt after the gate sent an outcome in place of a
@@ -363,10 +416,9 @@
 // end closes the stream; further calls do nothing. The connection is reused only if complete reports that
 // the gate's whole response was received.
 func (a *attempt) end(complete bool) {
-	if a.ended {
+	if !a.ended.CompareAndSwap(false, true) {
 		return
 	}
-	a.ended = true
 	a.silenceTimer.stop()
 	if a.stopAttemptsWatch != nil {
 		a.stopAttemptsWatch()
--- a/internal/node/calls/callercheck.go
+++ b/internal/node/calls/callercheck.go
@@ -16,7 +16,10 @@
 // the kernel: a close may be queued behind a request that was read late. If the caller is known to
 // have left it ends the request as the close would once it is read.
 func (r *Runner) mayAttempt(c *callerRequest) bool {
-	if time.Since(c.callerCheckedAt) > callerCheckValid {
+	c.mu.Lock()
+	checked := time.Since(c.callerCheckedAt) <= callerCheckValid
+	c.mu.Unlock()
+	if !checked {
 		c.checkCaller()
 	}
 	return c.attemptsCtx.Err() == nil && c.ctx.Err() == nil && r.options.Now().Before(c.deadline)
@@ -27,10 +30,12 @@
 func (c *callerRequest) checkCaller() {
 	now := time.Now()
 	peer := callerconn.FromContext(c.ctx).Peer()
+	c.mu.Lock()
 	c.callerCheckedAt, c.callerClosedAt = now, time.Time{}
 	if peer.Closed {
 		c.callerClosedAt = now.Add(-peer.CloseAge)
 	}
+	c.mu.Unlock()
 	switch {
 	case peer.Reset:
 		c.cancel(errCallerLeft.New("caller reset its connection: the call is cancelled"))
@@ -49,6 +54,8 @@
 
 // closedFor returns for how long the caller's sending side was closed when it was last checked.
 func (c *callerRequest) closedFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.callerClosedAt.IsZero() {
 		return 0
 	}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -65,19 +65,22 @@
 	bodyRead atomic.Bool
 	// attempt is the last one that was opened; nil before.
 	attempt *attempt
+	// kept are the attempts that went silent and may still run. wake has an item when one of
+	// them may have ended.
+	kept []*attempt
+	wake chan struct{}
 	// responseStarted is set once a part of the response may have been written.
 	responseStarted bool
 	// closeAnnounced is set if the response says that the connection is closed after it.
 	closeAnnounced bool
-	// callerCheckedAt is when the kernel was last asked for the state of the caller's connection.
-	callerCheckedAt time.Time
-	// callerClosedAt is when the caller closed its sending side; zero if it was open then.
-	callerClosedAt time.Time
-	// inputEnded is set once the grace period after that is over.
+	// inputEnded is set once the grace period after the caller's close is over.
 	inputEnded atomic.Bool
 
 	mu        sync.Mutex
 	bodyError error
+	// callerCheckedAt is when the kernel was last asked for the state of the caller's connection.
+	// callerClosedAt is when the caller closed its sending side; zero if it was open then.
+	callerCheckedAt, callerClosedAt time.Time
 }
 
 // newHandler passes every request to serveCaller, its path neither cleaned nor
@@ -199,6 +202,7 @@
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
 	c.body = body
+	c.wake = make(chan struct{}, 1)
 	c.handle = r.entry.handles.Add(1)
 	c.template = r.newTemplate(ctx, c, request)
 }
@@ -344,7 +348,7 @@
 		case entry.Resolve:
 			got, event = r.resolveAttempt(c, a)
 		case entry.Wait:
-			event = r.wait(c, a)
+			got, event = r.wait(c, a)
 		case entry.Fail:
 			return dispatchResult{failure: &a}
 		default: // nil: the entry loop has ended, and an attempt may have been sent
@@ -369,7 +373,7 @@
 // noteResponse tells the entry machine of a response.
 func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
 	r.entry.notify(entry.ResponseReceived{
-		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
+		Handle: c.handle, From: got.attempt.endpoint.ID, Failed: got.failed(), Load: int(got.start.Load),
 		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
 	})
 }
@@ -426,14 +430,22 @@
 	return false
 }
 
-func (r *Runner) wait(c *callerRequest, action entry.Wait) entry.Event {
+// wait waits before the next attempt, unless a kept one gets a response.
+func (r *Runner) wait(c *callerRequest, action entry.Wait) (*gateResponse, entry.Event) {
 	timer := time.NewTimer(action.For)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.ctx.Done():
+	for {
+		select {
+		case <-timer.C:
+			return nil, entry.Resume{Handle: c.handle}
+		case <-c.ctx.Done():
+			return nil, entry.Resume{Handle: c.handle}
+		case <-c.wake:
+			if got := c.keptResponse(); got != nil {
+				return got, nil
+			}
+		}
 	}
-	return entry.Resume{Handle: c.handle}
 }
 
 func (r *Runner) deliver(w http.ResponseWriter, request *http.Request, c *callerRequest, got *gateResponse) {
--- a/internal/node/calls/conn_test.go
+++ b/internal/node/calls/conn_test.go
@@ -49,6 +49,8 @@
 	holding bool
 	silent  bool
 	held    []byte
+	// stalled holds back what is read until it is closed; nil does not.
+	stalled chan struct{}
 	closed  chan struct{}
 	once    sync.Once
 }
@@ -69,8 +71,15 @@
 func (c *faultConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	c.mu.Lock()
-	silent := c.silent
+	silent, stalled := c.silent, c.stalled
 	c.mu.Unlock()
+	if stalled != nil {
+		select {
+		case <-stalled:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
+	}
 	if silent {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -139,3 +148,10 @@
 	defer c.mu.Unlock()
 	return len(c.held)
 }
+
+// stallReads holds back what is read until the channel is closed.
+func (c *faultConn) stallReads(until chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stalled = until
+}
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -353,7 +353,7 @@
 	r.metrics.gateWait.UpdateDuration(c.arrivedAt)
 	r.targetCalls.Add(1)
 	go r.runOrAbort(ctx, c)
-	if c.streaming {
+	if c.streaming || c.start.ReportStart {
 		if err := stream.Send(&wire.AnswerFrame{Started: true}); err != nil {
 			c.response.abandon()
 			return err
--- /dev/null
+++ b/internal/node/calls/keptattempt.go
@@ -0,0 +1,117 @@
+package calls
+
+import (
+	"jasminegate/internal/coordination/entry"
+	"jasminegate/internal/protocol/wire"
+)
+
+// An attempt of an idempotent call whose gate went silent may still run: gates and links stall for
+// longer than the silence timeout. Its stream is kept while the call is sent elsewhere, so that
+// its gate does not cut the run, and until the other attempt runs or there is a response.
+
+// mayKeepAttempts reports whether attempts of the request may be kept: two of them may run.
+func (c *callerRequest) mayKeepAttempts() bool { return c.startableAhead() && c.body.rest == nil }
+
+// endSilence is called when no frame has arrived within the silence timeout.
+func (a *attempt) endSilence() {
+	switch a.onSilence.Load() {
+	case silenceCancels:
+		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: the attempt is treated as lost", a.endpoint.ID))
+	case silenceReported:
+		select {
+		case a.silent <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// readInBackground reads the response for await.
+func (a *attempt) readInBackground() {
+	result := readResult{end: a.endLost}
+	defer func() {
+		a.results <- result
+		a.request.wakeUp()
+	}()
+	defer a.runner.recoverCall("response of a gate", func() {})
+	result = a.read()
+}
+
+// await waits for the response of this attempt or of a kept one. Once this one runs, the kept ones
+// end.
+func (a *attempt) await() (*gateResponse, entry.Event) {
+	c, started := a.request, a.started
+	for {
+		select {
+		case result := <-a.results:
+			return a.take(result)
+		case <-a.silent:
+			return nil, a.keep()
+		case <-started:
+			c.endKept()
+			started = nil
+		case <-c.wake:
+			if got := c.keptResponse(); got != nil {
+				a.cancelAndEnd()
+				return got, nil
+			}
+		}
+	}
+}
+
+// keep keeps the attempt beside the next one. For the entry machine its connection is lost.
+func (a *attempt) keep() entry.Event {
+	a.onSilence.Store(silenceIgnored)
+	a.request.kept = append(a.request.kept, a)
+	a.noteLost()
+	return entry.ConnectionLost{Handle: a.handle}
+}
+
+// wakeUp makes dispatch look for the response of a kept attempt.
+func (c *callerRequest) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// keptResponse returns the response of a kept attempt, and then ends the others. It returns nil if
+// there is none, and forgets the attempts that ended without one.
+func (c *callerRequest) keptResponse() *gateResponse {
+	open := c.kept[:0]
+	var got *gateResponse
+	for _, a := range c.kept {
+		select {
+		case result := <-a.results:
+			if result.got == nil {
+				a.end(false)
+				continue
+			}
+			got, _ = a.take(result)
+		default:
+			open = append(open, a)
+		}
+	}
+	c.kept = open
+	if got != nil {
+		c.endKept()
+		c.attempt = got.attempt
+	}
+	return got
+}
+
+// endKept ends the kept attempts, and their runs.
+func (c *callerRequest) endKept() {
+	for _, a := range c.kept {
+		a.cancelAndEnd()
+	}
+	c.kept = nil
+}
+
+// cancelAndEnd ends an attempt whose response is not needed any more. It does not wait for its
+// connection, which may be stalled.
+func (a *attempt) cancelAndEnd() {
+	go func() {
+		defer a.end(false)
+		_ = a.stream.Send(&wire.CallFrame{Cancel: true})
+	}()
+}
