--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -39,15 +39,21 @@
 		return
 	}
 	ep := c.endpoint
-	m.recordLoad(now, ep, e.Load)
-	m.recordService(now, c, ep, e.ServiceTime)
-	m.recordReport(ep, e.TargetReport)
 	m.detach(c)
-	if e.Failed || e.ServerError {
+	switch {
+	case e.From != "" && e.From != ep.ID:
+		m.observe(now, c, rollout.NotCounted) // an earlier attempt got the response
+		if ep = m.endpoints[e.From]; ep == nil {
+			return
+		}
+	case e.Failed || e.ServerError:
 		m.observe(now, c, rollout.Failed)
-	} else {
+	default:
 		m.observe(now, c, rollout.Succeeded)
 	}
+	m.recordLoad(now, ep, e.Load)
+	m.recordService(now, c, ep, e.ServiceTime)
+	m.recordReport(ep, e.TargetReport)
 	if e.Failed {
 		m.countFailure(now, c.Service, ep)
 		return
@@ -341,7 +347,10 @@
 
 // giveUp fails the request with the outcome of the attempts made so far. A retry that
 // was only scheduled counts as not run; an attempt that is still being resolved may have
-// run.
+// run. A node that shuts down asks for the response of a lost attempt.
+//
+// Load pattern: planned stops of entries while gates and links stall for longer than the silence
+// timeout.
 func (m *Machine) giveUp(now time.Time, e GiveUp) []Action {
 	c := m.requests[e.Handle]
 	if c == nil {
@@ -349,6 +358,9 @@
 	}
 	m.detach(c)
 	m.observe(now, c, rollout.NotCounted)
+	if e.Reason == call.ReasonLeaving && !c.resolving && c.lost != nil {
+		return m.fetchLostOrFail(now, c, e.Reason)
+	}
 	c.outcomeUnknown = c.outcomeUnknown || c.resolving
 	if !c.outcomeUnknown {
 		c.lastRefusal = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: cmp.Or(e.RetryAfter, shutdownRetryAfter)}
