Rollouts: tests check that a bad version is found within 50 bad responses

Cause: the requirement on the evidence was not checked. Change: the harness compares the bad responses at the rollback with 50.

--- a/internal/coordination/rollout/sim_run_test.go
+++ b/internal/coordination/rollout/sim_run_test.go
@@ -29,7 +29,7 @@
 // compares the exposure of the bad ones with the budget. It guards against tests of the evidence
 // that find bad versions only by taking good ones for bad.
 func TestManyRollouts(t *testing.T) {
-	falseRollbacks, letThrough, overBudget, lateCalls, other := 0, 0, 0, 0, 0
+	falseRollbacks, letThrough, overBudget, lateCalls, lateFound, other := 0, 0, 0, 0, 0, 0
 	var use []float64
 	for seed := range uint64(manyRollouts) {
 		for _, bad := range []bool{false, true} {
@@ -48,6 +48,8 @@
 					overBudget++
 				case strings.Contains(p, "50th"):
 					lateCalls++
+				case strings.Contains(p, "at the rollback"):
+					lateFound++
 				default:
 					other++
 				}
@@ -58,8 +60,8 @@
 		}
 	}
 	slices.Sort(use)
-	t.Logf("of %d good versions %d rolled back; of %d bad ones %d completed, %d over the budget, %d called too late; %d other problems; exposure of bad versions / budget: median %.2f, 99 %% %.2f, most %.2f",
-		manyRollouts, falseRollbacks, manyRollouts, letThrough, overBudget, lateCalls, other,
+	t.Logf("of %d good versions %d rolled back; of %d bad ones %d completed, %d over the budget, %d called too late, %d found after more than 50 bad responses; %d other problems; exposure of bad versions / budget: median %.2f, 99 %% %.2f, most %.2f",
+		manyRollouts, falseRollbacks, manyRollouts, letThrough, overBudget, lateCalls, lateFound, other,
 		use[len(use)/2], use[len(use)*99/100], use[len(use)-1])
 }
 
--- a/internal/coordination/rollout/sim_test.go
+++ b/internal/coordination/rollout/sim_test.go
@@ -97,6 +97,8 @@
 	calls, exposed int
 	badResponses   int
 	fiftiethBadAt  time.Duration
+	// badWhenDecided is the number of bad responses when the coordinator rolled back.
+	badWhenDecided int
 	lastNewInTouch time.Duration
 	// lastNewWhenCut is the last call to the new version from a node that was cut off.
 	lastNewWhenCut time.Duration
@@ -293,6 +295,9 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Announce:
+			if a.Record.Phase == RolledBack {
+				s.badWhenDecided = s.badResponses
+			}
 			cut := s.coordCut
 			s.after(5*time.Millisecond, func() {
 				for _, n := range s.nodes {
@@ -440,6 +445,7 @@
 	note(s.store.Phase != wanted, "result %s (%s) instead of %s", s.store.Phase, s.store.Reason, wanted)
 	note(len(s.results) > 0 && s.resultAt > s.duration, "result at %s", s.resultAt)
 	if s.kind != good {
+		note(s.badWhenDecided > 50, "%d bad responses at the rollback", s.badWhenDecided)
 		note(float64(s.exposed) > s.budget(), "%d calls exposed, budget %.0f", s.exposed, s.budget())
 		note(s.fiftiethBadAt > 0 && s.lastNewInTouch > s.fiftiethBadAt+s.settings.RollbackBound,
 			"call at %s after the 50th bad response at %s", s.lastNewInTouch, s.fiftiethBadAt)
