Rollouts: services with few calls use the slack

Change: if all calls of a rollout are at most three times the slack, each node gets a grant as far as the budget goes, and half of the calls go to the new version. TestServiceWithFewCalls fails with the change off.

--- a/internal/coordination/rollout/coordinator.go
+++ b/internal/coordination/rollout/coordinator.go
@@ -508,7 +508,10 @@
 		return
 	}
 	c.first = endpoints[0]
+	rest := max(0, c.record.Limit().Sub(now).Seconds())
+	fewCalls := c.exposure.measured() && float64(c.ledger.calls)+c.exposure.rate()*rest <= fewCallsFactor*float64(c.settings.ExposeSlack)
 	plan := c.exposure.plan(now, planInput{
+		fewCalls:  fewCalls,
 		expanding: c.record.Phase == Expanding, oldTargets: c.targets.oldTargets, endpoints: endpoints,
 		limit: c.exposureLimit(now), charged: c.ledger.charged(), exposed: float64(c.ledger.exposed),
 		shiftIn: c.shiftAt().Sub(now), patient: now.Before(c.schedule.at(latestStart)),
@@ -518,7 +521,7 @@
 	d.Endpoints, d.Share = plan.endpoints, plan.share
 	left := float64(a.charge() - a.exposed)
 	cap := 1 + math.Ceil(plan.share*a.rate*2*c.settings.ReportInterval.Seconds())
-	if a.calls == 0 {
+	if a.calls == 0 && !fewCalls {
 		cap = 0
 	}
 	number := min(left+max(0, math.Floor(max(plan.want, plan.forRoutes))), cap)
@@ -531,6 +534,10 @@
 		c.ledger.grant(a, a.exposed+uint64(number), now.Add(c.settings.GrantValidity))
 		expected := max(1, a.rate*c.settings.ReportInterval.Seconds())
 		d.Share = min(1, max(plan.share, number/expected))
+		if fewCalls {
+			d.Share = plan.share
+			return
+		}
 		others := d.Share
 		if plan.want < 1 && !c.exposure.bursting {
 			others = 0 // the grant is for routes that need responses
--- a/internal/coordination/rollout/exposure.go
+++ b/internal/coordination/rollout/exposure.go
@@ -24,6 +24,8 @@
 	maxShare = 0.5
 	// maxRouteShare is the share of a route that needs more responses.
 	maxRouteShare = 0.8
+	// fewCallsFactor x the slack is the number of calls up to which a rollout has few calls.
+	fewCallsFactor = 3
 	// trickleShare is the part of the exposed share that is used between bursts.
 	trickleShare = 0.25
 	// afterBurst is how long after a burst its responses may come: 8 times 300 ms and more.
@@ -103,6 +105,9 @@
 	return sum / (float64(x.filled) * rateBucket.Seconds())
 }
 
+// measured reports whether the rate was measured for long enough to be relied on.
+func (x *exposure) measured() bool { return x.filled >= rateBuckets/2 }
+
 // spend notes calls that were granted.
 func (x *exposure) spend(calls float64) {
 	fromProbes := min(calls, x.probes)
@@ -135,6 +140,8 @@
 	responses, good float64
 	// patient is set while rare routes wait for a first burst.
 	patient bool
+	// fewCalls is set if all calls of the rollout are about as many as the slack.
+	fewCalls bool
 	// recheck is the target to which single calls go, if any.
 	recheck string
 	// warm is set if the targets may no longer be slow because they have just been started.
@@ -190,6 +197,11 @@
 		ramp += in.responses - x.base.responses + goodFactor*(in.good-x.base.good)
 	}
 	p.want = min(room, x.credit+x.probes, ramp)
+	if in.fewCalls {
+		// Each node needs a grant before its next call, and there are too few calls to do harm.
+		p.want, p.share = room, maxShare
+		return p
+	}
 	if x.loaded || !in.patient {
 		// Rare routes get calls after the first burst, which covers the other ones.
 		p.forRoutes = min(room, ramp, in.routesNeed-(in.charged-in.exposed))
--- a/internal/coordination/rollout/sim_run_test.go
+++ b/internal/coordination/rollout/sim_run_test.go
@@ -91,3 +91,16 @@
 		}
 	}
 }
+
+// TestServiceWithFewCalls guards against grants that lie at nodes without calls: a bad version then
+// gets too few calls to be noticed.
+func TestServiceWithFewCalls(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, kind := range []badness{good, failing, slowing} {
+			s := newSim(simOptions{seed: seed, nodes: 40, rate: 5, duration: 14 * time.Second, kind: kind, noFaults: true}).play()
+			if problems := s.problems(); len(problems) > 0 {
+				t.Errorf("seed %d, %s: %s; %s", seed, badnessNames[kind], strings.Join(problems, ", "), s.store.Reason)
+			}
+		}
+	}
+}
