--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -93,6 +93,7 @@
 			configCommand(streams),
 			statusCommand(streams),
 			quarantineCommand(streams),
+			tenantsCommand(streams),
 			explainCommand(streams),
 			versionCommand(streams),
 		},
--- a/internal/coordination/usagecap/coordinator.go
+++ b/internal/coordination/usagecap/coordinator.go
@@ -93,6 +93,10 @@
 	// asked and admitted are the totals of the own domain since the coordinator's start.
 	asked, admitted int64
 	changed         uint64
+	// refusedAt is when a node last reported a refused request; over is set from the first one
+	// until none was refused for overMemory.
+	refusedAt time.Time
+	over      bool
 	// unsent counts what was admitted since the last exchange.
 	unsent  float64
 	demand  rateEstimate
@@ -330,6 +334,9 @@
 	t.asked += asked
 	t.admitted += admitted
 	t.unsent += float64(admitted)
+	if asked > admitted && !c.open(now, t) { // of an open tenant they were refunded
+		t.refusedAt = now
+	}
 	demand := float64(asked)
 	if first {
 		demand *= firstReportWeight
--- a/internal/coordination/usagecap/node.go
+++ b/internal/coordination/usagecap/node.go
@@ -31,6 +31,7 @@
 	quota Quota
 	// The counts are totals. base is what the session's counts begin at.
 	asked, admitted         int64
+	refused                 int64
 	baseAsked, baseAdmitted int64
 	ackedAsked, ackedAdmit  int64
 	sentAsked, sentAdmitted int64
@@ -91,6 +92,7 @@
 	n.dirty[tenant] = t
 	n.fill(now, t)
 	if !n.take(t) {
+		t.refused++
 		return false, min(maxRetryAfter, max(t.level1At.Sub(now), quota.waitFor(0), retryFloor))
 	}
 	t.admitted++
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -71,3 +71,12 @@
 	TenantInvalid        = Event{409, log.WarnLevel, "tenant in the configuration cannot be used as it is written: what is unambiguous is in force"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
+
+// Events of tenant quotas.
+var (
+	TenantOverQuota         = Event{520, log.InfoLevel, "tenant is over its quota: its requests are refused"}
+	TenantWithinQuota       = Event{521, log.InfoLevel, "tenant keeps to its quota again"}
+	UsageDomainSilent       = Event{522, log.WarnLevel, "usage coordinator of a failure domain does not respond: its part of the quotas is kept for it"}
+	UsageDomainHeard        = Event{523, log.InfoLevel, "usage coordinator of a failure domain responds again"}
+	UsageCoordinatorChanged = Event{524, log.InfoLevel, "usage of tenants is reported to another coordinator"}
+)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -24,6 +24,7 @@
 	router.HandleFunc(adminapi.PathStatus, n.getStatus).Methods(http.MethodGet)
 	router.HandleFunc(adminapi.PathQuarantine, n.getQuarantine).Methods(http.MethodGet)
 	router.HandleFunc(adminapi.PathQuarantined, n.deleteQuarantine).Methods(http.MethodDelete)
+	router.HandleFunc(adminapi.PathTenants, n.getTenants).Methods(http.MethodGet)
 	router.HandleFunc(adminapi.PathTarget, n.putTarget).Methods(http.MethodPut)
 	router.HandleFunc(adminapi.PathTarget, n.deleteTarget).Methods(http.MethodDelete)
 	router.HandleFunc(adminapi.PathHealth, getHealth).Methods(http.MethodGet)
--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -120,6 +120,7 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	n.metrics.WritePrometheus(w)
 	n.calls.WriteMetrics(w)
+	n.usage.writeMetrics(w, n.configuration.Snapshot())
 	metrics.WritePrometheus(w, true)
 }
 
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -11,6 +11,7 @@
 
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/coordination/usagecap"
+	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
 )
@@ -41,6 +42,9 @@
 	// own is the coordinator's state, nil if this node is not it; started numbers its starts.
 	own     *usagecap.Coordinator
 	started uint64
+	// loggedAt is when changes were looked for last, silent has the domains logged as not heard.
+	loggedAt time.Time
+	silent   []string
 }
 
 func newUsageExchange(n *node, seed uint64) *usageExchange {
@@ -205,12 +209,13 @@
 		if u.coordinator != "" {
 			u.session++
 			u.local.NewSession()
+			u.node.logger.Event(logging.UsageCoordinatorChanged).Str("coordinator", coordinator.ID).Str("before", u.coordinator).Send()
 		}
 		u.coordinator = coordinator.ID
 	}
 	switch {
 	case coordinator.ID != u.node.self.ID:
-		u.own = nil
+		u.own, u.silent = nil, nil
 		return
 	case u.own == nil:
 		u.started++
@@ -261,6 +266,7 @@
 // coordinator.
 func (u *usageExchange) receiveReport(now time.Time, node string, session uint64, uses []usagecap.Use) usagecap.Grants {
 	grants := u.own.Report(now, node, session, uses)
+	u.logChanges(now)
 	if _, any := u.own.ExchangeDue(); any {
 		wake(u.exchangeDue)
 	}
--- a/internal/processtest/quota_test.go
+++ b/internal/processtest/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"jasminegate/internal/protocol/adminapi"
 	"jasminegate/internal/standin/fleet"
 	"jasminegate/internal/state"
 )
@@ -53,6 +55,7 @@
 		})
 	}
 	group.Wait()
+	h.await("the coordinator to list the tenant as over its quota", func() bool { return h.tenantOver() })
 	most := 0
 	for i, at := range admitted {
 		count := 0
@@ -71,6 +74,20 @@
 	}
 }
 
+// tenantOver reports whether a node lists the fleet's use of a tenant as over its quota.
+func (h *harness) tenantOver() bool {
+	for _, node := range h.Nodes {
+		body, err := node.AdminRequest(h.ctx(), "GET", adminapi.PathTenants, nil)
+		h.must(err)
+		var list adminapi.TenantList
+		h.must(json.Unmarshal(body, &list))
+		if list.Tenants[0].Fleet != nil && list.Tenants[0].Fleet.Over {
+			return true
+		}
+	}
+	return false
+}
+
 // sendUnderQuota sends requests until ctx ends, and passes on their status.
 func sendUnderQuota(ctx context.Context, node *fleet.Node, done func(status int)) {
 	client := &http.Client{}
--- a/internal/protocol/adminapi/paths.go
+++ b/internal/protocol/adminapi/paths.go
@@ -14,10 +14,12 @@
 	// PathQuarantine lists requests in quarantine; PathQuarantined is one of them.
 	PathQuarantine  = "/quarantine"
 	PathQuarantined = "/quarantine/{id}"
-	PathHealth      = "/healthz"
-	PathReady       = "/readyz"
-	PathMetrics     = "/metrics"
-	PathProfile     = "/debug/pprof/"
+	// PathTenants lists the tenants with their quotas and use.
+	PathTenants = "/tenants"
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	PathProfile = "/debug/pprof/"
 )
 
 // QueryContent is the query parameter of PathTicket that selects the ticket with
--- a/internal/transport/adminclient/client.go
+++ b/internal/transport/adminclient/client.go
@@ -79,6 +79,13 @@
 	return list, err
 }
 
+// Tenants lists the tenants with their quotas and use.
+func (c *Client) Tenants(ctx context.Context) (adminapi.TenantList, error) {
+	var list adminapi.TenantList
+	err := c.do(ctx, http.MethodGet, adminapi.PathTenants, nil, &list)
+	return list, err
+}
+
 // LiftQuarantine lets the request with the ID through again, at all nodes, and returns the others.
 func (c *Client) LiftQuarantine(ctx context.Context, id string) (adminapi.QuarantineList, error) {
 	var list adminapi.QuarantineList
