Nodes without a usage coordinator admitted one request more for each outage

Cause: without a coordinator a node kept the fraction of a token until a request was admitted. That is right for a part of single requests, and one request too many at each node for a rate. Change: only a sparse grant keeps its fraction. The domain's coordinator is looked up once for each change of the member table, not for each message. The simulation has 900 ms now, 400 before.

--- a/internal/coordination/usagecap/fleet_test.go
+++ b/internal/coordination/usagecap/fleet_test.go
@@ -17,7 +17,7 @@
 	simFar     = 40 * time.Millisecond
 	simTimeout = 250 * time.Millisecond
 	// simElection is the time from the end of a coordinator until its nodes know the next one.
-	simElection = 400 * time.Millisecond
+	simElection = 900 * time.Millisecond
 	simDomains  = 3
 	simSeed     = 7
 	tenantName  = "tenant"
--- a/internal/coordination/usagecap/node.go
+++ b/internal/coordination/usagecap/node.go
@@ -102,20 +102,26 @@
 }
 
 // take takes one token. Of a fraction it takes all, and admits with that probability: buckets of
-// many nodes would otherwise store one request each. Without a coordinator the fraction stays until
-// a request is admitted, since there is no next grant.
+// many nodes would otherwise store one request each. Without a coordinator a sparse tenant's fraction
+// stays until a request is admitted, since there is no next grant.
 func (n *Node) take(t *nodeTenant) bool {
 	if t.tokens >= 1 {
 		t.tokens--
 		return true
 	}
 	admitted := t.tokens > 0 && n.random.Float64() < t.tokens
-	if admitted || !n.failing {
+	if admitted || !n.failing || !t.sparse() {
 		t.tokens = min(0, t.tokens)
 	}
 	return admitted
 }
 
+// sparse reports whether the grant is a part of single requests rather than a rate: the node had
+// less than one request in a report interval.
+func (t *nodeTenant) sparse() bool {
+	return t.granted < 1 && t.granted > t.rate*ReportInterval.Seconds()
+}
+
 // reportAtOnce reports whether the use since the last report is a large part of what was granted,
 // and more than the rate of the grant allows in two intervals.
 func (t *nodeTenant) reportAtOnce() bool {
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -34,7 +34,7 @@
 	// nextReport is when the next report is planned, zero if none is.
 	nextReport time.Time
 	// coordinator is the node that gets the reports, session numbers the sessions with it.
-	coordinator string
+	coordinator membership.Member
 	session     uint64
 	// view and snapshot are those to which the state was fitted last.
 	view     *membership.View
@@ -185,10 +185,9 @@
 // fit brings the state in line with the member table and the configuration, and returns the
 // domain's coordinator. The lock must be held.
 func (u *usageExchange) fit() membership.Member {
-	view := u.node.members.View()
-	coordinator := usageCoordinator(view, u.node.self.Domain, u.node.self)
-	if view != u.view {
+	if view := u.node.members.View(); view != u.view {
 		u.view = view
+		coordinator := usageCoordinator(view, u.node.self.Domain, u.node.self)
 		counts := usageNodes(view)
 		total := 0
 		for _, count := range counts {
@@ -201,18 +200,18 @@
 		u.snapshot = snapshot
 		u.local.Keep(func(tenant string) bool { _, known := quotaOf(snapshot, tenant); return known })
 	}
-	return coordinator
+	return u.coordinator
 }
 
 func (u *usageExchange) fitCoordinator(coordinator membership.Member, counts map[string]int) {
-	if coordinator.ID != u.coordinator {
-		if u.coordinator != "" {
+	if coordinator.ID != u.coordinator.ID {
+		if u.coordinator.ID != "" {
 			u.session++
 			u.local.NewSession()
-			u.node.logger.Event(logging.UsageCoordinatorChanged).Str("coordinator", coordinator.ID).Str("before", u.coordinator).Send()
+			u.node.logger.Event(logging.UsageCoordinatorChanged).Str("coordinator", coordinator.ID).Str("before", u.coordinator.ID).Send()
 		}
-		u.coordinator = coordinator.ID
 	}
+	u.coordinator = coordinator
 	switch {
 	case coordinator.ID != u.node.self.ID:
 		u.own, u.silent = nil, nil
