A connection failed on the request after one over its quota with a body

Cause: a 429 is written before the body in full-duplex mode, and net/http panics (invalid concurrent Body.Read call) on the next request if the body was not read. Result: TestRequestOverQuota sends two more requests on the connection; it failed with the panic before. go test -race ./internal/node/calls passes.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -114,6 +114,9 @@
 	if refused != nil {
 		r.refuse(w, request, refused)
 		r.metrics.observeRequest(noClass, string(refused.Outcome), startedAt)
+		if refused.Status == http.StatusTooManyRequests {
+			drainRefused(w, request)
+		}
 		return
 	}
 	c.outcome = outcomeCallerLeft
@@ -153,8 +156,10 @@
 	c.controller = http.NewResponseController(w)
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
 	if refused := r.charge(c); refused != nil {
-		// The response would be written after the body otherwise.
-		_ = c.controller.EnableFullDuplex()
+		if request.ContentLength != 0 {
+			// The response would be written after the body otherwise.
+			_ = c.controller.EnableFullDuplex()
+		}
 		return nil, refused
 	}
 	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
--- a/internal/node/calls/quota.go
+++ b/internal/node/calls/quota.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -51,3 +52,18 @@
 	return notRun("over-quota", "The tenant's quota is used up", http.StatusTooManyRequests,
 		"Send the call again after the given time, and fewer calls a second.", max(retryAfter, time.Millisecond))
 }
+
+// drainRefused reads the body of a request that was refused before it. In full-duplex mode net/http
+// fails on the next request of the connection otherwise.
+func drainRefused(w http.ResponseWriter, request *http.Request) {
+	if request.ContentLength == 0 {
+		return
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		panic(http.ErrAbortHandler) // the response is written
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+}
--- a/internal/node/calls/quota_test.go
+++ b/internal/node/calls/quota_test.go
@@ -68,11 +68,15 @@
 	caller := f.dialCaller()
 	caller.send("POST /file HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + testKey + "\r\nContent-Length: 10\r\n\r\n")
 	is.Equal(caller.receive().status, 429) // without its body
+	caller.send("0123456789", get("/read/refused", "Authorization: Token "+testKey))
+	is.Equal(caller.receive().status, 429)
+	caller.send(get("/open/after"))
+	is.Equal(caller.receive().status, 200) // the connection serves further requests
 	refused := f.call(0, "GET", "/read", "", "Authorization", "Token "+testKey)
 	is.Equal(refused.status, 429)
 	is.Equal(refused.header.Get("Retry-After"), "2")
 	is.True(strings.Contains(refused.body, `"retry_after_ms":1500`))
-	is.Equal(runs.Load(), int64(2))
+	is.Equal(runs.Load(), int64(3))
 }
 
 // TestOneChargePerRequest guards against a charge for each attempt or for nested calls, and against
