--- a/internal/cli/tenants.go
+++ b/internal/cli/tenants.go
@@ -14,17 +14,19 @@
 
 func tenantsCommand(streams Streams) *ffcli.Command {
 	return &ffcli.Command{
-		Name:        "tenants",
-		ShortUsage:  "jasminegate tenants <subcommand>",
-		ShortHelp:   "Show tenants with their quotas and use.",
-		FlagSet:     newFlags("jasminegate tenants", streams),
-		Subcommands: []*ffcli.Command{tenantsListCommand(streams)},
+		Name:       "tenants",
+		ShortUsage: "jasminegate tenants <subcommand>",
+		ShortHelp:  "Show the tenants that are in force.",
+		FlagSet:    newFlags("jasminegate tenants", streams),
+		Subcommands: []*ffcli.Command{
+			tenantsListCommand(streams),
+			tenantsShowCommand(streams),
+			tenantsUsageCommand(streams),
+		},
 	}
 }
 
-const tenantsListHelp = `Lists the tenants with their quotas, the requests that the node had of them since its
-start, and how many of these it refused with 429. The use of the whole fleet is known to
-the coordinator of each failure domain, which the last line names: ask that node for it.
+const tenantsListHelp = `Lists the tenants that are in force at the node, with the number of their API keys.
 
 EXAMPLES
   jasminegate tenants list --node 10.0.0.7:8081`
@@ -36,7 +38,7 @@
 	return &ffcli.Command{
 		Name:       "list",
 		ShortUsage: "jasminegate tenants list --node IP:PORT [flags]",
-		ShortHelp:  "List the tenants with their quotas and use.",
+		ShortHelp:  "List the tenants.",
 		LongHelp:   tenantsListHelp,
 		FlagSet:    flags,
 		Options:    fromEnv(),
@@ -52,26 +54,60 @@
 	}
 }
 
+const tenantsShowHelp = `Shows one tenant that is in force at the node, with the SHA-256 digests of its API keys.
+To find out whether a key is one of them, compare its digest:
+  printf %s "$KEY" | sha256sum
+
+EXAMPLES
+  jasminegate tenants show atelier-nord --node 10.0.0.7:8081`
+
+func tenantsShowCommand(streams Streams) *ffcli.Command {
+	flags := newFlags("jasminegate tenants show", streams)
+	format := outputFlag(flags)
+	request := nodeRequestFlags(flags)
+	return &ffcli.Command{
+		Name:       "show",
+		ShortUsage: "jasminegate tenants show NAME --node IP:PORT [flags]",
+		ShortHelp:  "Show one tenant with the digests of its keys.",
+		LongHelp:   tenantsShowHelp,
+		FlagSet:    flags,
+		Options:    fromEnv(),
+		Exec: func(ctx context.Context, args []string) error {
+			names, err := exactArguments(flags, args, 1)
+			if err != nil {
+				return err
+			}
+			return request.run(ctx, func(ctx context.Context, client *adminclient.Client) error {
+				list, err := client.Tenant(ctx, names[0])
+				return writeTenants(streams, *format, list, err)
+			})
+		},
+	}
+}
+
 func writeTenants(streams Streams, format string, list adminapi.TenantList, err error) error {
 	if err != nil {
 		return err
 	}
 	return write(streams.Out, format, list, func(out io.Writer) {
-		rows := newTable(out, "TENANT", "RATE/S", "BURST", "REQUESTS", "REFUSED", "DEMAND/S", "LEFT", "STATE")
+		rows := newTable(out, "TENANT", "KEYS", "PRIORITY", "RATE PER S", "BURST")
 		for _, t := range list.Tenants {
-			demand, level, state := "", "", ""
-			if t.Fleet != nil {
-				demand, level, state = decimal(t.Fleet.DemandPerS), decimal(t.Fleet.Level), "within"
-				if t.Fleet.Over {
-					state = "over"
-				}
-			}
-			rows.row(t.Name, decimal(t.RatePerS), decimal(t.Burst), strconv.FormatInt(t.NodeRequests, 10),
-				strconv.FormatInt(t.NodeRefused, 10), orDash(demand), orDash(level), orDash(state))
+			rows.row(t.Name, strconv.Itoa(t.Keys), strconv.Itoa(t.Priority), formatQuota(t.RatePerS), formatQuota(t.Burst))
 		}
 		rows.flush()
-		fmt.Fprintf(out, "tenants: %d, coordinator: %s\n", len(list.Tenants), list.Coordinator)
+		for _, t := range list.Tenants {
+			for _, digest := range t.KeyDigests {
+				fmt.Fprintf(out, "key digest: %s\n", digest)
+			}
+		}
+		fmt.Fprintf(out, "tenants: %d, configuration %s\n", len(list.Tenants), list.Version)
 	})
 }
 
-func decimal(value float64) string { return strconv.FormatFloat(value, 'f', 1, 64) }
+// formatQuota formats a number of a quota, of which 0 is no limit.
+func formatQuota(value float64) string {
+	if value == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(value, 'g', -1, 64)
+}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -112,11 +112,8 @@
 	var refused *problem.Problem
 	c, refused = r.admit(ctx, w, request)
 	if refused != nil {
-		r.refuse(w, request, refused)
 		r.metrics.observeRequest(noClass, string(refused.Outcome), startedAt)
-		if refused.Status == http.StatusTooManyRequests {
-			drainRefused(w, request)
-		}
+		r.refuseUnread(w, request, refused)
 		return
 	}
 	c.outcome = outcomeCallerLeft
@@ -153,15 +150,11 @@
 	if !now.Before(c.deadline) {
 		return nil, waitedTooLong()
 	}
-	c.controller = http.NewResponseController(w)
-	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
 	if refused := r.charge(c); refused != nil {
-		if request.ContentLength != 0 {
-			// The response would be written after the body otherwise.
-			_ = c.controller.EnableFullDuplex()
-		}
 		return nil, refused
 	}
+	c.controller = http.NewResponseController(w)
+	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
 	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
 	if err != nil {
 		r.refund(c)
--- a/internal/node/usagestatus.go
+++ b/internal/node/usagestatus.go
@@ -62,15 +62,15 @@
 
 func decimal(value float64) string { return strconv.FormatFloat(value, 'f', 2, 64) }
 
-// getTenants lists the tenants with their quotas and use.
-func (n *node) getTenants(w http.ResponseWriter, _ *http.Request) {
+// getTenantUsage lists the tenants with their quotas and use.
+func (n *node) getTenantUsage(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, n.usage.list(n.configuration.Snapshot()))
 }
 
-func (u *usageExchange) list(snapshot *state.Snapshot) adminapi.TenantList {
+func (u *usageExchange) list(snapshot *state.Snapshot) adminapi.TenantUsageList {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	list := adminapi.TenantList{Coordinator: u.fit().ID, Tenants: []adminapi.TenantUsage{}}
+	list := adminapi.TenantUsageList{Coordinator: u.fit().ID, Tenants: []adminapi.TenantUsage{}}
 	if !snapshot.HasTenants() {
 		return list
 	}
--- a/internal/protocol/adminapi/paths.go
+++ b/internal/protocol/adminapi/paths.go
@@ -14,12 +14,10 @@
 	// PathQuarantine lists requests in quarantine; PathQuarantined is one of them.
 	PathQuarantine  = "/quarantine"
 	PathQuarantined = "/quarantine/{id}"
-	// PathTenants lists the tenants with their quotas and use.
-	PathTenants = "/tenants"
-	PathHealth  = "/healthz"
-	PathReady   = "/readyz"
-	PathMetrics = "/metrics"
-	PathProfile = "/debug/pprof/"
+	PathHealth      = "/healthz"
+	PathReady       = "/readyz"
+	PathMetrics     = "/metrics"
+	PathProfile     = "/debug/pprof/"
 )
 
 // QueryContent is the query parameter of PathTicket that selects the ticket with
--- a/internal/transport/adminclient/client.go
+++ b/internal/transport/adminclient/client.go
@@ -79,10 +79,10 @@
 	return list, err
 }
 
-// Tenants lists the tenants with their quotas and use.
-func (c *Client) Tenants(ctx context.Context) (adminapi.TenantList, error) {
-	var list adminapi.TenantList
-	err := c.do(ctx, http.MethodGet, adminapi.PathTenants, nil, &list)
+// TenantUsage lists the tenants with their quotas and use.
+func (c *Client) TenantUsage(ctx context.Context) (adminapi.TenantUsageList, error) {
+	var list adminapi.TenantUsageList
+	err := c.do(ctx, http.MethodGet, adminapi.PathTenantUsage, nil, &list)
 	return list, err
 }
 
@@ -93,6 +93,20 @@
 	return list, err
 }
 
+// Tenants returns the tenants in force at the node.
+func (c *Client) Tenants(ctx context.Context) (adminapi.TenantList, error) {
+	var list adminapi.TenantList
+	err := c.do(ctx, http.MethodGet, adminapi.PathTenants, nil, &list)
+	return list, err
+}
+
+// Tenant returns the tenant with the name, and the digests of its keys.
+func (c *Client) Tenant(ctx context.Context, name string) (adminapi.TenantList, error) {
+	var list adminapi.TenantList
+	err := c.do(ctx, http.MethodGet, adminapi.TenantPath(name), nil, &list)
+	return list, err
+}
+
 // do sends one request and decodes the response into result.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, result any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
