--- a/internal/cli/tenants.go
+++ b/internal/cli/tenants.go
@@ -21,6 +21,7 @@
 		Subcommands: []*ffcli.Command{
 			tenantsListCommand(streams),
 			tenantsShowCommand(streams),
+			tenantsUsageCommand(streams),
 		},
 	}
 }
--- a/internal/coordination/usagecap/node.go
+++ b/internal/coordination/usagecap/node.go
@@ -31,6 +31,7 @@
 	quota Quota
 	// The counts are totals. base is what the session's counts begin at.
 	asked, admitted         int64
+	refused                 int64
 	baseAsked, baseAdmitted int64
 	ackedAsked, ackedAdmit  int64
 	sentAsked, sentAdmitted int64
@@ -91,6 +92,7 @@
 	n.dirty[tenant] = t
 	n.fill(now, t)
 	if !n.take(t) {
+		t.refused++
 		return false, min(maxRetryAfter, max(t.level1At.Sub(now), quota.waitFor(0), retryFloor))
 	}
 	t.admitted++
@@ -100,20 +102,26 @@
 }
 
 // take takes one token. Of a fraction it takes all, and admits with that probability: buckets of
-// many nodes would otherwise store one request each. Without a coordinator the fraction stays until
-// a request is admitted, since there is no next grant.
+// many nodes would otherwise store one request each. Without a coordinator a sparse tenant's fraction
+// stays until a request is admitted, since there is no next grant.
 func (n *Node) take(t *nodeTenant) bool {
 	if t.tokens >= 1 {
 		t.tokens--
 		return true
 	}
 	admitted := t.tokens > 0 && n.random.Float64() < t.tokens
-	if admitted || !n.failing {
+	if admitted || !n.failing || !t.sparse() {
 		t.tokens = min(0, t.tokens)
 	}
 	return admitted
 }
 
+// sparse reports whether the grant is a part of single requests rather than a rate: the node had
+// less than one request in a report interval.
+func (t *nodeTenant) sparse() bool {
+	return t.granted < 1 && t.granted > t.rate*ReportInterval.Seconds()
+}
+
 // reportAtOnce reports whether the use since the last report is a large part of what was granted,
 // and more than the rate of the grant allows in two intervals.
 func (t *nodeTenant) reportAtOnce() bool {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -85,3 +85,12 @@
 	RolloutStopped      = Event{516, log.WarnLevel, "this node found the new version bad and sends it no more calls"}
 	RolloutWritten      = Event{517, log.InfoLevel, "record of the rollout written to the platform"}
 )
+
+// Events of tenant quotas.
+var (
+	TenantOverQuota         = Event{520, log.InfoLevel, "tenant is over its quota: its requests are refused"}
+	TenantWithinQuota       = Event{521, log.InfoLevel, "tenant keeps to its quota again"}
+	UsageDomainSilent       = Event{522, log.WarnLevel, "usage coordinator of a failure domain does not respond: its part of the quotas is kept for it"}
+	UsageDomainHeard        = Event{523, log.InfoLevel, "usage coordinator of a failure domain responds again"}
+	UsageCoordinatorChanged = Event{524, log.InfoLevel, "usage of tenants is reported to another coordinator"}
+)
--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -121,6 +121,7 @@
 	n.metrics.WritePrometheus(w)
 	n.calls.WriteMetrics(w)
 	n.rollouts.writeMetrics(w)
+	n.usage.writeMetrics(w, n.configuration.Snapshot())
 	metrics.WritePrometheus(w, true)
 }
 
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -166,13 +166,11 @@
 	if !now.Before(c.deadline) {
 		return nil, waitedTooLong()
 	}
-	c.controller = http.NewResponseController(w)
-	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
 	if refused := r.charge(c); refused != nil {
-		// The response would be written after the body otherwise.
-		_ = c.controller.EnableFullDuplex()
 		return nil, refused
 	}
+	c.controller = http.NewResponseController(w)
+	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
 	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
 	if err != nil {
 		r.refund(c)
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -160,12 +160,12 @@
 }
 
 // refuseUnread is refuse for a request whose body may not have been read. A request that is
-// refused for its credentials gets its response at once: net/http would read up to 256 KiB of
-// the body first. The rest of the body is read for up to lingerTimeout.
+// refused for its credentials or its tenant's quota gets its response at once: net/http would read
+// up to 256 KiB of the body first. The rest of the body is read for up to lingerTimeout.
 func (r *Runner) refuseUnread(w http.ResponseWriter, request *http.Request, refused *problem.Problem) {
-	isIdentity := identityProblem(call.Reason(strings.TrimPrefix(refused.Type, problemBase))) != nil
+	atOnce := refused.Status == http.StatusTooManyRequests || identityProblem(call.Reason(strings.TrimPrefix(refused.Type, problemBase))) != nil
 	// After a refusal of a body that is only announced (Expect), net/http closes the connection.
-	if !isIdentity || request.ContentLength == 0 || request.Header.Get("Expect") != "" {
+	if !atOnce || request.ContentLength == 0 || request.Header.Get("Expect") != "" {
 		r.refuse(w, request, refused)
 		return
 	}
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -11,6 +11,7 @@
 
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/coordination/usagecap"
+	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
 )
@@ -33,7 +34,7 @@
 	// nextReport is when the next report is planned, zero if none is.
 	nextReport time.Time
 	// coordinator is the node that gets the reports, session numbers the sessions with it.
-	coordinator string
+	coordinator membership.Member
 	session     uint64
 	// view and snapshot are those to which the state was fitted last.
 	view     *membership.View
@@ -41,6 +42,9 @@
 	// own is the coordinator's state, nil if this node is not it; started numbers its starts.
 	own     *usagecap.Coordinator
 	started uint64
+	// loggedAt is when changes were looked for last, silent has the domains logged as not heard.
+	loggedAt time.Time
+	silent   []string
 }
 
 func newUsageExchange(n *node, seed uint64) *usageExchange {
@@ -181,10 +185,9 @@
 // fit brings the state in line with the member table and the configuration, and returns the
 // domain's coordinator. The lock must be held.
 func (u *usageExchange) fit() membership.Member {
-	view := u.node.members.View()
-	coordinator := usageCoordinator(view, u.node.self.Domain, u.node.self)
-	if view != u.view {
+	if view := u.node.members.View(); view != u.view {
 		u.view = view
+		coordinator := usageCoordinator(view, u.node.self.Domain, u.node.self)
 		counts := usageNodes(view)
 		total := 0
 		for _, count := range counts {
@@ -197,20 +200,21 @@
 		u.snapshot = snapshot
 		u.local.Keep(func(tenant string) bool { _, known := quotaOf(snapshot, tenant); return known })
 	}
-	return coordinator
+	return u.coordinator
 }
 
 func (u *usageExchange) fitCoordinator(coordinator membership.Member, counts map[string]int) {
-	if coordinator.ID != u.coordinator {
-		if u.coordinator != "" {
+	if coordinator.ID != u.coordinator.ID {
+		if u.coordinator.ID != "" {
 			u.session++
 			u.local.NewSession()
+			u.node.logger.Event(logging.UsageCoordinatorChanged).Str("coordinator", coordinator.ID).Str("before", u.coordinator.ID).Send()
 		}
-		u.coordinator = coordinator.ID
 	}
+	u.coordinator = coordinator
 	switch {
 	case coordinator.ID != u.node.self.ID:
-		u.own = nil
+		u.own, u.silent = nil, nil
 		return
 	case u.own == nil:
 		u.started++
@@ -261,6 +265,7 @@
 // coordinator.
 func (u *usageExchange) receiveReport(now time.Time, node string, session uint64, uses []usagecap.Use) usagecap.Grants {
 	grants := u.own.Report(now, node, session, uses)
+	u.logChanges(now)
 	if _, any := u.own.ExchangeDue(); any {
 		wake(u.exchangeDue)
 	}
--- a/internal/transport/adminclient/client.go
+++ b/internal/transport/adminclient/client.go
@@ -79,6 +79,13 @@
 	return list, err
 }
 
+// TenantUsage lists the tenants with their quotas and use.
+func (c *Client) TenantUsage(ctx context.Context) (adminapi.TenantUsageList, error) {
+	var list adminapi.TenantUsageList
+	err := c.do(ctx, http.MethodGet, adminapi.PathTenantUsage, nil, &list)
+	return list, err
+}
+
 // LiftQuarantine lets the request with the ID through again, at all nodes, and returns the others.
 func (c *Client) LiftQuarantine(ctx context.Context, id string) (adminapi.QuarantineList, error) {
 	var list adminapi.QuarantineList
