Calls placed by expected time go only to allowed versions

Cause: where overload.enabled and rollouts meet, the choice by expected time and the try after a refusal did not ask which versions a call may go to: held versions got calls beyond any grant. Change: both choose within the version of the attempt, and count it.

--- a/internal/coordination/entry/expected.go
+++ b/internal/coordination/entry/expected.go
@@ -167,7 +167,7 @@
 	eligible := m.pickBuffer[:0]
 	inTime := 0
 	for _, e := range g.endpoints {
-		if (e.Domain == m.options.Domain) != local || !e.usable(now) || c.isExcluded(e) || e.refuses(now, c) {
+		if (e.Domain == m.options.Domain) != local || !e.usable(now) || c.isExcluded(e) || !c.choice.allows(e) || e.refuses(now, c) {
 			continue
 		}
 		eligible = append(eligible, e)
@@ -262,11 +262,14 @@
 		return m.fail(c, "")
 	}
 	c.allowLate = true
-	next := m.pickExpected(now, c)
-	if next == nil || !m.inTime(now, c, next) {
-		c.excluded = append(c.excluded[:0], c.rateLimited...)
-		next = m.pickExpected(now, c)
-	}
+	next := m.pickVersion(now, c, func() *endpoint {
+		other := m.pickExpected(now, c)
+		if other == nil || !m.inTime(now, c, other) {
+			c.excluded = append(c.excluded[:0], c.rateLimited...)
+			other = m.pickExpected(now, c)
+		}
+		return other
+	})
 	c.uncharged++
 	return m.sendTo(c, next)
 }
--- a/internal/coordination/entry/pick.go
+++ b/internal/coordination/entry/pick.go
@@ -20,15 +20,20 @@
 	if g == nil {
 		return nil
 	}
+	return m.pickVersion(now, c, func() *endpoint { return m.pickFrom(now, g, c) })
+}
+
+// pickVersion chooses the version for an attempt, and its endpoint with choose.
+func (m *Machine) pickVersion(now time.Time, c *request, choose func() *endpoint) *endpoint {
 	if m.options.Versions == nil {
-		return m.pickFrom(now, g, c)
+		return choose()
 	}
 	c.choice = m.options.Versions.Route(now, c.Service, c.Route)
-	chosen := m.pickFrom(now, g, c)
+	chosen := choose()
 	if chosen == nil && c.choice.New {
 		m.options.Versions.Cancel(c.choice)
 		c.choice = m.options.Versions.Fallback(now, c.Service)
-		chosen = m.pickFrom(now, g, c)
+		chosen = choose()
 	}
 	if chosen == nil {
 		m.options.Versions.Cancel(c.choice)
--- a/internal/coordination/entry/versions_test.go
+++ b/internal/coordination/entry/versions_test.go
@@ -28,11 +28,13 @@
 	return append(versioned(endpoints("near", 0, 3), "v1"), more...)
 }
 
-func newVersionDriver(t *testing.T) *versionDriver {
+func newVersionDriver(t *testing.T) *versionDriver { return newPlacedVersionDriver(t, false) }
+
+func newPlacedVersionDriver(t *testing.T, expectedTime bool) *versionDriver {
 	settings := rollout.DefaultSettings()
 	settings.ExposeShare = 0.1
 	versions := NewVersions(VersionOptions{Node: "n", Incarnation: 1, Domain: "near", Settings: settings, Seed: 1})
-	machine := New(Options{Node: "n", Incarnation: 1, Domain: "near", RetryRatio: 0.1, SpillLoad: 1, OverloadTries: 3, Seed: 1, Versions: versions})
+	machine := New(Options{Node: "n", Incarnation: 1, Domain: "near", RetryRatio: 0.1, SpillLoad: 1, OverloadTries: 3, Seed: 1, Versions: versions, ExpectedTime: expectedTime})
 	d := &versionDriver{I: is.New(t), driver: &driver{machine: machine, now: start}, versions: versions}
 	d.set(oldAndNew()...)
 	d.now = d.now.Add(slowStartWindow)
@@ -198,3 +200,23 @@
 	only.SetEndpoints(d.now, added)
 	d.Equal(only.Previous(d.now.Add(time.Minute), "depot", "v2"), "v2") // it serves already
 }
+
+// TestExpectedTimeIgnoresVersions guards against calls to a held version, by first attempts and by
+// retries after refusals, where calls are placed by expected time.
+func TestExpectedTimeIgnoresVersions(t *testing.T) {
+	d := newPlacedVersionDriver(t, true)
+	d.set(oldAndNew(versioned(endpoints("near", 3, 2), "v2")...)...)
+	d.Equal(d.toNew(500), 0)
+	for handle := range uint64(20) { // within the change bound
+		actions := d.machine.Step(d.now, Begin{Handle: 1_000_000 + handle, Service: "depot", MaxAttempts: 3, Deadline: d.now.Add(time.Second)})
+		for len(actions) == 1 {
+			sent, ok := actions[0].(Send)
+			if !ok {
+				break
+			}
+			d.Equal(sent.Endpoint.Version, "v1")
+			actions = d.machine.Step(d.now, Refused{Handle: sent.Handle, Outcome: call.NotRun, Reason: call.ReasonTooLate})
+		}
+		d.now = d.now.Add(overloadAvoidTime)
+	}
+}
