--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/rollout"
 )
 
 // Limits and delays of retries and of resolving lost attempts.
@@ -38,9 +39,21 @@
 		return
 	}
 	ep := c.endpoint
+	m.detach(c)
+	switch {
+	case e.From != "" && e.From != ep.ID:
+		m.observe(now, c, rollout.NotCounted) // an earlier attempt got the response
+		if ep = m.endpoints[e.From]; ep == nil {
+			return
+		}
+	case e.Failed || e.ServerError:
+		m.observe(now, c, rollout.Failed)
+	default:
+		m.observe(now, c, rollout.Succeeded)
+	}
 	m.recordLoad(now, ep, e.Load)
+	m.recordService(now, c, ep, e.ServiceTime)
 	m.recordReport(ep, e.TargetReport)
-	m.detach(c)
 	if e.Failed {
 		m.countFailure(now, c.Service, ep)
 		return
@@ -56,10 +69,12 @@
 	}
 	ep := c.endpoint
 	m.recordLoad(now, ep, e.Load)
+	m.recordService(now, c, ep, e.ServiceTime)
 	m.recordReport(ep, e.TargetReport)
 	ep.suspectConnection = false
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
 	m.detach(c)
+	m.observe(now, c, rolloutOutcome(e))
 	if e.Outcome != call.NotRun {
 		return m.noResponse(now, c, ep, e)
 	}
@@ -72,6 +87,19 @@
 	return m.retryOrFail(now, c, m.recordRefusal(now, c, ep, e))
 }
 
+// rolloutOutcome returns what the outcome that a gate reported says about the target's version.
+func rolloutOutcome(e Refused) rollout.Outcome {
+	switch e.Reason {
+	case call.ReasonTargetConnectionLost, call.ReasonTargetUnreachable:
+		return rollout.Failed
+	case call.ReasonDeadline:
+		if e.Outcome == call.Unknown {
+			return rollout.Failed // the target had the call and did not respond in time
+		}
+	}
+	return rollout.NotCounted
+}
+
 // noResponse handles an attempt that ran, or may have run, without a response.
 func (m *Machine) noResponse(now time.Time, c *request, ep *endpoint, e Refused) []Action {
 	c.outcomeUnknown, c.otherUnknown = true, true
@@ -95,6 +123,9 @@
 	switch e.Reason {
 	case call.ReasonLeaving, call.ReasonNoTarget, call.ReasonGateRestarted, call.ReasonFenced:
 		ep.unavailableUntil = now.Add(unavailableTime)
+		if c.choice.Running && e.Reason == call.ReasonLeaving {
+			ep.unavailableUntil = now.Add(rolloutUnavailableTime)
+		}
 		return true
 	case call.ReasonTargetUnreachable:
 		m.countFailure(now, c.Service, ep)
@@ -104,6 +135,7 @@
 		c.rateLimited = append(c.rateLimited, ep.ID)
 	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonTargetShed:
 		ep.avoidUntil = now.Add(overloadAvoidTime)
+		m.rememberRefusal(now, c, ep, e)
 	}
 	return false
 }
@@ -115,15 +147,18 @@
 		return nil
 	}
 	ep := c.endpoint
-	if e.ConnectionLimitReached {
+	switch {
+	case e.GateReached:
+	case e.ConnectionLimitReached:
 		ep.avoidUntil = now.Add(overloadAvoidTime)
-	} else {
+	default:
 		m.eject(now, c.Service, ep)
 	}
 	if c.resolving {
 		return m.resolveAgain(now, c)
 	}
 	m.detach(c)
+	m.observe(now, c, rollout.NotCounted)
 	c.lastRefusal = Refused{Outcome: call.NotRun, Reason: call.ReasonUnreachable}
 	return m.retryOrFail(now, c, true)
 }
@@ -141,6 +176,7 @@
 		m.eject(now, c.Service, ep)
 	}
 	ep.suspectConnection = true
+	m.recordLost(now, ep)
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
 	if c.resolving {
 		return m.resolveAgain(now, c)
@@ -150,6 +186,7 @@
 		c.lost = &lostAttempt{id: c.attemptID, endpoint: ep.Endpoint}
 		c.outcomeUnknown = true
 		m.detach(c)
+		m.observe(now, c, rollout.NotCounted)
 		return m.retryOrFail(now, c, false)
 	}
 	return m.resolve(c)
@@ -180,6 +217,7 @@
 func (m *Machine) resolveAgain(now time.Time, c *request) []Action {
 	if c.resolveAttempts >= maxResolveAttempts || !now.Before(c.Deadline) {
 		m.detach(c)
+		m.observe(now, c, rollout.NotCounted)
 		c.outcomeUnknown = true
 		return m.failWith(c, call.Unknown, call.ReasonConnectionLost, 0)
 	}
@@ -202,10 +240,13 @@
 		c.uncharged++
 		return m.send(now, c)
 	}
+	if m.options.ExpectedTime && m.options.OverloadTries > 0 && refusedForOverload(c) {
+		return m.retryRefused(now, c)
+	}
 	if m.options.OverloadTries > 0 && refusedForOverload(c) {
 		return m.retryOverloaded(now, c)
 	}
-	if c.sent-c.uncharged >= c.MaxAttempts || !m.budgetOf(c.Service).take() {
+	if !m.retryCanEnd(now, c) || c.sent-c.uncharged >= c.MaxAttempts || !m.budgetOf(c.Service).take() {
 		return m.fetchLostOrFail(now, c, "")
 	}
 	m.chargedRetries++
@@ -306,13 +347,20 @@
 
 // giveUp fails the request with the outcome of the attempts made so far. A retry that
 // was only scheduled counts as not run; an attempt that is still being resolved may have
-// run.
-func (m *Machine) giveUp(e GiveUp) []Action {
+// run. A node that shuts down asks for the response of a lost attempt.
+//
+// Load pattern: planned stops of entries while gates and links stall for longer than the silence
+// timeout.
+func (m *Machine) giveUp(now time.Time, e GiveUp) []Action {
 	c := m.requests[e.Handle]
 	if c == nil {
 		return nil
 	}
 	m.detach(c)
+	m.observe(now, c, rollout.NotCounted)
+	if e.Reason == call.ReasonLeaving && !c.resolving && c.lost != nil {
+		return m.fetchLostOrFail(now, c, e.Reason)
+	}
 	c.outcomeUnknown = c.outcomeUnknown || c.resolving
 	if !c.outcomeUnknown {
 		c.lastRefusal = Refused{Outcome: call.NotRun, Reason: e.Reason, RetryAfter: cmp.Or(e.RetryAfter, shutdownRetryAfter)}
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -20,6 +20,8 @@
 	// Address is the network address at which the gate accepts calls.
 	Address string
 	Slots   int
+	// Version is the version of the target's software, empty if unknown.
+	Version string
 }
 
 // Event is an input of Machine.Step.
@@ -47,6 +49,11 @@
 	// Idempotent says that running the call twice has the same effect as once.
 	Idempotent bool
 	Deadline   time.Time
+	// SoftDeadline is when a response is wanted; zero means the Deadline. Tenant and Nested are
+	// those of the call. They are used with Options.ExpectedTime only.
+	SoftDeadline time.Time
+	Tenant       string
+	Nested       bool
 	// MaxAttempts is the maximum number of attempts, not counting retries that take no
 	// token of the retry budget.
 	MaxAttempts int
@@ -59,10 +66,18 @@
 // still be on the way.
 type ResponseReceived struct {
 	Handle uint64
+	// From is the ID of the endpoint that responded, if that may be another one than that of
+	// the last attempt; empty otherwise.
+	From string
 	// Failed marks a response with which the target reports that it cannot serve
 	// requests, such as status 502, 503 or 504.
 	Failed bool
-	Load   int
+	// ServiceTime is the time that the target takes at present for calls of the route; 0 if it
+	// is not known.
+	ServiceTime time.Duration
+	// ServerError marks a response with a status of 500 or above.
+	ServerError bool
+	Load        int
 	// TargetReport is what the gate's target states, or nil if the gate knows of
 	// nothing that it ever stated.
 	TargetReport *call.TargetReport
@@ -76,6 +91,8 @@
 	Reason     call.Reason
 	RetryAfter time.Duration
 	Load       int
+	// ServiceTime is as in ResponseReceived.
+	ServiceTime time.Duration
 	// TargetReport is as in ResponseReceived.
 	TargetReport *call.TargetReport
 	// BodyConsumed says that a part of the request body is consumed, so that the call
@@ -90,6 +107,9 @@
 	// ConnectionLimitReached says that this node already has as many connections to
 	// the gate as it may open.
 	ConnectionLimitReached bool
+	// GateReached says that the gate could have taken the call, which was not sent because
+	// its caller has left or its time is over.
+	GateReached bool
 }
 
 // ConnectionLost reports that the connection of an attempt, or of the Resolve for
@@ -101,7 +121,8 @@
 }
 
 // GiveUp ends the request instead of the Send or Wait that Step returned last: no
-// further attempt is made, because this node is shutting down or for another Reason.
+// further attempt is made, because this node is shutting down or for another Reason. A node that
+// shuts down still asks for the response of an attempt that may run.
 type GiveUp struct {
 	Handle uint64
 	Reason call.Reason
--- a/internal/coordination/entry/limited_fleet_test.go
+++ b/internal/coordination/entry/limited_fleet_test.go
@@ -32,6 +32,10 @@
 	refusalTimes []time.Duration
 	// starts counts the calls that each target started.
 	starts []int
+	// slowness multiplies the service times of the targets that it holds.
+	slowness map[int]float64
+	// frozen is the gate that responds to nothing, or -1.
+	frozen int
 }
 
 // fleetRequest is a caller's request, over all its tries.
@@ -51,6 +55,7 @@
 	fleetSlots         = 6
 	fleetCallerTries   = 3
 	fleetHop           = time.Millisecond
+	fleetSilence       = 500 * time.Millisecond // until an attempt counts as lost
 	fleetLoadInterval  = 500 * time.Millisecond
 	// fleetRetryDivisor bounds the retry delay that callers accept: a third of the time
 	// left.
@@ -75,18 +80,23 @@
 }
 
 func newLimitedFleet(domains, targetsPerDomain int) *limitedFleet {
+	return newSheddingFleet(domains, targetsPerDomain, false)
+}
+
+// newSheddingFleet returns a fleet whose entries and gates shed load if overload is set.
+func newSheddingFleet(domains, targetsPerDomain int, overload bool) *limitedFleet {
 	targets := domains * targetsPerDomain
 	f := &limitedFleet{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)),
-		attempts: make(map[call.ID]*fleetRequest), starts: make([]int, targets),
+		attempts: make(map[call.ID]*fleetRequest), frozen: -1, starts: make([]int, targets),
 	}
 	var endpoints []Endpoint
 	for i := range targets {
 		endpoints = append(endpoints, Endpoint{ID: fmt.Sprint(i), Incarnation: 1, Service: "rider-view", Domain: fmt.Sprint("d", i%domains), Slots: fleetSlots})
-		f.gates = append(f.gates, gate.New(gate.Options{Incarnation: 1, MaxRecords: 1000, MaxRetainedBytes: 1 << 20, Retention: time.Minute}))
+		f.gates = append(f.gates, gate.New(gate.Options{Incarnation: 1, MaxRecords: 1000, MaxRetainedBytes: 1 << 20, Retention: time.Minute, Shedding: overload}))
 	}
 	for i := range domains {
-		entry := New(Options{Node: fmt.Sprint("e", i), Incarnation: 1, Domain: fmt.Sprint("d", i), RetryRatio: 0.15, OverloadTries: 3, Seed: uint64(i)})
+		entry := New(Options{Node: fmt.Sprint("e", i), Incarnation: 1, Domain: fmt.Sprint("d", i), RetryRatio: 0.15, OverloadTries: 3, ExpectedTime: overload, Seed: uint64(i)})
 		entry.Step(f.now, SetEndpoints{Endpoints: endpoints})
 		f.entries = append(f.entries, entry)
 	}
@@ -147,7 +157,7 @@
 	r.handle = f.handles
 	r.tries++
 	r.triedAt = f.now
-	f.entryStep(r, Begin{Handle: r.handle, Service: "rider-view", Idempotent: true, Deadline: r.begun.Add(fleetTimeout), MaxAttempts: 2})
+	f.entryStep(r, Begin{Handle: r.handle, Service: "rider-view", Idempotent: true, Deadline: r.begun.Add(fleetTimeout), MaxAttempts: 2, SoftDeadline: r.begun.Add(fleetTargetLatency)})
 }
 
 func (f *limitedFleet) entryStep(r *fleetRequest, event Event) {
@@ -155,6 +165,8 @@
 		switch a := action.(type) {
 		case Send:
 			f.after(fleetHop, func() { f.arrive(r, a) })
+		case Resolve:
+			f.after(fleetSilence, func() { f.entryStep(r, ConnectionLost{Handle: r.handle}) })
 		case Wait:
 			f.after(a.For, func() { f.entryStep(r, Resume{Handle: r.handle}) })
 		case Fail:
@@ -179,6 +191,11 @@
 	var index int
 	fmt.Sscan(a.Endpoint.ID, &index)
 	f.attempts[a.ID] = r
+	if index == f.frozen {
+		f.starts[index]++
+		f.after(fleetSilence, func() { f.entryStep(r, ConnectionLost{Handle: r.handle}) })
+		return
+	}
 	f.gateStep(index, gate.Arrive{
 		ID: a.ID, GateIncarnation: 1, Route: "read", Idempotent: true, Deadline: r.begun.Add(fleetTimeout),
 		SoftDeadline: r.begun.Add(fleetTargetLatency), RequireSoftDeadline: a.RequireSoftDeadline,
@@ -193,17 +210,21 @@
 			f.starts[index]++
 			r := f.attempts[a.ID]
 			serviceTime := time.Duration((0.5 + f.random.Float64()) * float64(fleetServiceTime))
+			if slowness := f.slowness[index]; slowness > 0 {
+				serviceTime = time.Duration(slowness * float64(serviceTime))
+			}
+			reported := g.ServiceTime(f.now, "read")
 			f.after(serviceTime, func() {
 				f.gateStep(index, gate.Finished{ID: a.ID, Result: gate.Completed})
-				f.entryStep(r, ResponseReceived{Handle: r.handle, Load: g.ReportedLoad()})
+				f.entryStep(r, ResponseReceived{Handle: r.handle, Load: g.ReportedLoad(), ServiceTime: reported})
 				f.entryStep(r, End{Handle: r.handle})
 				f.countServed(r)
 			})
 		case gate.Refuse:
 			r := f.attempts[a.ID]
-			load := g.ReportedLoad()
+			load, reported := g.ReportedLoad(), g.ServiceTime(f.now, "read")
 			f.after(fleetHop, func() {
-				f.entryStep(r, Refused{Handle: r.handle, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: a.RetryAfter, Load: load})
+				f.entryStep(r, Refused{Handle: r.handle, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: a.RetryAfter, Load: load, ServiceTime: reported})
 			})
 		}
 	}
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/coordination/rollout"
 )
 
 // Options configures a Machine.
@@ -27,6 +28,11 @@
 	// which a call may go to another domain. With 0, a call goes to another domain
 	// only if no local gate is left to try, for example after refusals.
 	SpillLoad float64
+	// ExpectedTime places calls by the service times that gates report, and refuses a call that
+	// no gate can take after at most one further try.
+	ExpectedTime bool
+	// Versions decides to which versions of targets calls go; nil does not distinguish them.
+	Versions VersionPolicy
 	// Seed seeds the random number generator of all choices.
 	Seed uint64
 }
@@ -41,6 +47,8 @@
 	budgets   map[string]*budget
 	requests  map[uint64]*request
 	split     trafficSplit
+	// usual holds the usual service time of each route, in nanoseconds.
+	usual map[string]float64
 	// targetReports holds, by endpoint ID, the newest report on its target. It outlives
 	// incarnations of the endpoint.
 	targetReports  map[string]call.TargetReport
@@ -60,6 +68,13 @@
 	// is left to try, so that the next gate may accept the call for a late response.
 	overloadRetries int
 	allowLate       bool
+	// requiredInTime says that the last attempt's gate was told to refuse the call unless it
+	// expects to meet the soft deadline.
+	requiredInTime bool
+	// flow is that of flowOf and usual is the usual service time of the route, in nanoseconds; 0 if it is not known. Both are
+	// set with Options.ExpectedTime only.
+	flow  string
+	usual float64
 	// uncharged counts the retries that took no token of the retry budget.
 	uncharged int
 	// excluded lists the IDs of the endpoints that must not get a further attempt, and
@@ -73,6 +88,9 @@
 	resolving       bool
 	resolveAttempts int
 	waiting         bool
+	// choice is that of the attempt in progress, if choiceOpen is set.
+	choice     VersionChoice
+	choiceOpen bool
 	// newConnection says that the attempt uses a new connection.
 	newConnection bool
 	// bodyConsumed says that a part of the request body is consumed, so that the call
@@ -105,6 +123,7 @@
 		budgets:       make(map[string]*budget),
 		requests:      make(map[uint64]*request),
 		split:         make(trafficSplit),
+		usual:         make(map[string]float64),
 		targetReports: make(map[string]call.TargetReport),
 	}
 }
@@ -138,9 +157,9 @@
 	case Resume:
 		return m.resume(now, e.Handle)
 	case GiveUp:
-		return m.giveUp(e)
+		return m.giveUp(now, e)
 	case End:
-		m.end(e.Handle)
+		m.end(now, e.Handle)
 	}
 	return nil
 }
@@ -164,6 +183,9 @@
 		g.endpoints = append(g.endpoints, e)
 	}
 	m.groups = groups
+	if m.options.Versions != nil {
+		m.options.Versions.SetEndpoints(now, list)
+	}
 	m.forgetOldReports(now)
 }
 
@@ -188,6 +210,9 @@
 		e.Service = m.split.choose(e.Route, e.Destinations, m.random)
 	}
 	c := &request{Begin: e}
+	if m.options.ExpectedTime {
+		c.flow = flowOf(e)
+	}
 	m.requests[e.Handle] = c
 	m.budgetOf(e.Service).refill(m.options.RetryRatio)
 	return m.send(now, c)
@@ -195,7 +220,12 @@
 
 func (m *Machine) send(now time.Time, c *request) []Action {
 	chosen := m.pick(now, c)
+	if chosen == nil && m.options.ExpectedTime && !c.allowLate {
+		c.allowLate = true // gates may have refused such calls only because they would be late
+		chosen = m.pick(now, c)
+	}
 	if chosen == nil {
+		m.refusedEverywhere(now, c)
 		return m.fetchLostOrFail(now, c, call.ReasonNoEndpoint)
 	}
 	return m.sendTo(c, chosen)
@@ -209,6 +239,7 @@
 	m.counter++
 	m.attach(c, chosen)
 	c.newConnection = chosen.suspectConnection
+	c.requiredInTime = m.options.OverloadTries > 0 && !c.allowLate
 	c.sent++
 	if c.sent > 1 {
 		m.retries++
@@ -219,7 +250,7 @@
 	return []Action{Send{
 		Handle: c.Handle, ID: c.attemptID, Endpoint: chosen.Endpoint,
 		AttemptsLeft: max(0, c.MaxAttempts-c.sent+c.uncharged), NewConnection: chosen.suspectConnection,
-		RequireSoftDeadline: m.options.OverloadTries > 0 && !c.allowLate,
+		RequireSoftDeadline: c.requiredInTime,
 		RetriedIfLost:       c.Idempotent && c.Key == "" && c.sent-c.uncharged < c.MaxAttempts && m.budgetOf(c.Service).ample(),
 		TargetReport:        m.reportFor(chosen),
 	}}
@@ -237,13 +268,22 @@
 	}
 }
 
-func (m *Machine) end(handle uint64) {
+func (m *Machine) end(now time.Time, handle uint64) {
 	if c := m.requests[handle]; c != nil {
+		m.observe(now, c, rollout.NotCounted)
 		m.detach(c)
 		delete(m.requests, handle)
 	}
 }
 
+// observe ends the attempt in progress for the version policy, once.
+func (m *Machine) observe(now time.Time, c *request, outcome rollout.Outcome) {
+	if c.choiceOpen {
+		c.choiceOpen = false
+		m.options.Versions.Observe(now, c.choice, c.Service, c.choice.sentVersion, outcome)
+	}
+}
+
 func (c *request) isExcluded(e *endpoint) bool {
 	for _, id := range c.excluded {
 		if id == e.ID {
--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -99,6 +99,7 @@
 	a.result = a.runner.dispatch(a.callerRequest)
 	if got := a.result.response; got != nil {
 		got.pause()
+		callerconn.FromContext(a.ctx).ResponseReady(a, a.responseLimit())
 	}
 }
 
@@ -107,7 +108,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.inputTimer == nil && !a.taken {
-		a.inputTimer = time.AfterFunc(inputClosedGrace, a.endAfterInputClosed)
+		a.inputTimer = time.AfterFunc(graceLeft(callerconn.FromContext(a.ctx)), a.endAfterInputClosed)
 	}
 }
 
@@ -164,6 +165,7 @@
 	callerconn.FromContext(request.Context()).RequestRead()
 	defer context.AfterFunc(request.Context(), a.callerRequest.end)()
 	defer r.watchInput(a.callerRequest)()
+	defer r.watchBehind(a.callerRequest)()
 	r.serveBehind(a.callerRequest)
 	<-a.done
 	if a.panicked != nil {
@@ -183,5 +185,6 @@
 	if c.begun {
 		r.entry.notify(entry.End{Handle: c.handle})
 	}
+	c.endKept()
 	c.end()
 }
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -70,6 +70,11 @@
 	uploads sync.WaitGroup
 	// begun is set once the entry machine has accepted the request.
 	begun bool
+	// yield ends the request early for responses behind it on its connection.
+	yield yieldState
+	// recallFirst gives a gate time to state that it has not run the call before it is cancelled
+	// for a caller that closed its sending side.
+	recallFirst bool
 	// crashes counts the targets that crashed while they ran the request. refusedByGate is set
 	// once a gate has refused it because of its quarantine.
 	crashes       int
@@ -78,13 +83,22 @@
 	bodyRead atomic.Bool
 	// attempt is the last one that was opened; nil before.
 	attempt *attempt
+	// kept are the attempts that went silent and may still run. wake has an item when one of
+	// them may have ended.
+	kept []*attempt
+	wake chan struct{}
 	// responseStarted is set once a part of the response may have been written.
 	responseStarted bool
 	// closeAnnounced is set if the response says that the connection is closed after it.
 	closeAnnounced bool
+	// inputEnded is set once the grace period after the caller's close is over.
+	inputEnded atomic.Bool
 
 	mu        sync.Mutex
 	bodyError error
+	// callerCheckedAt is when the kernel was last asked for the state of the caller's connection.
+	// callerClosedAt is when the caller closed its sending side; zero if it was open then.
+	callerCheckedAt, callerClosedAt time.Time
 }
 
 // newHandler passes every request to serveCaller, its path neither cleaned nor
@@ -121,6 +135,7 @@
 	defer r.endRequest(c)
 	defer c.abortBodyRead()
 	defer r.watchInput(c)()
+	defer r.watchBehind(c)()
 	r.serveBehind(c)
 	r.respond(w, request, c, r.dispatch(c))
 	c.drainBody(request.Body)
@@ -139,8 +154,9 @@
 		return nil, refused
 	}
 	conn := callerconn.FromContext(ctx)
-	receivedAt := now
-	if at := conn.ArrivedAt(); !at.IsZero() {
+	// The bytes may have waited in the socket's buffer, or behind another request.
+	receivedAt := now.Add(-conn.Peer().DataAge)
+	if at := conn.ArrivedAt(); !at.IsZero() && time.Since(at) > now.Sub(receivedAt) {
 		receivedAt = now.Add(-time.Since(at))
 	}
 	c, refused := r.newCallerRequest(index, receivedAt, request)
@@ -214,6 +230,8 @@
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
 	c.body = body
+	c.recallFirst = r.options.Overload.Enabled
+	c.wake = make(chan struct{}, 1)
 	c.handle = r.entry.handles.Add(1)
 	c.template = r.newTemplate(ctx, c, request)
 }
@@ -310,9 +328,9 @@
 		Id: toWireID(action.ID), GateIncarnation: action.Endpoint.Incarnation,
 		Route: t.Route, Service: action.Endpoint.Service, Method: t.Method, Uri: t.Uri, Host: t.Host,
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
-		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, Tenant: t.Tenant, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
+		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength, RetriedIfLost: action.RetriedIfLost,
-		Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
+		Tenant: t.Tenant, Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
 	}
 }
 
@@ -352,6 +370,7 @@
 	begin := entry.Begin{
 		Handle: c.handle, Route: c.route.Name, Destinations: c.route.EffectiveDestinations(), Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, MaxAttempts: c.attempts, Key: c.key,
+		SoftDeadline: c.softDeadline, Tenant: c.template.Tenant, Nested: c.template.Nested,
 	}
 	action, accepted := r.entry.trySubmit(begin)
 	if !accepted {
@@ -363,11 +382,15 @@
 		var event entry.Event
 		switch a := action.(type) {
 		case entry.Send:
+			if !r.mayAttempt(c) {
+				action = r.entry.submit(entry.GiveUp{Handle: c.handle, Reason: r.noAttemptReason(c)})
+				continue
+			}
 			got, event = r.send(c, a)
 		case entry.Resolve:
 			got, event = r.resolveAttempt(c, a)
 		case entry.Wait:
-			event = r.wait(c, a)
+			got, event = r.wait(c, a)
 		case entry.Fail:
 			return dispatchResult{failure: &a}
 		default: // nil: the entry loop has ended, and an attempt may have been sent
@@ -375,7 +398,16 @@
 		}
 		if got != nil {
 			r.noteResponse(c, got)
-			return dispatchResult{response: got}
+			if c.finishBeforeYield(got) {
+				return dispatchResult{response: got}
+			}
+			break
+		}
+		if c.ctx.Err() != nil {
+			break // the attempt ended with the caller: that says nothing about the gate
+		}
+		if c.recalled(event) && r.attemptsCtx.Err() == nil {
+			event = entry.GiveUp{Handle: c.handle, Reason: call.ReasonCancelled}
 		}
 		action = r.entry.submit(event)
 		if leadsToAttempt(action) {
@@ -387,10 +419,18 @@
 	return dispatchResult{}
 }
 
+// recalled reports whether the event is the refusal of an attempt that this request recalled. The
+// gate gives the reason of an entry that stops; here it says nothing about the gate.
+func (c *callerRequest) recalled(event entry.Event) bool {
+	refused, ok := event.(entry.Refused)
+	return ok && refused.Outcome == call.NotRun && refused.Reason == call.ReasonLeaving && c.attemptsCtx.Err() != nil
+}
+
 // noteResponse tells the entry machine of a response.
 func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
 	r.entry.notify(entry.ResponseReceived{
-		Handle: c.handle, Failed: got.failed(), Load: int(got.start.Load),
+		ServiceTime: time.Duration(got.start.ServiceMs) * time.Millisecond,
+		Handle:      c.handle, From: got.attempt.endpoint.ID, Failed: got.failed(), ServerError: got.start.Status >= http.StatusInternalServerError, Load: int(got.start.Load),
 		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
 	})
 }
@@ -413,8 +453,12 @@
 	}
 }
 
-// respondToLeft ends a request whose caller has left.
+// respondToLeft ends a request whose caller has left, or that was ended for responses behind it.
 func (r *Runner) respondToLeft(w http.ResponseWriter, request *http.Request, c *callerRequest) {
+	if c.yielded() {
+		r.fail(w, request, c, c.yieldFailure())
+		return
+	}
 	r.noteCutOff(request, c, c.cutOffCause())
 	if c.cutOffCause() == callerconn.CallerClosed {
 		r.announceClose(w, request)
@@ -450,14 +494,22 @@
 	return false
 }
 
-func (r *Runner) wait(c *callerRequest, action entry.Wait) entry.Event {
+// wait waits before the next attempt, unless a kept one gets a response.
+func (r *Runner) wait(c *callerRequest, action entry.Wait) (*gateResponse, entry.Event) {
 	timer := time.NewTimer(action.For)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.ctx.Done():
+	for {
+		select {
+		case <-timer.C:
+			return nil, entry.Resume{Handle: c.handle}
+		case <-c.ctx.Done():
+			return nil, entry.Resume{Handle: c.handle}
+		case <-c.wake:
+			if got := c.keptResponse(); got != nil {
+				return got, nil
+			}
+		}
 	}
-	return entry.Resume{Handle: c.handle}
 }
 
 func (r *Runner) deliver(w http.ResponseWriter, request *http.Request, c *callerRequest, got *gateResponse) {
--- a/internal/node/calls/entryloop.go
+++ b/internal/node/calls/entryloop.go
@@ -47,6 +47,8 @@
 			RetryRatio:    options.Settings.RetryRatio,
 			OverloadTries: options.Settings.OverloadTries,
 			SpillLoad:     options.Settings.SpillLoad,
+			ExpectedTime:  options.Overload.Enabled,
+			Versions:      options.Versions,
 			Seed:          options.RandomSeed,
 		}),
 		ring: ring.New[entryItem](entryRingSize),
@@ -110,6 +112,7 @@
 		Domain:      member.Domain,
 		Address:     member.CallsAddress,
 		Slots:       int(member.Slots),
+		Version:     member.TargetVersion,
 	}
 }
 
--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -12,11 +12,15 @@
 	errCallerLeft       = errorx.NewType(Errors, "caller-left")
 	errUploadFailed     = errorx.NewType(Errors, "upload")
 	// errInputClosed means that the caller of an idempotent call closed its sending side.
-	errInputClosed     = errorx.NewType(Errors, "input-closed")
+	errInputClosed = errorx.NewType(Errors, "input-closed")
+	// errYielded means that a request was ended for responses behind it on its connection.
+	errYielded         = errorx.NewType(Errors, "yielded")
 	errBodyTooLarge    = errorx.NewType(Errors, "bounds")
 	errConnectionLimit = errorx.NewType(Errors, "connections")
 	// errNoResponse means that what a target sends cannot become a response.
 	errNoResponse = errorx.NewType(Errors, "no-response")
+	// errWriteRefused means that a call ended before it was written to the target.
+	errWriteRefused = errorx.NewType(Errors, "write-refused")
 	// errSignal means that a target states something about itself that is malformed.
 	errSignal = errorx.NewType(Errors, "signal")
 )
--- a/internal/node/calls/gateloop.go
+++ b/internal/node/calls/gateloop.go
@@ -35,6 +35,9 @@
 	refuse gate.Refuse
 	// replay is the response of an earlier call with the same key.
 	replay *responseBuffer
+	// serviceTime is the time that the target takes at present for calls of the route; 0 if it
+	// is not known.
+	serviceTime time.Duration
 }
 
 // gateLoop runs the gate machine in a single goroutine and keeps the calls that
@@ -50,6 +53,8 @@
 	// reportedLoad is the load that other nodes use to choose a gate.
 	reportedLoad atomic.Int64
 	limit        atomic.Int64
+	// accepts is whether the machine was last told that the target is ready.
+	accepts atomic.Bool
 	// release releases the claim of a keyed call that was not run.
 	release func(key string, serial uint64)
 }
@@ -109,6 +114,9 @@
 	l.queued.Store(int64(l.machine.Queued()))
 	l.reportedLoad.Store(int64(l.machine.ReportedLoad()))
 	l.limit.Store(int64(l.machine.Limit()))
+	if set, ok := item.event.(gate.SetTarget); ok {
+		l.accepts.Store(set.Ready)
+	}
 	l.releaseIfNotRun(item.event)
 	for _, action := range actions {
 		l.act(item, action)
@@ -136,7 +144,7 @@
 func (l *gateLoop) act(item gateItem, action gate.Action) {
 	switch a := action.(type) {
 	case gate.Start:
-		l.calls[a.ID].decisions <- decision{start: true}
+		l.calls[a.ID].decisions <- decision{start: true, serviceTime: l.serviceTime(a.ID)}
 	case gate.Refuse:
 		l.refuse(a)
 	case gate.Attach:
@@ -158,7 +166,7 @@
 	if a.Outcome == call.NotRun {
 		l.releaseKey(c)
 	}
-	c.decisions <- decision{refuse: a}
+	c.decisions <- decision{refuse: a, serviceTime: l.serviceTime(a.ID)}
 	_ = c.response.add(context.Background(), &wire.AnswerFrame{
 		Start: &wire.AnswerStart{Outcome: uint32(a.Outcome), Reason: string(a.Reason), RetryAfterMs: uint32(a.RetryAfter.Milliseconds())},
 		Last:  true,
@@ -166,6 +174,10 @@
 	delete(l.calls, a.ID)
 }
 
+func (l *gateLoop) serviceTime(id call.ID) time.Duration {
+	return l.machine.ServiceTime(l.now(), l.calls[id].start.Route)
+}
+
 func (l *gateLoop) responseOf(id call.ID) *responseBuffer {
 	if c := l.calls[id]; c != nil {
 		return c.response
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -36,6 +36,7 @@
 type Options struct {
 	Self     membership.Member
 	Settings config.Calls
+	Overload config.Overload
 	Tenants  config.Tenants
 	// CurrentAt returns when the node's configuration was last known to be the newest; used
 	// only with Tenants.RevokeStrict.
@@ -55,6 +56,10 @@
 	// PeerLoad returns the load of a node as last received by membership, and
 	// when it was received.
 	PeerLoad func(id string) (load uint32, at time.Time, ok bool)
+	// Versions decides to which versions of targets this entry sends calls, and RefusesTarget whether
+	// this gate must refuse new calls for its target; nil means that versions make no difference.
+	Versions      entry.VersionPolicy
+	RefusesTarget func(time.Time, Target) bool
 	// OnTargetLeaving is called when the target states that it is leaving; the target
 	// then gets no new calls. Nil ignores it.
 	OnTargetLeaving func(Target)
@@ -133,9 +138,12 @@
 	if options.OnTargetLeaving == nil {
 		options.OnTargetLeaving = func(Target) {}
 	}
+	if options.RefusesTarget == nil {
+		options.RefusesTarget = func(time.Time, Target) bool { return false }
+	}
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.link = newLinkPacer(options.BandwidthMbps)
-	r.transit.machine = transit.New()
+	r.transit.self, r.transit.machine = options.Self, transit.New()
 	r.quarantine = newQuarantineKeeper(options)
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
@@ -145,6 +153,7 @@
 		MaxRecords:       maxRecords,
 		MaxRetainedBytes: options.Settings.LedgerBytes,
 		Retention:        options.Settings.LedgerRetention,
+		Shedding:         options.Overload.Enabled,
 	})
 	r.signals = newTargetSignals(options.Logger, r.gate.notify)
 	r.keyed = newKeyedLoop(r)
