Tenants and their use had two admin resources

Change: GET /tenants lists version, coordinator, keys, quota and use of all tenants, GET /tenants?name=NAME those of one with its key digests. "tenants list" and "tenants show" print all of it; the domain's part of the quota has a column.

--- a/internal/cli/run_test.go
+++ b/internal/cli/run_test.go
@@ -67,7 +67,10 @@
 		_ = json.NewEncoder(w).Encode(rollouts)
 	})
 	mux.HandleFunc("GET /tenants", func(w http.ResponseWriter, r *http.Request) {
-		list := adminapi.TenantList{Version: "3@00", Tenants: []adminapi.Tenant{{Name: "nord", Keys: 2, Priority: 1, RatePerS: 632.5}}}
+		list := adminapi.TenantList{Version: "3@00", Coordinator: "n4", Tenants: []adminapi.Tenant{{
+			Name: "nord", Keys: 2, Priority: 1, RatePerS: 632.5, NodeRequests: 12, NodeRefused: 3,
+			Fleet: &adminapi.TenantFleetUsage{Level: -4.5, DemandPerS: 700, DomainShare: 316.5, Over: true},
+		}}}
 		switch r.URL.Query().Get(adminapi.QueryName) {
 		case "nord":
 			list.Tenants[0].KeyDigests = []string{"00ff"}
@@ -140,6 +143,10 @@
 		"read back, accepted":   {state: "accepted", args: "ticket status 7 --node NODE -o json", code: ExitNotInForce, out: `"laggards"`},
 		"read back, in force":   {state: "in_force", args: "ticket status 7 --node NODE --content 00", code: ExitOK, out: "in_force"},
 		"tenants":               {args: "tenants list --node NODE", code: ExitOK, out: "nord    2     1         632.5       -"},
+		"tenants, use":          {args: "tenants list --node NODE", code: ExitOK, out: "12        3        700.0     -4.5  316.5  over"},
+		"tenants, versions":     {args: "tenants list --node NODE", code: ExitOK, out: "tenants: 1, configuration 3@00, coordinator: n4"},
+		"tenants, use in JSON":  {args: "tenants list --node NODE -o json", code: ExitOK, out: `"domain_share": 316.5`},
+		"tenant, use":           {args: "tenants show nord --node NODE", code: ExitOK, out: "700.0     -4.5  316.5  over"},
 		"tenants in JSON":       {args: "tenants list --node NODE -o json", code: ExitOK, out: `"rate_per_s": 632.5`},
 		"tenant":                {args: "tenants show nord --node NODE", code: ExitOK, out: "key digest: 00ff"},
 		"tenant unknown":        {args: "tenants show sud --node NODE", code: ExitFailed, errOut: "no tenant"},
--- a/internal/cli/tenants.go
+++ b/internal/cli/tenants.go
@@ -16,17 +16,19 @@
 	return &ffcli.Command{
 		Name:       "tenants",
 		ShortUsage: "jasminegate tenants <subcommand>",
-		ShortHelp:  "Show the tenants that are in force.",
+		ShortHelp:  "Show the tenants that are in force, with their quotas and use.",
 		FlagSet:    newFlags("jasminegate tenants", streams),
 		Subcommands: []*ffcli.Command{
 			tenantsListCommand(streams),
 			tenantsShowCommand(streams),
-			tenantsUsageCommand(streams),
 		},
 	}
 }
 
-const tenantsListHelp = `Lists the tenants that are in force at the node, with the number of their API keys.
+const tenantsListHelp = `Lists the tenants that are in force at the node, with the number of their API keys, their
+quotas, the requests that the node had of them since its start, and how many of these it
+refused with 429. The use of the whole fleet is known to the coordinator of each failure
+domain, which the last line names: ask that node for it.
 
 EXAMPLES
   jasminegate tenants list --node 10.0.0.7:8081`
@@ -38,7 +40,7 @@
 	return &ffcli.Command{
 		Name:       "list",
 		ShortUsage: "jasminegate tenants list --node IP:PORT [flags]",
-		ShortHelp:  "List the tenants.",
+		ShortHelp:  "List the tenants with their quotas and use.",
 		LongHelp:   tenantsListHelp,
 		FlagSet:    flags,
 		Options:    fromEnv(),
@@ -54,7 +56,8 @@
 	}
 }
 
-const tenantsShowHelp = `Shows one tenant that is in force at the node, with the SHA-256 digests of its API keys.
+const tenantsShowHelp = `Shows one tenant that is in force at the node as "tenants list" does, with the SHA-256
+digests of its API keys.
 To find out whether a key is one of them, compare its digest:
   printf %s "$KEY" | sha256sum
 
@@ -68,7 +71,7 @@
 	return &ffcli.Command{
 		Name:       "show",
 		ShortUsage: "jasminegate tenants show NAME --node IP:PORT [flags]",
-		ShortHelp:  "Show one tenant with the digests of its keys.",
+		ShortHelp:  "Show one tenant with its quota, its use and the digests of its keys.",
 		LongHelp:   tenantsShowHelp,
 		FlagSet:    flags,
 		Options:    fromEnv(),
@@ -90,9 +93,18 @@
 		return err
 	}
 	return write(streams.Out, format, list, func(out io.Writer) {
-		rows := newTable(out, "TENANT", "KEYS", "PRIORITY", "RATE PER S", "BURST")
+		rows := newTable(out, "TENANT", "KEYS", "PRIORITY", "RATE PER S", "BURST", "REQUESTS", "REFUSED", "DEMAND/S", "LEFT", "SHARE", "STATE")
 		for _, t := range list.Tenants {
-			rows.row(t.Name, strconv.Itoa(t.Keys), strconv.Itoa(t.Priority), formatQuota(t.RatePerS), formatQuota(t.Burst))
+			demand, level, share, state := "", "", "", ""
+			if t.Fleet != nil {
+				demand, level, share, state = decimal(t.Fleet.DemandPerS), decimal(t.Fleet.Level), decimal(t.Fleet.DomainShare), "within"
+				if t.Fleet.Over {
+					state = "over"
+				}
+			}
+			rows.row(t.Name, strconv.Itoa(t.Keys), strconv.Itoa(t.Priority), formatQuota(t.RatePerS), formatQuota(t.Burst),
+				strconv.FormatInt(t.NodeRequests, 10), strconv.FormatInt(t.NodeRefused, 10),
+				orDash(demand), orDash(level), orDash(share), orDash(state))
 		}
 		rows.flush()
 		for _, t := range list.Tenants {
@@ -100,7 +112,7 @@
 				fmt.Fprintf(out, "key digest: %s\n", digest)
 			}
 		}
-		fmt.Fprintf(out, "tenants: %d, configuration %s\n", len(list.Tenants), list.Version)
+		fmt.Fprintf(out, "tenants: %d, configuration %s, coordinator: %s\n", len(list.Tenants), list.Version, orDash(list.Coordinator))
 	})
 }
 
@@ -111,3 +123,5 @@
 	}
 	return strconv.FormatFloat(value, 'g', -1, 64)
 }
+
+func decimal(value float64) string { return strconv.FormatFloat(value, 'f', 1, 64) }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -28,7 +28,6 @@
 	router.HandleFunc(adminapi.PathRollouts, n.postRollout).Methods(http.MethodPost)
 	router.HandleFunc(adminapi.PathRollout, n.deleteRollout).Methods(http.MethodDelete)
 	router.HandleFunc(adminapi.PathTenants, n.getTenants).Methods(http.MethodGet)
-	router.HandleFunc(adminapi.PathTenantUsage, n.getTenantUsage).Methods(http.MethodGet)
 	router.HandleFunc(adminapi.PathTarget, n.putTarget).Methods(http.MethodPut)
 	router.HandleFunc(adminapi.PathTarget, n.deleteTarget).Methods(http.MethodDelete)
 	router.HandleFunc(adminapi.PathHealth, getHealth).Methods(http.MethodGet)
--- a/internal/node/admin_tenants.go
+++ b/internal/node/admin_tenants.go
@@ -9,7 +9,8 @@
 	"jasminegate/internal/state"
 )
 
-// getTenants lists the tenants in force at this node, or the one that is named.
+// getTenants lists the tenants in force at this node with their quotas and use, or the one that is
+// named with its key digests too.
 func (n *node) getTenants(w http.ResponseWriter, r *http.Request) {
 	snapshot := n.configuration.Snapshot()
 	list := adminapi.TenantList{Version: snapshot.VersionOrNone(), Tenants: []adminapi.Tenant{}}
@@ -19,6 +20,7 @@
 				list.Tenants = append(list.Tenants, tenantOf(tenant))
 			}
 		}
+		n.usage.addUse(&list)
 		writeJSON(w, http.StatusOK, list)
 		return
 	}
@@ -38,6 +40,7 @@
 	named := tenantOf(tenant)
 	named.KeyDigests = tenant.KeyDigests
 	list.Tenants = append(list.Tenants, named)
+	n.usage.addUse(&list)
 	writeJSON(w, http.StatusOK, list)
 }
 
--- a/internal/node/usagestatus.go
+++ b/internal/node/usagestatus.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -62,17 +61,13 @@
 
 func decimal(value float64) string { return strconv.FormatFloat(value, 'f', 2, 64) }
 
-// getTenantUsage lists the tenants with their quotas and use.
-func (n *node) getTenantUsage(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, n.usage.list(n.configuration.Snapshot()))
-}
-
-func (u *usageExchange) list(snapshot *state.Snapshot) adminapi.TenantUsageList {
+// addUse adds the use against their quotas to the tenants of the list, and names the coordinator.
+func (u *usageExchange) addUse(list *adminapi.TenantList) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	list := adminapi.TenantUsageList{Coordinator: u.fit().ID, Tenants: []adminapi.TenantUsage{}}
-	if !snapshot.HasTenants() {
-		return list
+	list.Coordinator = u.fit().ID
+	if len(list.Tenants) == 0 {
+		return
 	}
 	totals := make(map[string]usagecap.Total)
 	for _, use := range u.local.Totals() {
@@ -84,18 +79,14 @@
 			statuses[status.Tenant] = status
 		}
 	}
-	for _, tenant := range snapshot.Tenants() {
+	for i := range list.Tenants {
+		tenant := &list.Tenants[i]
 		use := totals[tenant.Name]
-		usage := adminapi.TenantUsage{
-			Name: tenant.Name, Priority: tenant.Priority, RatePerS: tenant.RatePerS, Burst: tenant.Burst,
-			NodeRequests: use.Asked, NodeRefused: use.Refused,
-		}
+		tenant.NodeRequests, tenant.NodeRefused = use.Asked, use.Refused
 		if status, known := statuses[tenant.Name]; known {
-			usage.Fleet = &adminapi.TenantFleetUsage{Level: status.Level, DemandPerS: status.Demand, DomainShare: status.Share, Over: status.Over}
+			tenant.Fleet = &adminapi.TenantFleetUsage{Level: status.Level, DemandPerS: status.Demand, DomainShare: status.Share, Over: status.Over}
 		}
-		list.Tenants = append(list.Tenants, usage)
 	}
-	return list
 }
 
 // writeMetrics writes the requests of the tenants with the largest quotas, and those of all others
--- a/internal/processtest/quota_test.go
+++ b/internal/processtest/quota_test.go
@@ -77,9 +77,9 @@
 // tenantOver reports whether a node lists the fleet's use of a tenant as over its quota.
 func (h *harness) tenantOver() bool {
 	for _, node := range h.Nodes {
-		body, err := node.AdminRequest(h.ctx(), "GET", adminapi.PathTenantUsage, nil)
+		body, err := node.AdminRequest(h.ctx(), "GET", adminapi.PathTenants, nil)
 		h.must(err)
-		var list adminapi.TenantUsageList
+		var list adminapi.TenantList
 		h.must(json.Unmarshal(body, &list))
 		if list.Tenants[0].Fleet != nil && list.Tenants[0].Fleet.Over {
 			return true
--- a/internal/transport/adminclient/client.go
+++ b/internal/transport/adminclient/client.go
@@ -79,13 +79,6 @@
 	return list, err
 }
 
-// TenantUsage lists the tenants with their quotas and use.
-func (c *Client) TenantUsage(ctx context.Context) (adminapi.TenantUsageList, error) {
-	var list adminapi.TenantUsageList
-	err := c.do(ctx, http.MethodGet, adminapi.PathTenantUsage, nil, &list)
-	return list, err
-}
-
 // LiftQuarantine lets the request with the ID through again, at all nodes, and returns the others.
 func (c *Client) LiftQuarantine(ctx context.Context, id string) (adminapi.QuarantineList, error) {
 	var list adminapi.QuarantineList
@@ -107,14 +100,14 @@
 	return list, err
 }
 
-// Tenants returns the tenants in force at the node.
+// Tenants returns the tenants in force at the node, with their quotas and use.
 func (c *Client) Tenants(ctx context.Context) (adminapi.TenantList, error) {
 	var list adminapi.TenantList
 	err := c.do(ctx, http.MethodGet, adminapi.PathTenants, nil, &list)
 	return list, err
 }
 
-// Tenant returns the tenant with the name, and the digests of its keys.
+// Tenant returns the tenant with the name, its quota and use, and the digests of its keys.
 func (c *Client) Tenant(ctx context.Context, name string) (adminapi.TenantList, error) {
 	var list adminapi.TenantList
 	err := c.do(ctx, http.MethodGet, adminapi.TenantPath(name), nil, &list)
