Nodes that have just started do not coordinate a rollout

Cause: a starting node reads the running order from the platform before it has joined the fleet, and then ranked first among the nodes that it knew, itself. Change: a node coordinates once it knows another live node, or has been alone for the change bound. It sends no report to itself.

--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -428,7 +428,7 @@
 func (r *rollouts) work(now time.Time, record rollout.Record) {
 	r.runsMu.Lock()
 	run := r.runOf(record)
-	first := r.rank(now, run, record) == r.node.self.ID
+	first := r.rank(now, run, record) == r.node.self.ID && mayCoordinate(now, r.started, r.settings.ChangeBound, r.node.self.ID, r.node.members.View())
 	if !first && (run.coordinator != nil) {
 		run.coordinator = nil
 	}
@@ -522,6 +522,20 @@
 	return best
 }
 
+// mayCoordinate reports whether a node that ranks first may coordinate: it knows another node, or
+// has been alone for the change bound since its start.
+//
+// Load pattern: many nodes that start at once, each of which knows only itself at first and would
+// write to the store as a coordinator.
+func mayCoordinate(now, started time.Time, changeBound time.Duration, self string, view *membership.View) bool {
+	if now.Sub(started) >= changeBound {
+		return true
+	}
+	return slices.ContainsFunc(view.Members, func(m membership.Member) bool {
+		return m.ID != self && (m.State == membership.Alive || m.State == membership.Suspect)
+	})
+}
+
 func (r *rollouts) membersOf(now time.Time, record rollout.Record) []rollout.Member {
 	r.runsMu.Lock()
 	defer r.runsMu.Unlock()
@@ -563,7 +577,7 @@
 		return
 	}
 	to := r.rank(now, run, record)
-	if run.reporting >= reportsInFlight {
+	if to == r.node.self.ID || run.reporting >= reportsInFlight {
 		r.runsMu.Unlock()
 		return
 	}
