Event 412 tells broken connections between nodes from malformed messages

A connection between nodes that was reset was logged as event 402, "malformed message".

logConnectionError now logs errors of the connection itself as 412.

TestBrokenConnectionIsLoggedAsMalformed, case "reset", fails on the code before (event 402) and passes now; "malformed" passes on both.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -71,6 +71,7 @@
 	TenantInvalid        = Event{409, log.WarnLevel, "tenant in the configuration cannot be used as it is written: what is unambiguous is in force"}
 	KeysUnconfirmed      = Event{410, log.WarnLevel, "requests with an API key are refused: without contact the node cannot know whether keys were removed"}
 	KeysConfirmed        = Event{411, log.InfoLevel, "requests with an API key are admitted again"}
+	PeerConnectionBroken = Event{412, log.InfoLevel, "connection from another node broke: the calls on it end"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
 
--- a/internal/transport/peer/malformed_test.go
+++ b/internal/transport/peer/malformed_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -132,3 +133,43 @@
 	is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // closed by the server
 	is.Equal(len(ended), 0)
 }
+
+// TestBrokenConnectionIsLoggedAsMalformed checks that the log tells a connection that was reset from
+// one that carried malformed bytes.
+func TestBrokenConnectionIsLoggedAsMalformed(t *testing.T) {
+	for name, test := range map[string]struct {
+		end   func(conn *net.TCPConn) error
+		event string
+	}{
+		"reset":     {func(conn *net.TCPConn) error { _ = conn.SetLinger(0); return conn.Close() }, `"event":412`},
+		"malformed": {func(conn *net.TCPConn) error { _, err := conn.Write(make([]byte, 64)); return err }, `"event":402`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			lines := make(lineChannel, 10)
+			serve(t, listener, drpcmux.New(), logging.New(lines, "info", "n"))
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = conn.Write(drpcwire.AppendFrame(nil, drpcwire.Frame{Kind: drpcwire.KindInvoke, ID: drpcwire.ID{Stream: 1, Message: 1}}))
+			is.NoErr(err)
+			is.NoErr(test.end(conn.(*net.TCPConn)))
+			select {
+			case line := <-lines:
+				is.True(strings.Contains(line, test.event))
+			case <-time.After(10 * time.Second):
+				t.Fatal("nothing is logged")
+			}
+		})
+	}
+}
+
+// lineChannel passes on the lines of a log.
+type lineChannel chan string
+
+func (c lineChannel) Write(line []byte) (int, error) {
+	c <- string(line)
+	return len(line), nil
+}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -28,5 +28,15 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
 		return
 	}
+	if connectionBroke(err) {
+		logger.Event(logging.PeerConnectionBroken).Err(err).Send()
+		return
+	}
 	logger.Event(logging.MalformedMessage).Err(err).Send()
 }
+
+// connectionBroke reports whether the error is of the connection itself, and not of what it carried.
+func connectionBroke(err error) bool {
+	var failed net.Error
+	return errors.As(err, &failed) || errors.Is(err, io.ErrUnexpectedEOF)
+}
