Logs and a metric say how certain it is that the caller of a written call waits

The bound needs no estimate: transit.Machine keeps the lower bound of the difference of the clocks that exchanges show, beside the shortest way.

No decision is changed: Delay and Exchanged return what they did.

--- a/internal/coordination/transit/machine.go
+++ b/internal/coordination/transit/machine.go
@@ -9,7 +9,8 @@
 
 // Machine follows, for each sender, the least difference between the times of sending and receiving.
 // That is the difference of the two clocks and the shortest way; what a message takes beyond
-// it, it was held up for. It is not safe for concurrent use.
+// it, it was held up for. Exchanges bound the difference of the clocks alone from below. It is not
+// safe for concurrent use.
 //
 // Load pattern: links and instances that stall, so that a call arrives after its caller's time.
 type Machine struct {
@@ -19,7 +20,11 @@
 // sender is what is known of one incarnation of a sender.
 type sender struct {
 	incarnation uint64
-	least       time.Duration
+	// least is the least difference of sending and receiving.
+	least time.Duration
+	// offset is a lower bound of the difference of the clocks; only if exchanged is set.
+	offset    time.Duration
+	exchanged bool
 }
 
 // New returns a machine that knows no sender.
@@ -36,11 +41,25 @@
 // incarnation has no delay.
 func (m *Machine) Delay(id string, incarnation uint64, sent, received time.Time) time.Duration {
 	difference := received.Sub(sent)
-	if !m.Known(id, incarnation) || difference < m.senders[id].least {
-		m.set(id, incarnation, difference)
-		return 0
+	known := m.senders[id]
+	if !m.Known(id, incarnation) {
+		known = sender{incarnation: incarnation, least: difference}
 	}
-	return max(0, difference-m.senders[id].least)
+	known.least = min(known.least, difference)
+	// A difference below the bound is of clocks that have drifted apart.
+	known.offset = min(known.offset, difference)
+	m.set(id, known)
+	return difference - known.least
+}
+
+// Age returns how long ago a message was sent, at the most. ok is false if no exchange with the
+// sender's incarnation has shown how the clocks differ.
+func (m *Machine) Age(id string, incarnation uint64, sent, now time.Time) (atMost time.Duration, ok bool) {
+	known := m.senders[id]
+	if known.incarnation != incarnation || !known.exchanged {
+		return 0, false
+	}
+	return max(0, now.Sub(sent)-known.offset), true
 }
 
 // clockResolution is that of the times which are sent.
@@ -52,17 +71,20 @@
 // "Probabilistic clock synchronization", 1989). A reference below that is of clocks that have
 // drifted apart.
 func (m *Machine) Exchanged(id string, incarnation uint64, asked, answered, received time.Time) time.Duration {
-	delay := m.Delay(id, incarnation, answered, received)
-	if least := asked.Sub(answered) - clockResolution; m.senders[id].least < least {
-		m.set(id, incarnation, least)
-		return max(0, received.Sub(answered)-least)
+	m.Delay(id, incarnation, answered, received)
+	known := m.senders[id]
+	bound := asked.Sub(answered) - clockResolution
+	if !known.exchanged || known.offset < bound {
+		known.offset, known.exchanged = bound, true
 	}
-	return delay
+	known.least = max(known.least, known.offset)
+	m.set(id, known)
+	return max(0, received.Sub(answered)-known.least)
 }
 
-func (m *Machine) set(id string, incarnation uint64, least time.Duration) {
+func (m *Machine) set(id string, known sender) {
 	if _, ok := m.senders[id]; !ok && len(m.senders) >= maxSenders {
 		clear(m.senders)
 	}
-	m.senders[id] = sender{incarnation: incarnation, least: least}
+	m.senders[id] = known
 }
--- a/internal/node/calls/confirm.go
+++ b/internal/node/calls/confirm.go
@@ -28,8 +28,9 @@
 	mu sync.Mutex
 	// after is how old the proof may be.
 	after time.Duration
-	// at is when the caller was present for the last time that is known.
-	at time.Time
+	// at is when the caller was present for the last time that is known, as estimated, and
+	// earliest the earliest time that it can have been; zero if that is not known.
+	at, earliest time.Time
 	// askedAt is when the question was sent that has no response yet; zero if there is none.
 	askedAt time.Time
 }
@@ -52,6 +53,23 @@
 	return now.Sub(p.at) <= p.after
 }
 
+// ages returns how old the newest proof is, as estimated and at the most. ok is false if that is
+// not bounded.
+func (p *callerProof) ages(now time.Time) (estimated, atMost time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.at), now.Sub(p.earliest), !p.earliest.IsZero()
+}
+
+// bound notes when the caller was present at the earliest.
+func (p *callerProof) bound(earliest time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if earliest.After(p.earliest) {
+		p.earliest = earliest
+	}
+}
+
 // due reports whether a heartbeat should ask for a proof, and notes that it does.
 func (p *callerProof) due(now time.Time) bool {
 	if !p.answers {
@@ -115,7 +133,11 @@
 	}
 	now := r.options.BootTime()
 	delay := r.transit.confirmed(c.start.Id, askedAt, time.UnixMilli(int64(frame.ConfirmedMs)), now)
-	c.proof.renew(now.Add(-delay - time.Duration(frame.ClosedMs)*time.Millisecond))
+	closed := time.Duration(frame.ClosedMs) * time.Millisecond
+	if age, ok := r.transit.age(c.start.Id, frame.ConfirmedMs, now); ok {
+		c.proof.bound(now.Add(-age - closed))
+	}
+	c.proof.renew(now.Add(-delay - closed))
 }
 
 // awaitProof waits until there is a fresh proof that the caller waits. It returns false if none
--- a/internal/node/calls/cutoff.go
+++ b/internal/node/calls/cutoff.go
@@ -33,6 +33,7 @@
 		Str("cause", string(cause)).Str("route", c.route.Name).Str("gates", strings.Join(c.gates, ",")).
 		Int("request_ms", r.options.Now().Sub(c.receivedAt).Milliseconds()).
 		Int("connection_ms", conn.Age.Milliseconds()).Int("waited_ms", conn.Waited.Milliseconds()).Int("written", conn.Written).
+		Int("closed_ms", conn.Closed.Milliseconds()).Int("close_read_ms", conn.CloseRead.Milliseconds()).
 		Int("header_timeout_ms", time.Duration(limits.HeaderTimeout).Milliseconds()).
 		Int("idle_timeout_ms", time.Duration(limits.IdleTimeout).Milliseconds()).Send()
 }
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -63,6 +63,9 @@
 	abandoned atomic.Bool
 	// writeRefused is why the call was not written to the target; nil if nothing kept it.
 	writeRefused atomic.Pointer[call.Reason]
+	// checkedAt is when the call was last found fit to be written, by BootTime. Only the goroutine
+	// that writes uses it.
+	checkedAt time.Time
 }
 
 func (r *Runner) newGateCall(frame *wire.CallFrame, ask func()) *gateCall {
@@ -84,6 +87,9 @@
 		delayKnown:   known,
 		proof:        newCallerProof(start, receivedAt.Add(-delay), ask),
 	}
+	if age, ok := r.transit.age(start.Id, start.SentMs, receivedAt); ok {
+		c.proof.bound(receivedAt.Add(-age))
+	}
 	if start.AimMs > 0 {
 		c.softDeadline = r.options.Now().Add(time.Duration(start.AimMs)*time.Millisecond - delay)
 	}
--- a/internal/node/calls/metrics.go
+++ b/internal/node/calls/metrics.go
@@ -36,6 +36,7 @@
 	cutOff   map[callerconn.Cause]*metrics.Counter
 	gateWait *metrics.PrometheusHistogram
 	target   *metrics.PrometheusHistogram
+	proofAge *metrics.PrometheusHistogram
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -46,6 +47,7 @@
 		cutOff:   make(map[callerconn.Cause]*metrics.Counter),
 		gateWait: set.NewPrometheusHistogramExt("jasminegate_gate_wait_seconds", latencyBounds),
 		target:   set.NewPrometheusHistogramExt("jasminegate_target_seconds", latencyBounds),
+		proofAge: set.NewPrometheusHistogramExt("jasminegate_caller_proof_seconds", latencyBounds),
 	}
 	// No request ends as InProgress; its histograms stay because they are published.
 	outcomes := []string{
--- a/internal/node/calls/transit.go
+++ b/internal/node/calls/transit.go
@@ -45,6 +45,17 @@
 	return d.machine.Exchanged(id.GetEntry(), id.GetEntryIncarnation(), asked, answered, received)
 }
 
+// age returns how long ago the entry sent a message, at the most; ok is false if that is not known.
+func (d *transitDelays) age(id *wire.CallID, sentMs uint64, now time.Time) (atMost time.Duration, ok bool) {
+	sent := time.UnixMilli(int64(sentMs))
+	if d.own(id) {
+		return max(0, now.Sub(sent)), true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Age(id.GetEntry(), id.GetEntryIncarnation(), sent, now)
+}
+
 // own reports whether the call is of this process, which has only one clock.
 func (d *transitDelays) own(id *wire.CallID) bool {
 	return id.GetEntry() == d.self.ID && id.GetEntryIncarnation() == d.self.Incarnation
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/call"
+	"jasminegate/internal/logging"
 )
 
 // newWriteCheck returns the last check of the call, immediately before it is written to the
@@ -16,10 +17,41 @@
 func (r *Runner) newWriteCheck(c *gateCall, header http.Header) writeCheck {
 	return writeCheck{
 		connected: func() { setIfPresent(header, r.options.Contract.Timeout, c.remainingMs(r.options.Now())) },
-		mayWrite:  func() error { return r.mayWrite(c) },
+		mayWrite: func() error {
+			err := r.mayWrite(c)
+			c.checkedAt = r.options.BootTime()
+			return err
+		},
+		written: func() { r.noteWritten(c) },
 	}
 }
 
+// unconfirmedAfter is how old the proof of a written call may be before an event is logged: older
+// ones reach the target over 500 ms after a caller that left right after it.
+const unconfirmedAfter = confirmAfter + 50*time.Millisecond
+
+// noteWritten records how old the newest proof was when the call had been written.
+func (r *Runner) noteWritten(c *gateCall) {
+	if !c.proof.answers {
+		return
+	}
+	now := r.options.BootTime()
+	estimated, atMost, ok := c.proof.ages(now)
+	if ok {
+		r.metrics.proofAge.Update(atMost.Seconds())
+	}
+	if ok && atMost <= unconfirmedAfter {
+		return
+	}
+	bound := int64(-1)
+	if ok {
+		bound = atMost.Milliseconds()
+	}
+	r.failedLog.event(logging.CallerUnconfirmed, wireHeaderValue(c.start.Headers, r.options.Contract.RequestID)).
+		Str("entry", c.id.Entry).Int("proof_ms", estimated.Milliseconds()).Int("proof_at_most_ms", bound).
+		Int("write_ms", now.Sub(c.checkedAt).Milliseconds()).Send()
+}
+
 // mayWrite returns an error if nobody waits for the response any more.
 func (r *Runner) mayWrite(c *gateCall) error {
 	switch {
--- a/internal/node/calls/writetracker.go
+++ b/internal/node/calls/writetracker.go
@@ -11,6 +11,8 @@
 	connected func()
 	// mayWrite is called immediately before the first byte is written. It may wait.
 	mayWrite func() error
+	// written is called after the first write.
+	written func()
 }
 
 // States of a writeTracker.
@@ -31,9 +33,10 @@
 	// sentBefore is set once bytes were written to a connection before conn.
 	sentBefore bool
 	// check is asked before the first byte; its functions may be nil. refused is set once it
-	// has refused the request.
+	// has refused the request, and noted once bytes of it were written.
 	check   writeCheck
 	refused atomic.Bool
+	noted   atomic.Bool
 	state   atomic.Int32
 	// resent is called when the request gets another connection after bytes of it
 	// were written to the last one.
@@ -77,9 +80,15 @@
 
 // endWrite is called after each write, with the number of bytes written.
 func (w *writeTracker) endWrite(n int) {
-	if w != nil && n == 0 && !w.counted() {
+	if w == nil {
+		return
+	}
+	if n == 0 && !w.counted() {
 		w.state.CompareAndSwap(writeBegun, writeOpen)
 	}
+	if n > 0 && w.check.written != nil && w.noted.CompareAndSwap(false, true) {
+		w.check.written()
+	}
 }
 
 // end keeps a request of which no byte was written from being written later: the HTTP client
--- a/internal/transport/callerconn/cause.go
+++ b/internal/transport/callerconn/cause.go
@@ -42,6 +42,9 @@
 	Written int64
 	// Cause is why the connection ended; empty while it is open.
 	Cause Cause
+	// Closed is for how long the caller's sending side has been closed, and CloseRead how long ago
+	// that was read; zero if it is open, or not known.
+	Closed, CloseRead time.Duration
 }
 
 // Describe returns the present state; that of a nil connection is the zero value.
@@ -49,9 +52,14 @@
 	if c == nil {
 		return Description{}
 	}
+	peer := c.Peer()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Description{Age: time.Since(c.acceptedAt), Waited: c.waited, Written: c.written, Cause: c.cause}
+	d := Description{Age: time.Since(c.acceptedAt), Waited: c.waited, Written: c.written, Cause: c.cause, Closed: peer.CloseAge}
+	if c.inputClosed {
+		d.CloseRead = time.Since(c.inputClosedAt)
+	}
+	return d
 }
 
 // noteCause records why the connection ends, unless a cause is known already.
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -47,9 +47,10 @@
 	// aborted is set while the server ends a read by a deadline in the past, and closed once
 	// the connection is closed.
 	aborted, closed bool
-	// inputClosed is set once the caller's end of input was read while a request was served;
-	// onInputClosed is called then. held is closed to end the read that found it.
+	// inputClosed is set once the caller's end of input was read while a request was served, at
+	// inputClosedAt; onInputClosed is called then. held is closed to end the read that found it.
 	inputClosed   bool
+	inputClosedAt time.Time
 	onInputClosed func()
 	held          chan struct{}
 	// cause is the first cause of the connection's end that became known; empty before.
@@ -357,7 +358,7 @@
 	if !closed {
 		return func() {}
 	}
-	c.inputClosed = true
+	c.inputClosed, c.inputClosedAt = true, time.Now()
 	present, ahead := c.onInputClosed, slices.Clone(c.input.ahead)
 	return func() {
 		if present != nil {
