Tests of calls that reach targets after a slow confirmation

A gate's proof that a caller waits is dated by an estimate: the time on the way counts from the shortest way so far, and the first message of an entry's process counts as not held up.

- The confirmation of the first call is held back until its caller has left for 550 ms: the call runs.
- The first call and its confirmation are slow, a later call is held up for as long: it runs 550 ms after its caller has left.

--- a/internal/node/calls/confirm_test.go
+++ b/internal/node/calls/confirm_test.go
@@ -140,3 +140,62 @@
 		t.Fatal("the second call's delay is not known")
 	}
 }
+
+// TestSlowConfirmationHidesThatCallerLeft holds back the confirmation of the first call of an entry's
+// process, and what follows it, until the caller has left for longer than calls may reach targets.
+func TestSlowConfirmationHidesThatCallerLeft(t *testing.T) {
+	const heldUp = 550 * time.Millisecond
+	dialer := &faultDialer{}
+	dialer.delayNew.Store(true)
+	var runs atomic.Int64
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial}, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	f.serveCallers(0)
+	conn := f.sendRaw("GET /read HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	f.waitFor("the call is sent", dialer.delayed)
+	dialer.each(func(c *faultConn) { c.releaseFirst(c.delayedBytes()) })
+	f.waitFor("the call is confirmed", dialer.delayed)
+	confirmation := map[*faultConn]int{}
+	dialer.each(func(c *faultConn) { confirmation[c] = c.delayedBytes() })
+	f.is.NoErr(conn.Close())
+	time.Sleep(heldUp)
+	dialer.each(func(c *faultConn) { c.releaseFirst(confirmation[c]) })
+	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
+	dialer.each((*faultConn).releaseHeld)
+	gate := f.nodes[1].runner
+	f.waitFor("the gate has ended the call", func() bool { return gate.streamsServed.Load() > 0 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0 })
+	f.is.Equal(runs.Load(), int64(0))
+}
+
+// TestSlowConfirmationHidesTimeOnTheWay lets the first call of an entry's process and its confirmation be
+// slow, and holds up a later call, and the cancel behind it, for the same time.
+func TestSlowConfirmationHidesTimeOnTheWay(t *testing.T) {
+	const heldUp = 550 * time.Millisecond
+	dialer := &faultDialer{}
+	dialer.delayNew.Store(true)
+	var runs atomic.Int64
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial}, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	f.serveCallers(0)
+	first := make(chan callResult, 1)
+	go func() { first <- f.call(0, "GET", "/read/first", "") }()
+	f.waitFor("the call is sent", dialer.delayed)
+	time.Sleep(heldUp)
+	dialer.each(func(c *faultConn) { c.releaseFirst(c.delayedBytes()) })
+	f.waitFor("the call is confirmed", dialer.delayed)
+	time.Sleep(heldUp)
+	dialer.each((*faultConn).releaseHeld)
+	f.is.Equal((<-first).status, http.StatusOK)
+
+	dialer.each((*faultConn).delayWrites)
+	conn := f.sendRaw("GET /read/second HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	f.waitFor("the second call is sent", dialer.delayed)
+	sent := map[*faultConn]int{}
+	dialer.each(func(c *faultConn) { sent[c] = c.delayedBytes() })
+	f.is.NoErr(conn.Close())
+	time.Sleep(heldUp)
+	dialer.each(func(c *faultConn) { c.releaseFirst(sent[c]) })
+	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
+	dialer.each((*faultConn).releaseHeld)
+	gate := f.nodes[1].runner
+	f.waitFor("the gate has ended the calls", func() bool { return gate.streamsServed.Load() > 1 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0 })
+	f.is.Equal(runs.Load(), int64(1))
+}
