A gate dates the proof that a caller waits by a bound, not by an estimate

What callers saw: targets began calls over 500 ms after their callers had left (GONE). A call is written to its target only if its caller was there at most 350 ms before.

Cause: the gate dated that proof by an estimate of how long the message was on its way: what exceeds the shortest way so far. The first message and the first confirmation of an entry's process counted as not held up, however slow they were, and the call itself counted as sent when it arrived. Right after many nodes have started, all exchanges are first ones, and slow.

Change: a proof counts from the earliest time at which the caller can have been there. A confirmation was sent after its question (Cristian's lower bound); the best bound so far serves for later messages of the same process. Without a bound there is no proof, and the entry is asked. An error can only lead to one more question.

--- a/internal/coordination/transit/machine_test.go
+++ b/internal/coordination/transit/machine_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -64,3 +65,53 @@
 	is.True(m.Exchanged("n-1", 1, at, at.Add(way-drift), at.Add(2*way)) <= 2*way+clockResolution)
 	is.True(m.Delay("n-1", 1, at.Add(-drift), at.Add(way)) <= 2*way+clockResolution)
 }
+
+// TestSlowExchangeCountsAsFast lets the first message and the first exchange be slow: how old a
+// message is at the most does not follow from the shortest way so far.
+func TestSlowExchangeCountsAsFast(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	const ahead, slow, way = time.Hour, 400 * time.Millisecond, 2 * time.Millisecond
+	_, ok := m.Age("n-1", 1, start.Add(ahead), start.Add(slow))
+	is.True(!ok) // nothing is known
+	m.Delay("n-1", 1, start.Add(ahead), start.Add(slow))
+	_, ok = m.Age("n-1", 1, start.Add(ahead), start.Add(slow))
+	is.True(!ok) // a message alone bounds nothing
+	asked := start.Add(slow)
+	m.Exchanged("n-1", 1, asked, asked.Add(way+ahead), asked.Add(way+slow))
+	age, ok := m.Age("n-1", 1, start.Add(ahead), start.Add(slow))
+	is.True(ok)
+	is.True(age >= slow && age <= slow+way+clockResolution)
+	_, ok = m.Age("n-1", 2, start.Add(ahead), start.Add(slow))
+	is.True(!ok) // another process
+}
+
+// TestAgeIsNeverTooLow draws exchanges and messages of any length.
+func TestAgeIsNeverTooLow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		const longest = time.Second
+		way := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(longest)).Draw(t, name))
+		}
+		ahead := time.Duration(rapid.Int64Range(-int64(time.Hour), int64(time.Hour)).Draw(t, "ahead"))
+		now := start
+		for range rapid.IntRange(1, 20).Draw(t, "messages") {
+			now = now.Add(way("pause"))
+			if rapid.Bool().Draw(t, "exchange") {
+				answered := now.Add(way("there"))
+				received := answered.Add(way("back"))
+				m.Exchanged("n-1", 1, now, answered.Add(ahead).Truncate(time.Millisecond), received)
+				now = received
+				continue
+			}
+			sent := now
+			now = sent.Add(way("on its way"))
+			stated := sent.Add(ahead).Truncate(time.Millisecond)
+			m.Delay("n-1", 1, stated, now)
+			if age, ok := m.Age("n-1", 1, stated, now); ok && age < now.Sub(sent) {
+				t.Fatalf("a message of %s ago is %s old at the most", now.Sub(sent), age)
+			}
+		}
+	})
+}
--- a/internal/node/calls/confirm.go
+++ b/internal/node/calls/confirm.go
@@ -28,18 +28,18 @@
 	mu sync.Mutex
 	// after is how old the proof may be.
 	after time.Duration
-	// at is when the caller was present for the last time that is known, as estimated, and
-	// earliest the earliest time that it can have been; zero if that is not known.
-	at, earliest time.Time
+	// at is the earliest time at which the caller can have been present for the last time that is
+	// known; zero if that is not bounded. An estimate would let calls of callers that left pass.
+	at time.Time
 	// askedAt is when the question was sent that has no response yet; zero if there is none.
 	askedAt time.Time
 }
 
-// newCallerProof returns the proof that the call itself is, sent the given time ago.
-func newCallerProof(start *wire.CallStart, sentAt time.Time, ask func()) *callerProof {
+// newCallerProof returns the proof for a call, which does not count before provedByCall or renew.
+func newCallerProof(start *wire.CallStart, ask func()) *callerProof {
 	return &callerProof{
 		answers: start.ConfirmAfterMs > 0, after: time.Duration(start.ConfirmAfterMs) * time.Millisecond,
-		at: sentAt, ask: ask, changed: make(chan struct{}, 1),
+		ask: ask, changed: make(chan struct{}, 1),
 	}
 }
 
@@ -53,21 +53,11 @@
 	return now.Sub(p.at) <= p.after
 }
 
-// ages returns how old the newest proof is, as estimated and at the most. ok is false if that is
-// not bounded.
-func (p *callerProof) ages(now time.Time) (estimated, atMost time.Duration, ok bool) {
+// age returns how old the newest proof is at the most.
+func (p *callerProof) age(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Sub(p.at), now.Sub(p.earliest), !p.earliest.IsZero()
-}
-
-// bound notes when the caller was present at the earliest.
-func (p *callerProof) bound(earliest time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if earliest.After(p.earliest) {
-		p.earliest = earliest
-	}
+	return now.Sub(p.at)
 }
 
 // due reports whether a heartbeat should ask for a proof, and notes that it does.
@@ -105,7 +95,16 @@
 	return askedAt, !askedAt.IsZero()
 }
 
-// renew notes that the caller was present at the time.
+// provedByCall notes that the caller was present when its call was sent, at that time at the earliest.
+func (p *callerProof) provedByCall(sentAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at.IsZero() {
+		p.at = sentAt
+	}
+}
+
+// renew notes that the caller was present, at the given time at the earliest.
 func (p *callerProof) renew(at time.Time) {
 	p.mu.Lock()
 	if at.After(p.at) {
@@ -132,12 +131,10 @@
 		return
 	}
 	now := r.options.BootTime()
-	delay := r.transit.confirmed(c.start.Id, askedAt, time.UnixMilli(int64(frame.ConfirmedMs)), now)
-	closed := time.Duration(frame.ClosedMs) * time.Millisecond
+	r.transit.confirmed(c.start.Id, askedAt, time.UnixMilli(int64(frame.ConfirmedMs)), now)
 	if age, ok := r.transit.age(c.start.Id, frame.ConfirmedMs, now); ok {
-		c.proof.bound(now.Add(-age - closed))
+		c.proof.renew(now.Add(-age - time.Duration(frame.ClosedMs)*time.Millisecond))
 	}
-	c.proof.renew(now.Add(-delay - closed))
 }
 
 // awaitProof waits until there is a fresh proof that the caller waits. It returns false if none
--- a/internal/node/calls/confirm_test.go
+++ b/internal/node/calls/confirm_test.go
@@ -128,7 +128,7 @@
 // TestCallOfEarlierReleaseIsRefused checks that the call of an entry that gives no proofs counts as
 // confirmed.
 func TestCallOfEarlierReleaseIsRefused(t *testing.T) {
-	p := newCallerProof(&wire.CallStart{}, time.Unix(0, 0), func() { t.Error("the entry is asked") })
+	p := newCallerProof(&wire.CallStart{}, func() { t.Error("the entry is asked") })
 	if now := time.Unix(1000, 0); !p.fresh(now) || p.due(now) {
 		t.Fatal("the call needs a proof")
 	}
@@ -162,7 +162,9 @@
 	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
 	dialer.each((*faultConn).releaseHeld)
 	gate := f.nodes[1].runner
-	f.waitFor("the gate has ended the call", func() bool { return gate.streamsServed.Load() > 0 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0 })
+	f.waitFor("the gate has ended the call", func() bool {
+		return gate.streamsServed.Load() > 0 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0
+	})
 	f.is.Equal(runs.Load(), int64(0))
 }
 
@@ -196,6 +198,8 @@
 	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
 	dialer.each((*faultConn).releaseHeld)
 	gate := f.nodes[1].runner
-	f.waitFor("the gate has ended the calls", func() bool { return gate.streamsServed.Load() > 1 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0 })
+	f.waitFor("the gate has ended the calls", func() bool {
+		return gate.streamsServed.Load() > 1 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0
+	})
 	f.is.Equal(runs.Load(), int64(1))
 }
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -85,10 +85,10 @@
 		response:     newResponseBuffer(r.options.Settings.BufferBytes),
 		receivedAt:   receivedAt,
 		delayKnown:   known,
-		proof:        newCallerProof(start, receivedAt.Add(-delay), ask),
+		proof:        newCallerProof(start, ask),
 	}
 	if age, ok := r.transit.age(start.Id, start.SentMs, receivedAt); ok {
-		c.proof.bound(receivedAt.Add(-age))
+		c.proof.provedByCall(receivedAt.Add(-age))
 	}
 	if start.AimMs > 0 {
 		c.softDeadline = r.options.Now().Add(time.Duration(start.AimMs)*time.Millisecond - delay)
--- a/internal/node/calls/transit.go
+++ b/internal/node/calls/transit.go
@@ -35,14 +35,14 @@
 	return d.machine.Delay(start.Id.GetEntry(), start.Id.GetEntryIncarnation(), sent, received), known
 }
 
-// confirmed returns for how long a confirmation was held up.
-func (d *transitDelays) confirmed(id *wire.CallID, asked, answered, received time.Time) time.Duration {
+// confirmed learns from a confirmation.
+func (d *transitDelays) confirmed(id *wire.CallID, asked, answered, received time.Time) {
 	if d.own(id) {
-		return max(0, received.Sub(answered))
+		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.Exchanged(id.GetEntry(), id.GetEntryIncarnation(), asked, answered, received)
+	d.machine.Exchanged(id.GetEntry(), id.GetEntryIncarnation(), asked, answered, received)
 }
 
 // age returns how long ago the entry sent a message, at the most; ok is false if that is not known.
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -36,20 +36,13 @@
 		return
 	}
 	now := r.options.BootTime()
-	estimated, atMost, ok := c.proof.ages(now)
-	if ok {
-		r.metrics.proofAge.Update(atMost.Seconds())
-	}
-	if ok && atMost <= unconfirmedAfter {
+	age := c.proof.age(now)
+	r.metrics.proofAge.Update(age.Seconds())
+	if age <= unconfirmedAfter {
 		return
 	}
-	bound := int64(-1)
-	if ok {
-		bound = atMost.Milliseconds()
-	}
 	r.failedLog.event(logging.CallerUnconfirmed, wireHeaderValue(c.start.Headers, r.options.Contract.RequestID)).
-		Str("entry", c.id.Entry).Int("proof_ms", estimated.Milliseconds()).Int("proof_at_most_ms", bound).
-		Int("write_ms", now.Sub(c.checkedAt).Milliseconds()).Send()
+		Str("entry", c.id.Entry).Int("proof_ms", age.Milliseconds()).Int("write_ms", now.Sub(c.checkedAt).Milliseconds()).Send()
 }
 
 // mayWrite returns an error if nobody waits for the response any more.
