An entry states when it last saw its caller, not when it sent that

A caller that closed its sending side and then acknowledged a response before this one seemed to have closed just now. Where the kernel says nothing, a close that was read was not stated at all.

Change: the time is taken before the check, the age of the check counts with a call, and a close counts from its read if that is earlier.

TestStallAfterCheckCountsAsPresence (both cases) and TestAcknowledgementHidesWhenCallerClosed fail on the code before and pass now.

--- a/internal/node/calls/callercheck.go
+++ b/internal/node/calls/callercheck.go
@@ -62,7 +62,16 @@
 	return time.Since(c.callerClosedAt)
 }
 
+// unseenFor returns for how long the caller may have been gone: since its close, or since the last
+// check.
+func (c *callerRequest) unseenFor() time.Duration {
+	c.mu.Lock()
+	checkedAt := c.callerCheckedAt
+	c.mu.Unlock()
+	return max(c.closedFor(), time.Since(checkedAt))
+}
+
 // confirmAfterMs returns for how long from now on the caller may be taken as present.
 func (c *callerRequest) confirmAfterMs() uint32 {
-	return uint32(max(time.Millisecond, confirmAfter-c.closedFor()).Milliseconds())
+	return uint32(max(time.Millisecond, confirmAfter-c.unseenFor()).Milliseconds())
 }
--- a/internal/node/calls/confirm.go
+++ b/internal/node/calls/confirm.go
@@ -193,6 +193,8 @@
 // call taken back: one that is not idempotent only if it does not run yet.
 func (a *attempt) confirmCaller() {
 	c, now := a.request, a.runner.options.Now()
+	// The process may stand still after the check.
+	asOf := a.runner.options.BootTime()
 	c.checkCaller()
 	switch {
 	case c.ctx.Err() != nil || !now.Before(c.deadline):
@@ -201,7 +203,7 @@
 		_ = a.stream.Send(&wire.CallFrame{Recall: true})
 	default:
 		_ = a.stream.Send(&wire.CallFrame{
-			ConfirmedMs: uint64(a.runner.options.BootTime().UnixMilli()),
+			ConfirmedMs: uint64(asOf.UnixMilli()),
 			ClosedMs:    uint32(c.closedFor().Milliseconds()),
 		})
 	}
--- a/internal/node/calls/confirm_test.go
+++ b/internal/node/calls/confirm_test.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"jasminegate/internal/coordination/transit"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/wire"
@@ -203,3 +206,34 @@
 	})
 	f.is.Equal(runs.Load(), int64(1))
 }
+
+// TestStallAfterCheckCountsAsPresence lets an entry stand still between its check of the caller and the
+// time that it states: the caller may have left meanwhile.
+func TestStallAfterCheckCountsAsPresence(t *testing.T) {
+	const stall = 200 * time.Millisecond
+	t.Run("call", func(t *testing.T) {
+		c := &callerRequest{callerCheckedAt: time.Now().Add(-stall)}
+		if after := c.confirmAfterMs(); time.Duration(after)*time.Millisecond > confirmAfter-stall {
+			t.Fatalf("the caller counts as present for %d ms", after)
+		}
+	})
+	t.Run("confirmation", func(t *testing.T) {
+		is := is.New(t)
+		stated := time.Now()
+		stream := make(frameRecorder, 1)
+		boot := func() time.Time { stated = time.Now(); return stated }
+		c := &callerRequest{ctx: context.Background(), deadline: time.Now().Add(testTimeout)}
+		(&attempt{runner: &Runner{options: Options{Now: time.Now, BootTime: boot}}, request: c, stream: stream}).confirmCaller()
+		is.Equal((<-stream).ConfirmedMs, uint64(stated.UnixMilli()))
+		is.True(!stated.After(c.callerCheckedAt))
+	})
+}
+
+// frameRecorder is a stream to a gate that keeps what is sent.
+type frameRecorder chan *wire.CallFrame
+
+func (r frameRecorder) Send(frame *wire.CallFrame) error { r <- frame; return nil }
+
+func (r frameRecorder) Recv() (*wire.AnswerFrame, error) { return nil, io.EOF }
+
+func (r frameRecorder) Close() error { return nil }
--- a/internal/transport/callerconn/peer.go
+++ b/internal/transport/callerconn/peer.go
@@ -33,5 +33,9 @@
 		return Peer{} // the end that the kernel reports is this process's own
 	}
 	peer, _ := peerOf(conn)
+	if c.inputClosed {
+		// An acknowledgement of the caller makes the kernel's age less.
+		peer.Closed, peer.CloseAge = true, max(peer.CloseAge, time.Since(c.inputClosedAt))
+	}
 	return peer
 }
--- a/internal/transport/callerconn/peer_test.go
+++ b/internal/transport/callerconn/peer_test.go
@@ -59,3 +59,39 @@
 	c.onStateChange(http.StateActive)
 	is.Equal(c.Peer(), Peer{})
 }
+
+// TestAcknowledgementHidesWhenCallerClosed lets a caller acknowledge a response after it has closed its
+// sending side, as one that has sent requests behind it does: the age counts from the close.
+func TestAcknowledgementHidesWhenCallerClosed(t *testing.T) {
+	const closedFor = 300 * time.Millisecond
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	conn, err := NewTracker(func() Limits { return Limits{Header: longLimit, Idle: longLimit} }).Listen(listener).Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	c := conn.(*Conn)
+	_, err = io.WriteString(caller, request)
+	is.NoErr(err)
+	_, err = c.Read(make([]byte, len(request)))
+	is.NoErr(err)
+	c.onStateChange(http.StateActive)
+	c.RequestRead()
+	closed := make(chan struct{})
+	c.OnInputClosed(func() { close(closed) })
+	go func() { _, _ = c.Read(make([]byte, disconnectReadBytes)) }()
+	is.NoErr(caller.(*net.TCPConn).CloseWrite())
+	<-closed
+	time.Sleep(closedFor)
+	_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	_, err = caller.Read(make([]byte, 1))
+	is.NoErr(err)
+	peer := c.Peer()
+	is.True(peer.Closed)
+	is.True(peer.CloseAge >= closedFor)
+}
