A refusal that a target writes once more is not taken for the next request's

Reported by an operator: a faulty target wrote an earlier refusal once more on a kept connection. What callers saw here: 503, "not run, try again", for requests that had run, and requests that are not idempotent ran at two targets.

Cause: a response without an ID counted as that of the present request, and one with the request's own ID did, although the same request may have been refused on that connection before.

A request is not sent on a connection that carried it before. For requests without an ID, a refusal counts only on a connection that had none.

Evidence, on the code before: TestEarlierRefusalIsTakenForNextRequest fails for refusals without an ID (a POST ran twice and its caller was told 503), and TestEarlierRefusalOfSameRequestIsTakenForNewOne. Refusals with the earlier request's ID were told apart before.

Left: of a connection's IDs the last 32 are remembered, and a refusal without a body may be noted only after the next request without an ID has taken its connection.

--- a/internal/node/calls/targetconn.go
+++ b/internal/node/calls/targetconn.go
@@ -20,15 +20,26 @@
 	matched atomic.Int32
 	// user is the request that took the connection last, or discarded.
 	user atomic.Pointer[writeTracker]
+	// refused is set once a response on the connection refused its request.
+	refused atomic.Bool
+	// carried are the IDs of the requests that took the connection. Only the request that takes it
+	// uses them.
+	carried requestIDs
 }
 
 // discarded is the user of a connection that takes no further request.
 var discarded = &writeTracker{}
 
 // take notes that the request uses the connection, unless it has been discarded: then
-// it fails at its first write, with no byte written.
+// it fails at its first write, with no byte written. So does a request that the connection has
+// carried before: a refusal that the target repeats could not be told from its response.
 func (c *targetConn) take(user *writeTracker) {
 	c.matched.Store(0)
+	if !c.carried.add(user.check.requestID) {
+		c.user.Store(discarded)
+		_ = c.Close()
+		return
+	}
 	if previous := c.user.Load(); previous != discarded {
 		c.user.CompareAndSwap(previous, user)
 	}
