An entry counts a caller's close from when the caller was last seen

A confirmation stated each time that the caller had closed just now, so that its call could be written up to 650 ms after the close.

Change: a close counts from the last check that saw the caller there, or from the request's arrival.

--- a/internal/node/calls/callercheck.go
+++ b/internal/node/calls/callercheck.go
@@ -31,10 +31,14 @@
 	now := time.Now()
 	peer := callerconn.FromContext(c.ctx).Peer()
 	c.mu.Lock()
-	c.callerCheckedAt, c.callerClosedAt = now, time.Time{}
-	if peer.Closed {
-		c.callerClosedAt = now.Add(-peer.CloseAge)
+	if peer.Closed && c.callerClosedAt.IsZero() {
+		// The kernel's age may be too small: the close may have come right after the last check.
+		c.callerClosedAt = c.receivedAt
+		if !c.callerCheckedAt.IsZero() {
+			c.callerClosedAt = c.callerCheckedAt
+		}
 	}
+	c.callerCheckedAt = now
 	c.mu.Unlock()
 	switch {
 	case peer.Reset:
@@ -52,7 +56,8 @@
 	return r.giveUpReason()
 }
 
-// closedFor returns for how long the caller's sending side was closed when it was last checked.
+// closedFor returns for how long the caller's sending side can have been closed; 0 if it was open at
+// the last check.
 func (c *callerRequest) closedFor() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -97,7 +97,8 @@
 	mu        sync.Mutex
 	bodyError error
 	// callerCheckedAt is when the kernel was last asked for the state of the caller's connection.
-	// callerClosedAt is when the caller closed its sending side; zero if it was open then.
+	// callerClosedAt is when the caller closed its sending side, at the earliest; zero if it was
+	// open then.
 	callerCheckedAt, callerClosedAt time.Time
 }
 
--- a/internal/node/calls/confirm_test.go
+++ b/internal/node/calls/confirm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"jasminegate/internal/coordination/transit"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/transport/callerconn"
 )
 
 // delayed reports whether a connection delays a write.
@@ -237,3 +239,31 @@
 func (r frameRecorder) Recv() (*wire.AnswerFrame, error) { return nil, io.EOF }
 
 func (r frameRecorder) Close() error { return nil }
+
+// TestAgeOfCloseIsTakenFromKernel lets the kernel's age of a caller's close be too small: the close must
+// count from the last time that the caller is known to have been there.
+func TestAgeOfCloseIsTakenFromKernel(t *testing.T) {
+	const closedFor = 200 * time.Millisecond
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	conn, err := callerconn.NewTracker(func() callerconn.Limits { return callerconn.Limits{Header: testTimeout, Idle: testTimeout} }).Listen(listener).Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	c := &callerRequest{ctx: conn.(*callerconn.Conn).NewContext(context.Background()), receivedAt: time.Now(), body: &requestBody{}}
+	c.checkCaller()
+	is.Equal(c.closedFor(), time.Duration(0))
+	is.NoErr(caller.(*net.TCPConn).CloseWrite())
+	time.Sleep(closedFor)
+	_, err = io.WriteString(conn, "bytes that the caller acknowledges")
+	is.NoErr(err)
+	_, err = caller.Read(make([]byte, 1))
+	is.NoErr(err)
+	c.checkCaller()
+	is.True(c.closedFor() >= closedFor)
+	is.True(time.Duration(c.confirmAfterMs())*time.Millisecond <= confirmAfter-closedFor)
+}
