Odd records in the directory of nodes are skipped

Reported by an operator: one odd entry of another writer, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or kept them from following it.

Taken were addresses without a port or with one above 65535, slots beyond any target's, a record under another node's key, and an incarnation or revision of 2^64-1. After the latter, the node's next incarnation wraps to one below the record, and a node that is told of the record takes itself for replaced, by reading.

Change: such records are skipped when they are read, from the store and from other nodes.

--- a/internal/node/members/codec.go
+++ b/internal/node/members/codec.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"net"
+	"strconv"
 	"time"
 
 	"jasminegate/internal/coordination/membership"
@@ -49,6 +51,14 @@
 	return converted
 }
 
+const (
+	// maxIncarnation bounds the incarnations and revisions of records. Incarnations are times in
+	// nanoseconds; a greater one would leave none for this node's next start.
+	maxIncarnation = 1 << 62
+	// maxPort is the greatest port of TCP.
+	maxPort = 1<<16 - 1
+)
+
 // membersFromWire skips invalid records, which no node could have written.
 func membersFromWire(members []*wire.Member) []membership.Member {
 	var converted []membership.Member
@@ -75,16 +85,32 @@
 }
 
 func validMember(m *wire.Member) bool {
-	if m.GetId() == "" || m.GetDomain() == "" || m.GetControlAddress() == "" {
+	if m.GetId() == "" || m.GetDomain() == "" || !validAddress(m.GetControlAddress()) {
+		return false
+	}
+	if m.GetCallsAddress() != "" && !validAddress(m.GetCallsAddress()) {
+		return false
+	}
+	if m.GetIncarnation() > maxIncarnation || m.GetRevision() > maxIncarnation || m.GetSlots() > state.MaxSlots {
 		return false
 	}
-	state := m.GetState()
-	if state < uint32(membership.Alive) || state > uint32(membership.Left) {
+	memberState := m.GetState()
+	if memberState < uint32(membership.Alive) || memberState > uint32(membership.Left) {
 		return false
 	}
 	return m.GetTargetState() <= uint32(membership.TargetDraining)
 }
 
+// validAddress reports whether the address is a host and a port that can be dialled.
+func validAddress(address string) bool {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	port, err := strconv.Atoi(text)
+	return err == nil && port > 0 && port <= maxPort
+}
+
 func summariesToWire(summaries []membership.Summary) []*wire.Summary {
 	var converted []*wire.Summary
 	for _, s := range summaries {
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -312,11 +312,29 @@
 			logger.Event(logging.MalformedMessage).Str("stream", platformlog.StreamMembers).Err(err).Send()
 			continue
 		}
+		if err := checkKey(record.Key, roster); err != nil {
+			logger.Event(logging.MalformedMessage).Str("stream", platformlog.StreamMembers).Err(err).Send()
+			continue
+		}
 		rosters = append(rosters, roster)
 	}
 	return rosters
 }
 
+// checkKey returns an error if the record is under the key of another node than the one that it
+// describes.
+func checkKey(key string, roster *wire.Roster) error {
+	if key == "" {
+		return nil // the stream has no keys
+	}
+	for _, member := range roster.GetMembers() {
+		if member.GetId() != key {
+			return errRecordKey.New("record of node %q under the key %q: it is skipped, each node writes its own", member.GetId(), key)
+		}
+	}
+	return nil
+}
+
 func membersOf(rosters []*wire.Roster) []membership.Member {
 	var members []membership.Member
 	for _, roster := range rosters {
--- a/internal/node/members/directory_test.go
+++ b/internal/node/members/directory_test.go
@@ -59,8 +59,8 @@
 		return platformlog.Batch{}, platformlog.ErrUnavailable.New("out")
 	}
 	var batch platformlog.Batch
-	for _, data := range d.records {
-		batch.Records = append(batch.Records, platformlog.Record{Data: data})
+	for key, data := range d.records {
+		batch.Records = append(batch.Records, platformlog.Record{Key: key, Data: data})
 	}
 	slices.SortFunc(batch.Records, func(a, b platformlog.Record) int { return strings.Compare(string(a.Data), string(b.Data)) })
 	return batch, nil
--- a/internal/node/members/exchange.go
+++ b/internal/node/members/exchange.go
@@ -17,6 +17,8 @@
 	// ErrOverloaded means that the event queue is full. The configuration runner
 	// reports the same condition of its own queue as peer.ErrBusy.
 	ErrOverloaded = errorx.NewType(Errors, "overloaded")
+
+	errRecordKey = errorx.NewType(Errors, "record_key")
 )
 
 // Exchange responds to a probe from another node. It fails with ErrOverloaded if
--- a/internal/transport/platformlog/log.go
+++ b/internal/transport/platformlog/log.go
@@ -20,6 +20,8 @@
 	Offset int64
 	Time   time.Time // when the platform accepted the record, by its own clock
 	Data   []byte
+	// Key is that of a record of a stream with keys; empty in others.
+	Key string
 	// Skip means that the record has no content for this system; it occupies its
 	// offset only.
 	Skip bool
