A connection that carried a refusal carries no other request

Change: the first status of a response is read where its bytes arrive, before the HTTP client may give the connection to another request. After one that may be a refusal, or an interim one that may precede it, the connection is closed and takes no request. What a target writes there once more reaches nobody, with any ID or none. Only where the contract lets targets refuse calls.

TestEarlierRefusalIsTakenForNextRequest requires now that no request is sent on such a connection; before, that some were.

--- a/internal/node/calls/classify.go
+++ b/internal/node/calls/classify.go
@@ -20,8 +20,8 @@
 )
 
 // classifyResponse classifies a response by its status and the headers of the
-// contract. Earlier responses on its connection may come once more.
-func classifyResponse(contract headers.Contract, request *http.Request, response *http.Response, earlier connHistory) responseClass {
+// contract.
+func classifyResponse(contract headers.Contract, request *http.Request, response *http.Response) responseClass {
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		// Includes 101: no request asks for another protocol, and what follows has no end.
 		return mismatchedResponse
@@ -29,16 +29,11 @@
 	if echoesOther(contract.RequestID, request, response) || echoesOther(contract.CallID, request, response) {
 		return mismatchedResponse
 	}
-	if earlier.reused && !echoes(contract.RequestID, request, response) {
-		return mismatchedResponse
-	}
 	if contract.NotRun == "" {
 		return validResponse
 	}
 	declined := response.Header.Get(contract.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
 	switch {
-	case declined && earlier.refused && requestIDOf(contract, request.Header) == "":
-		return mismatchedResponse // nothing tells it from the earlier refusal
 	case declined && response.StatusCode != http.StatusBadRequest:
 		return notRunResponse
 	case declined:
@@ -55,12 +50,6 @@
 	return validResponse
 }
 
-// echoes reports whether the response has the request's ID in the header, or the contract has no such
-// header.
-func echoes(name string, request *http.Request, response *http.Response) bool {
-	return name == "" || response.Header.Get(name) == request.Header.Get(name)
-}
-
 // echoesOther reports whether the response has another ID in the header than the
 // request. A target may repeat a response late, on a connection that is in use again.
 func echoesOther(name string, request *http.Request, response *http.Response) bool {
@@ -85,7 +74,7 @@
 // carries this request's ID, and has no Content-Encoding. Requests are assumed
 // to ask for none.
 func sealed(contract headers.Contract, request *http.Request, response *http.Response) bool {
-	idMatches := echoes(contract.RequestID, request, response)
+	idMatches := contract.RequestID == "" || response.Header.Get(contract.RequestID) == request.Header.Get(contract.RequestID)
 	marked := contract.ResponseSeal == "" || response.Header.Get(contract.ResponseSeal) != ""
 	return idMatches && marked && response.Header.Get("Content-Encoding") == ""
 }
--- a/internal/node/calls/repeatedrefusal_test.go
+++ b/internal/node/calls/repeatedrefusal_test.go
@@ -22,6 +22,8 @@
 type refusalRepeater struct {
 	// echo returns the ID in the repeated refusal; empty for none.
 	echo func(refused, running string) string
+	// interim precedes each refusal.
+	interim string
 
 	mu      sync.Mutex
 	refused map[net.Conn]string
@@ -36,20 +38,20 @@
 	refused, used := r.refused[conn]
 	if !used {
 		r.refused[conn] = id
-		return writeRefusal(conn, id) == nil
+		return r.refuse(conn, id)
 	}
 	r.runs[id]++
 	r.repeats++
-	return writeRefusal(conn, r.echo(refused, id)) == nil
+	return r.refuse(conn, r.echo(refused, id))
 }
 
-func writeRefusal(conn net.Conn, id string) error {
-	head := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+func (r *refusalRepeater) refuse(conn net.Conn, id string) bool {
+	head := r.interim + "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
 	if id != "" {
 		head += attemptIDHeader + ": " + id + "\r\n"
 	}
 	_, err := io.WriteString(conn, head+"\r\n")
-	return err
+	return err == nil
 }
 
 // TestEarlierRefusalIsTakenForNextRequest lets a target write a refusal once more while it runs the next
@@ -63,16 +65,18 @@
 		echo func(refused, running string) string
 		// unnamed requests have no ID.
 		unnamed bool
+		interim string
 	}{
 		"without an ID":            {echo: func(string, string) string { return "" }},
 		"with its ID":              {echo: func(refused, _ string) string { return refused }},
 		"of a request without one": {echo: func(string, string) string { return "" }, unnamed: true},
+		"behind an interim one":    {echo: func(string, string) string { return "" }, interim: "HTTP/1.1 103 Early Hints\r\n\r\n"},
 	}
 	for name, test := range cases {
 		for _, method := range []string{"POST /file", "GET /read"} {
 			t.Run(method+" "+name, func(t *testing.T) {
 				is := is.New(t)
-				target := &refusalRepeater{echo: test.echo, refused: make(map[net.Conn]string), runs: make(map[string]int)}
+				target := &refusalRepeater{echo: test.echo, interim: test.interim, refused: make(map[net.Conn]string), runs: make(map[string]int)}
 				f := newFleet(t, fleetOptions{nodes: 2, contract: contract, settings: hostileSettings}, nil)
 				for _, node := range f.nodes {
 					newRawTarget(t, target.respond).useAsTarget(node, 8)
@@ -96,7 +100,7 @@
 						t.Fatalf("the request ran %d times", runs)
 					}
 				}
-				is.True(target.repeats > 0) // no connection was used again
+				is.Equal(target.repeats, 0) // a connection was used again after a refusal
 			})
 		}
 	}
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -67,12 +67,12 @@
 	}
 	defer response.Body.Close()
 	t.conns.observeKeepAlive(response.Header)
-	class := classifyResponse(r.options.Contract, request, response, conn.history())
+	class := classifyResponse(r.options.Contract, request, response)
 	r.observeSignals(t, request, response, class)
 	switch class {
 	case notRunResponse:
 		run.end(false)
-		conn.noteRefusal()
+		conn.discard() // the target may write the refusal once more
 		delay := targetRetryAfter(r.options.Now(), response.Header)
 		_ = c.response.add(r.baseCtx, r.refusalFrame(call.NotRun, call.ReasonTargetShed, delay))
 		return gate.RejectedByTarget
--- a/internal/node/calls/targetconn.go
+++ b/internal/node/calls/targetconn.go
@@ -2,11 +2,17 @@
 
 import (
 	"net"
+	"net/http"
 	"sync/atomic"
 )
 
-// responsePrefix begins every response of HTTP/1.
-const responsePrefix = "HTTP/"
+// responsePrefix begins every response of HTTP/1, and statusStart and statusEnd are where its status
+// is: HTTP/1.1 200.
+const (
+	responsePrefix = "HTTP/"
+	statusStart    = len("HTTP/1.1 ")
+	statusEnd      = statusStart + len("200")
+)
 
 // targetConn is a connection to the target. It counts the bytes written, to determine
 // whether any byte of a request left this node.
@@ -15,27 +21,25 @@
 	conns   *targetConns
 	written atomic.Int64
 	closed  atomic.Bool
-	// matched is how many bytes of responsePrefix have been read since the connection
-	// was taken for a request.
-	matched atomic.Int32
+	// matched is how many bytes of a response, up to statusEnd, have been read since the connection
+	// was taken for a request, and status the digits of its status among them.
+	matched, status atomic.Int32
+	// mayRepeat is set once a response may have been a refusal, which the target could write once
+	// more in place of a later response.
+	mayRepeat atomic.Bool
 	// user is the request that took the connection last, or discarded.
 	user atomic.Pointer[writeTracker]
-	// refused is set once a response on the connection refused its request.
-	refused atomic.Bool
-	// carried are the IDs of the requests that took the connection. Only the request that takes it
-	// uses them.
-	carried requestIDs
 }
 
 // discarded is the user of a connection that takes no further request.
 var discarded = &writeTracker{}
 
-// take notes that the request uses the connection, unless it has been discarded: then
-// it fails at its first write, with no byte written. So does a request that the connection has
-// carried before: a refusal that the target repeats could not be told from its response.
+// take notes that the request uses the connection, unless it has been discarded or may have carried a
+// refusal: then it fails at its first write, with no byte written.
 func (c *targetConn) take(user *writeTracker) {
 	c.matched.Store(0)
-	if !c.carried.add(user.check.requestID) {
+	c.status.Store(0)
+	if c.mayRepeat.Load() {
 		c.user.Store(discarded)
 		_ = c.Close()
 		return
@@ -57,20 +61,42 @@
 // of the line.
 func (c *targetConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	matched := c.matched.Load()
-	for _, read := range data[:n] {
-		if int(matched) == len(responsePrefix) {
-			break
+	if !c.scanHead(data[:n]) {
+		// With the bytes, since the HTTP client sends some requests again if it
+		// gets an error alone.
+		return n, errNoResponse.New("the target sent bytes that are no HTTP response: check the target")
+	}
+	return n, err
+}
+
+// scanHead follows the response up to its status. It returns false for bytes that begin none. The
+// status is known here before the HTTP client may give the connection to another request.
+func (c *targetConn) scanHead(data []byte) bool {
+	at, status := int(c.matched.Load()), c.status.Load()
+	if at == statusEnd {
+		return true
+	}
+	for _, read := range data[:min(len(data), statusEnd-at)] {
+		if at < len(responsePrefix) && read != responsePrefix[at] {
+			return false
 		}
-		if read != responsePrefix[matched] {
-			// With the bytes, since the HTTP client sends some requests again if it
-			// gets an error alone.
-			return n, errNoResponse.New("the target sent bytes that are no HTTP response: check the target")
+		if at >= statusStart {
+			status = 10*status + int32(read) - '0'
 		}
-		matched++
+		at++
 	}
-	c.matched.Store(matched)
-	return n, err
+	c.status.Store(status)
+	c.matched.Store(int32(at))
+	if at == statusEnd && c.conns.targetRefuses && mayRefuse(int(status)) {
+		c.mayRepeat.Store(true)
+	}
+	return true
+}
+
+// mayRefuse reports whether a response that begins with the status may refuse its request. An
+// interim response may precede a refusal.
+func mayRefuse(status int) bool {
+	return impliesNotRun(status) || status == http.StatusMisdirectedRequest || status < minStatus
 }
 
 // Write counts the bytes written, those of a failed write included. It fails without writing
--- a/internal/node/calls/targetconns.go
+++ b/internal/node/calls/targetconns.go
@@ -35,6 +35,8 @@
 type targetConns struct {
 	limit int64
 	open  atomic.Int64
+	// targetRefuses is set if responses of the target may say that it did not run the request.
+	targetRefuses bool
 	// pooled reuses connections for idempotent calls until its idle timeout, which
 	// follows what the target states.
 	pooled atomic.Pointer[http.Transport]
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -16,7 +16,6 @@
 // process had no processor time.
 func (r *Runner) newWriteCheck(c *gateCall, header http.Header) writeCheck {
 	return writeCheck{
-		requestID: requestIDOf(r.options.Contract, header),
 		connected: func() { setIfPresent(header, r.options.Contract.Timeout, c.remainingMs(r.options.Now())) },
 		mayWrite: func() error {
 			err := r.mayWrite(c)
--- a/internal/node/calls/writetracker.go
+++ b/internal/node/calls/writetracker.go
@@ -7,8 +7,6 @@
 
 // writeCheck decides whether a request may still be written to the target.
 type writeCheck struct {
-	// requestID is the ID by which the target's response names the request; empty if it does not.
-	requestID string
 	// connected is called once the request has a connection, before its headers are encoded.
 	connected func()
 	// mayWrite is called immediately before the first byte is written. It may wait.
@@ -105,27 +103,6 @@
 	return w.sentBefore || w.conn != nil && w.conn.written.Load() > w.before
 }
 
-// connHistory is what a connection carried before a request.
-type connHistory struct {
-	// reused is set if there was another request, and refused if one is known to have been refused.
-	reused, refused bool
-}
-
-// history returns what the connection carried before the request.
-func (w *writeTracker) history() connHistory {
-	if w.conn == nil {
-		return connHistory{reused: true}
-	}
-	return connHistory{reused: w.before > 0, refused: w.conn.refused.Load()}
-}
-
-// noteRefusal notes that the response was a refusal.
-func (w *writeTracker) noteRefusal() {
-	if w.conn != nil {
-		w.conn.refused.Store(true)
-	}
-}
-
 // discard closes a connection on which bytes arrived that belong to no request. After a
 // response without a body it is in the pool again, and may have another user.
 func (w *writeTracker) discard() {
--- a/internal/protocol/headers/contract.go
+++ b/internal/protocol/headers/contract.go
@@ -19,8 +19,7 @@
 	// IdempotencyKey identifies a call across the caller's retries.
 	IdempotencyKey string
 	// RequestID holds the caller's ID of the request. It is forwarded unchanged; a
-	// response with another ID belongs to another request, and so may one without an ID on a
-	// connection that has carried others.
+	// response with another ID belongs to another request.
 	RequestID string
 	// NestedSeparator separates, in the RequestID of a nested call, the ID of the
 	// running request that made the call from the rest. Without a separator, nested
