An entry does not answer for a caller that closed too long ago to be confirmed

The gate then got a response that did not help and asked again at once, as fast as the two nodes exchange messages.

Change: there is no response in that case; the call is taken back when the grace is over, or the gate gives up waiting. Also, SetTarget states in place whether the target may refuse calls.

TestGateAsksAgainAndAgainAboutClosedCaller fails on the code before and passes now.

--- a/internal/node/calls/confirm.go
+++ b/internal/node/calls/confirm.go
@@ -201,6 +201,9 @@
 		_ = a.stream.Send(&wire.CallFrame{Cancel: true})
 	case c.inputEnded.Load():
 		_ = a.stream.Send(&wire.CallFrame{Recall: true})
+	case c.closedFor() >= confirmAfter:
+		// No proof would be fresh, and the gate would ask again at once. The call is taken back at
+		// the end of inputClosedGrace.
 	default:
 		_ = a.stream.Send(&wire.CallFrame{
 			ConfirmedMs: uint64(asOf.UnixMilli()),
--- a/internal/node/calls/confirm_test.go
+++ b/internal/node/calls/confirm_test.go
@@ -245,21 +245,12 @@
 func TestAgeOfCloseIsTakenFromKernel(t *testing.T) {
 	const closedFor = 200 * time.Millisecond
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
-	caller, err := net.Dial("tcp", listener.Addr().String())
-	is.NoErr(err)
-	defer caller.Close()
-	conn, err := callerconn.NewTracker(func() callerconn.Limits { return callerconn.Limits{Header: testTimeout, Idle: testTimeout} }).Listen(listener).Accept()
-	is.NoErr(err)
-	defer conn.Close()
-	c := &callerRequest{ctx: conn.(*callerconn.Conn).NewContext(context.Background()), receivedAt: time.Now(), body: &requestBody{}}
+	c, caller, conn := newConnectedRequest(t)
 	c.checkCaller()
 	is.Equal(c.closedFor(), time.Duration(0))
-	is.NoErr(caller.(*net.TCPConn).CloseWrite())
+	is.NoErr(caller.CloseWrite())
 	time.Sleep(closedFor)
-	_, err = io.WriteString(conn, "bytes that the caller acknowledges")
+	_, err := io.WriteString(conn, "bytes that the caller acknowledges")
 	is.NoErr(err)
 	_, err = caller.Read(make([]byte, 1))
 	is.NoErr(err)
@@ -267,3 +258,37 @@
 	is.True(c.closedFor() >= closedFor)
 	is.True(time.Duration(c.confirmAfterMs())*time.Millisecond <= confirmAfter-closedFor)
 }
+
+// newConnectedRequest returns a request with the two ends of its caller's connection, which nobody reads.
+func newConnectedRequest(t *testing.T) (c *callerRequest, caller *net.TCPConn, conn net.Conn) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	conn, err = callerconn.NewTracker(func() callerconn.Limits { return callerconn.Limits{Header: testTimeout, Idle: testTimeout} }).Listen(listener).Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { _, _ = dialled.Close(), conn.Close() })
+	ctx := conn.(*callerconn.Conn).NewContext(context.Background())
+	c = &callerRequest{ctx: ctx, receivedAt: time.Now(), deadline: time.Now().Add(testTimeout), body: &requestBody{}}
+	return c, dialled.(*net.TCPConn), conn
+}
+
+// TestGateAsksAgainAndAgainAboutClosedCaller asks for a caller whose close may be too old for any proof
+// to be fresh: a response would lead to the next question.
+func TestGateAsksAgainAndAgainAboutClosedCaller(t *testing.T) {
+	is := is.New(t)
+	c, caller, _ := newConnectedRequest(t)
+	stream := make(frameRecorder, 1)
+	a := &attempt{runner: &Runner{options: Options{Now: time.Now, BootTime: time.Now}}, request: c, stream: stream}
+	a.confirmCaller()
+	is.True((<-stream).ConfirmedMs != 0)
+	c.callerCheckedAt = time.Now().Add(-confirmAfter)
+	is.NoErr(caller.CloseWrite())
+	for !callerconn.FromContext(c.ctx).Peer().Closed {
+		time.Sleep(time.Millisecond)
+	}
+	a.confirmCaller()
+	is.Equal(len(stream), 0)
+}
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -41,13 +41,6 @@
 	return &target{Target: announced, conns: newTargetConns(announced.Connections)}
 }
 
-// newTarget returns the target with new connections.
-func (r *Runner) newTarget(announced Target) *target {
-	t := newTarget(announced)
-	t.conns.targetRefuses = r.options.Contract.NotRun != ""
-	return t
-}
-
 // SetTarget applies what the target announced. If its address, instance or
 // connection limit changed, idle connections are closed and new requests use new
 // ones; requests in flight continue.
@@ -60,7 +53,9 @@
 	current := r.target.Load()
 	switch {
 	case current == nil || current.Address != announced.Address || !current.Process().Same(announced.Process()) || current.Connections != announced.Connections:
-		r.target.Store(r.newTarget(announced))
+		next := newTarget(announced)
+		next.conns.targetRefuses = r.options.Contract.NotRun != ""
+		r.target.Store(next)
 		if current != nil {
 			current.conns.closeIdle()
 		}
