--- a/internal/node/calls/confirm_test.go
+++ b/internal/node/calls/confirm_test.go
@@ -146,6 +146,26 @@
 	}
 }
 
+// leaveBeforeArrival lets the caller leave, and the frames that are held back arrive after the time; what
+// its entry sends then follows later.
+func (f *fleet) leaveBeforeArrival(caller net.Conn, dialer *faultDialer, heldUp time.Duration) {
+	held := map[*faultConn]int{}
+	dialer.each(func(c *faultConn) { held[c] = c.delayedBytes() })
+	f.is.NoErr(caller.Close())
+	time.Sleep(heldUp)
+	dialer.each(func(c *faultConn) { c.releaseFirst(held[c]) })
+	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
+	dialer.each((*faultConn).releaseHeld)
+}
+
+// waitForCalls waits until the second node's gate has ended so many calls and has no other.
+func (f *fleet) waitForCalls(count int64) {
+	gate := f.nodes[1].runner
+	f.waitFor("the gate has ended the calls", func() bool {
+		return gate.streamsServed.Load() >= count && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0
+	})
+}
+
 // TestSlowConfirmationHidesThatCallerLeft holds back the confirmation of the first call of an entry's
 // process, and what follows it, until the caller has left for longer than calls may reach targets.
 func TestSlowConfirmationHidesThatCallerLeft(t *testing.T) {
@@ -159,17 +179,8 @@
 	f.waitFor("the call is sent", dialer.delayed)
 	dialer.each(func(c *faultConn) { c.releaseFirst(c.delayedBytes()) })
 	f.waitFor("the call is confirmed", dialer.delayed)
-	confirmation := map[*faultConn]int{}
-	dialer.each(func(c *faultConn) { confirmation[c] = c.delayedBytes() })
-	f.is.NoErr(conn.Close())
-	time.Sleep(heldUp)
-	dialer.each(func(c *faultConn) { c.releaseFirst(confirmation[c]) })
-	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
-	dialer.each((*faultConn).releaseHeld)
-	gate := f.nodes[1].runner
-	f.waitFor("the gate has ended the call", func() bool {
-		return gate.streamsServed.Load() > 0 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0
-	})
+	f.leaveBeforeArrival(conn, dialer, heldUp)
+	f.waitForCalls(1)
 	f.is.Equal(runs.Load(), int64(0))
 }
 
@@ -195,17 +206,8 @@
 	dialer.each((*faultConn).delayWrites)
 	conn := f.sendRaw("GET /read/second HTTP/1.1\r\nHost: a.example\r\n\r\n")
 	f.waitFor("the second call is sent", dialer.delayed)
-	sent := map[*faultConn]int{}
-	dialer.each(func(c *faultConn) { sent[c] = c.delayedBytes() })
-	f.is.NoErr(conn.Close())
-	time.Sleep(heldUp)
-	dialer.each(func(c *faultConn) { c.releaseFirst(sent[c]) })
-	time.Sleep(50 * time.Millisecond) // a call without a check is at its target by then
-	dialer.each((*faultConn).releaseHeld)
-	gate := f.nodes[1].runner
-	f.waitFor("the gate has ended the calls", func() bool {
-		return gate.streamsServed.Load() > 1 && gate.activeStreams.Load() == 0 && gate.gate.load.Load() == 0
-	})
+	f.leaveBeforeArrival(conn, dialer, heldUp)
+	f.waitForCalls(2)
 	f.is.Equal(runs.Load(), int64(1))
 }
 
--- a/internal/transport/callerconn/peer_test.go
+++ b/internal/transport/callerconn/peer_test.go
@@ -10,6 +10,22 @@
 	"github.com/matryer/is"
 )
 
+// newTCPConn returns a connection, and its caller's end, which has sent a request.
+func newTCPConn(t *testing.T) (c *Conn, caller *net.TCPConn) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	conn, err := NewTracker(func() Limits { return Limits{Header: longLimit, Idle: longLimit} }).Listen(listener).Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { _, _ = dialled.Close(), conn.Close() })
+	_, err = io.WriteString(dialled, request)
+	is.NoErr(err)
+	return conn.(*Conn), dialled.(*net.TCPConn)
+}
+
 // TestLateReadHidesWhenCallerClosed lets a request and a close wait in the socket's buffer: the
 // ages count from their arrival, although nothing was read.
 func TestLateReadHidesWhenCallerClosed(t *testing.T) {
@@ -25,20 +41,9 @@
 	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer listener.Close()
-			caller, err := net.Dial("tcp", listener.Addr().String())
-			is.NoErr(err)
-			defer caller.Close()
-			conn, err := NewTracker(func() Limits { return Limits{Header: longLimit, Idle: longLimit} }).Listen(listener).Accept()
-			is.NoErr(err)
-			defer conn.Close()
-			c := conn.(*Conn)
-			_, err = io.WriteString(caller, request)
-			is.NoErr(err)
+			c, caller := newTCPConn(t)
 			time.Sleep(unread)
-			is.NoErr(leave(caller.(*net.TCPConn)))
+			is.NoErr(leave(caller))
 			time.Sleep(unread)
 			peer := c.Peer()
 			is.True(peer.DataAge >= 2*unread-tick || peer.Reset)
@@ -65,26 +70,15 @@
 func TestAcknowledgementHidesWhenCallerClosed(t *testing.T) {
 	const closedFor = 300 * time.Millisecond
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
-	caller, err := net.Dial("tcp", listener.Addr().String())
-	is.NoErr(err)
-	defer caller.Close()
-	conn, err := NewTracker(func() Limits { return Limits{Header: longLimit, Idle: longLimit} }).Listen(listener).Accept()
-	is.NoErr(err)
-	defer conn.Close()
-	c := conn.(*Conn)
-	_, err = io.WriteString(caller, request)
-	is.NoErr(err)
-	_, err = c.Read(make([]byte, len(request)))
+	c, caller := newTCPConn(t)
+	_, err := c.Read(make([]byte, len(request)))
 	is.NoErr(err)
 	c.onStateChange(http.StateActive)
 	c.RequestRead()
 	closed := make(chan struct{})
 	c.OnInputClosed(func() { close(closed) })
 	go func() { _, _ = c.Read(make([]byte, disconnectReadBytes)) }()
-	is.NoErr(caller.(*net.TCPConn).CloseWrite())
+	is.NoErr(caller.CloseWrite())
 	<-closed
 	time.Sleep(closedFor)
 	_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
