--- a/internal/coordination/transit/machine_test.go
+++ b/internal/coordination/transit/machine_test.go
@@ -86,8 +86,8 @@
 	is.True(!ok) // another process
 }
 
-// TestAgeIsNeverTooLow draws exchanges and messages of any length.
-func TestAgeIsNeverTooLow(t *testing.T) {
+// TestMessageLooksNewerThanItIs draws exchanges and messages, each of any length.
+func TestMessageLooksNewerThanItIs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := New()
 		const longest = time.Second
