A close that was read with its request may be of any age where the kernel keeps none

Cause, by reading: the entry read the request and the close together, late. The kernel there keeps no ages, so that both counted as new: the call had its whole time, and the close none.

Change: the end of a request that ran for 100 ms shows whether the kernel keeps the age of the last data; after three without one it does not. Then a close that the first check of a request finds counts as too old for a proof, and the call is not written. On kernels with ages nothing changes, and callers that close only their sending side are served as before.

TestCloseBeforeFirstCheckCountsAsNew, TestMissingAgesAreTakenForKept: use what came with the change.

--- a/internal/node/calls/callercheck.go
+++ b/internal/node/calls/callercheck.go
@@ -30,16 +30,7 @@
 func (c *callerRequest) checkCaller() {
 	now := time.Now()
 	peer := callerconn.FromContext(c.ctx).Peer()
-	c.mu.Lock()
-	if peer.Closed && c.callerClosedAt.IsZero() {
-		// The kernel's age may be too small: the close may have come right after the last check.
-		c.callerClosedAt = c.receivedAt
-		if !c.callerCheckedAt.IsZero() {
-			c.callerClosedAt = c.callerCheckedAt
-		}
-	}
-	c.callerCheckedAt = now
-	c.mu.Unlock()
+	c.noteCallerState(now, peer)
 	switch {
 	case peer.Reset:
 		c.cancel(errCallerLeft.New("caller reset its connection: the call is cancelled"))
@@ -48,6 +39,25 @@
 	}
 }
 
+// noteCallerState records what the kernel said of the caller's connection at the given time.
+func (c *callerRequest) noteCallerState(now time.Time, peer callerconn.Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if peer.Closed && c.callerClosedAt.IsZero() {
+		// The kernel's age may be too small: the close may have come right after the last check, or
+		// the request was read late, and before the first one it may be of any age.
+		switch {
+		case !c.callerCheckedAt.IsZero():
+			c.callerClosedAt = c.callerCheckedAt
+		case peer.NoAges:
+			c.callerClosedAt = now.Add(-confirmAfter)
+		default:
+			c.callerClosedAt = c.receivedAt
+		}
+	}
+	c.callerCheckedAt = now
+}
+
 // noAttemptReason returns why mayAttempt reported false.
 func (r *Runner) noAttemptReason(c *callerRequest) call.Reason {
 	if c.attemptsCtx.Err() == nil {
--- a/internal/node/calls/confirm_test.go
+++ b/internal/node/calls/confirm_test.go
@@ -294,3 +294,15 @@
 	a.confirmCaller()
 	is.Equal(len(stream), 0)
 }
+
+// TestCloseBeforeFirstCheckCountsAsNew reads a request and its caller's close at the same time, on a
+// platform whose kernel keeps no ages: the caller may have left long ago.
+func TestCloseBeforeFirstCheckCountsAsNew(t *testing.T) {
+	is := is.New(t)
+	c := &callerRequest{receivedAt: time.Now()}
+	c.noteCallerState(time.Now(), callerconn.Peer{Closed: true, NoAges: true})
+	is.True(c.closedFor() >= confirmAfter)
+	c = &callerRequest{receivedAt: time.Now()}
+	c.noteCallerState(time.Now(), callerconn.Peer{Closed: true})
+	is.True(c.closedFor() < confirmAfter) // the kernel says when the request arrived
+}
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -37,8 +37,10 @@
 	// lateRead is set once bytes were looked for after the deadline of the present wait. Only
 	// the reader uses it while waiting is set.
 	lateRead bool
-	// waited is how long the connection waited for the present request.
-	waited time.Duration
+	// waited is how long the connection waited for the present request, whose headers were complete
+	// at activeSince.
+	waited      time.Duration
+	activeSince time.Time
 	// written counts the bytes written since the present request's headers were complete.
 	written int64
 	// requestRead is closed once the present request was read to its end; nil while the
@@ -470,13 +472,14 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		c.waited, c.written = time.Since(c.waitingSince), 0
+		c.waited, c.written, c.activeSince = time.Since(c.waitingSince), 0, time.Now()
 		c.waiting, c.hadRequest = false, true
 		c.requestRead = make(chan struct{})
 		c.firstByteAt = time.Time{}
 		c.input.beginRequest()
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	case http.StateIdle:
+		c.judgeAges()
 		c.waiting, c.waitingSince, c.lateRead = true, time.Now(), false
 		c.requestRead = nil
 		c.input.endRequest()
--- a/internal/transport/callerconn/peer_test.go
+++ b/internal/transport/callerconn/peer_test.go
@@ -1,9 +1,11 @@
 package callerconn
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,3 +91,30 @@
 	is.True(peer.Closed)
 	is.True(peer.CloseAge >= closedFor)
 }
+
+// TestMissingAgesAreTakenForKept serves requests on a platform whose kernel keeps ages, and on one where
+// they are always 0.
+func TestMissingAgesAreTakenForKept(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		t.Run(fmt.Sprintf("kept %v", kept), func(t *testing.T) {
+			is := is.New(t)
+			c, _ := newTCPConn(t)
+			if !kept {
+				c.tracker.peerOf = func(conn syscall.Conn) (Peer, bool) {
+					peer, ok := peerOf(conn)
+					peer.DataAge, peer.CloseAge = 0, 0
+					return peer, ok
+				}
+			}
+			_, err := c.Read(make([]byte, len(request)))
+			is.NoErr(err)
+			for range agesMissing {
+				is.True(!c.Peer().NoAges)
+				c.onStateChange(http.StateActive)
+				time.Sleep(agesShownAfter)
+				c.onStateChange(http.StateIdle)
+			}
+			is.Equal(c.Peer().NoAges, !kept)
+		})
+	}
+}
--- a/internal/transport/callerconn/tracker.go
+++ b/internal/transport/callerconn/tracker.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +25,9 @@
 // Tracker knows the open connections of a server for callers.
 type Tracker struct {
 	limits func() Limits
+	// peerOf reads the state that the kernel keeps, and ages says whether that has ages.
+	peerOf func(syscall.Conn) (Peer, bool)
+	ages   atomic.Int32
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -35,7 +40,7 @@
 // NewTracker returns a tracker without connections. limits returns the limits in force;
 // each wait for a request takes them anew, also while it lasts.
 func NewTracker(limits func() Limits) *Tracker {
-	return &Tracker{limits: limits, conns: make(map[*Conn]struct{}), emptied: make(chan struct{})}
+	return &Tracker{limits: limits, peerOf: peerOf, conns: make(map[*Conn]struct{}), emptied: make(chan struct{})}
 }
 
 // Configure sets the server's hooks. The server must serve a listener of Listen.
