Events tell why a node serves nothing, and how its previous incarnation ended

The log told refused settings (105) and failed parts (110), but not a node that stays without a configuration, nor a process that was killed or ended without a line.

Event 213 says that the node refuses every call, what it waits for, and how often the platform failed or a ticket was rejected. Event 100 says how the previous incarnation ended. No decision changes.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -34,6 +34,7 @@
 	TicketUndecodable     = Event{210, log.WarnLevel, "configuration on the platform cannot be translated: the previous configuration stays in force"}
 	ConfigurationAdjusted = Event{212, log.WarnLevel, "configuration has values that this release cannot use as they are written: the nearest ones that it can are in force"}
 	RouteKindUnknown      = Event{211, log.WarnLevel, "kind of a route is not known: its calls are taken for not idempotent"}
+	ConfigurationMissing  = Event{213, log.WarnLevel, "node still has no configuration: it refuses every call"}
 	CheckpointUnusable    = Event{209, log.WarnLevel, "checkpoint cannot be used: the node reads an older one"}
 )
 
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -268,6 +268,31 @@
 	return &leaving.History{At: r.ReadAt}
 }
 
+// End is how an incarnation of a node ended.
+type End string
+
+// Ends of an incarnation, as its successor finds them in the directory.
+const (
+	EndUnknown End = "unknown"
+	EndNone    End = "none"
+	EndStopped End = "stopped"
+	// EndUnplanned stands also for an incarnation that still runs.
+	EndUnplanned End = "ended"
+)
+
+// PreviousEnd returns how the previous incarnation of the node ended.
+func (r Registrations) PreviousEnd(id string) End {
+	switch _, handedOver := r.histories[id]; {
+	case r.ReadAt.IsZero():
+		return EndUnknown
+	case r.Previous(id).Incarnation == 0:
+		return EndNone
+	case handedOver:
+		return EndStopped
+	}
+	return EndUnplanned
+}
+
 // WriteTargetHistory hands the history to the next incarnation of this node. It is called once,
 // after Run.
 func (r *Runner) WriteTargetHistory(ctx context.Context, history leaving.History) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -78,6 +78,7 @@
 		Str("callers", listeners.callers.Addr().String()).
 		Str("control", listeners.control.Addr().String()).
 		Uint("incarnation", node.self.Incarnation).
+		Str("previous", string(node.registrations.PreviousEnd(settings.Node.ID))).
 		Send()
 	return node.run(ctx)
 }
@@ -118,6 +119,7 @@
 	parts.start("rollouts", func() error { return n.rollouts.run(ctx) })
 	parts.start("tenant quotas", func() error { return n.usage.run(ctx) })
 	parts.start("held reports", func() error { return n.confirmReports(ctx) })
+	parts.start("configuration check", func() error { return n.reportMissingConfiguration(ctx) })
 }
 
 func (n *node) startServers(ctx context.Context, parts *parts) {
