Names of other characters than a person would choose kept every node from starting

A platform's names of nodes, failure domains and services are opaque. A name with a space, a slash, a colon, a quote, a letter outside ASCII, or over 64 bytes ended each node at each start with exit code 3, and such a name of a route or service refused the whole configuration.

--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -16,7 +16,7 @@
 
 // maxNameBytes limits the names of nodes, failure domains, services and
 // adapters.
-const maxNameBytes = 64
+const maxNameBytes = state.MaxNameBytes
 
 // Bounds of settings that also follow from what the deployment states, and of the times that it
 // may state.
@@ -257,7 +257,7 @@
 }
 
 func requiredName(key string, get func(*Settings) string) rule {
-	accepted := fmt.Sprintf("1 to %d letters, digits, dots, hyphens, underscores", maxNameBytes)
+	accepted := fmt.Sprintf("1 to %d bytes of printable text", maxNameBytes)
 	return rule{key, accepted, func(s *Settings) (string, string) { return checkName(get(s)) }}
 }
 
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -231,7 +231,7 @@
 	return records
 }
 
-// quarantineKeyPrefix begins the keys of requests in quarantine. No node's ID has a slash.
+// quarantineKeyPrefix begins the keys of requests in quarantine. A fingerprint follows.
 const quarantineKeyPrefix = "quarantine/"
 
 // WriteQuarantine records a request in quarantine for nodes that start, or deletes the record of the
--- a/internal/state/tenant.go
+++ b/internal/state/tenant.go
@@ -7,8 +7,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"unicode"
-	"unicode/utf8"
 )
 
 // Limits of tenants.
@@ -84,22 +82,6 @@
 	return t
 }
 
-// CheckTenantName is CheckName for the name of a tenant, which may be any printable
-// text that fits into a header.
-func CheckTenantName(name string) (text, remedy string) {
-	switch {
-	case name == "":
-		return "is missing", "give it a name"
-	case len(name) > MaxNameBytes:
-		return fmt.Sprintf("has %d bytes", len(name)), fmt.Sprintf("use at most %d", MaxNameBytes)
-	case !utf8.ValidString(name) || strings.ContainsFunc(name, notPrintable) || strings.TrimSpace(name) != name:
-		return fmt.Sprintf("is %q", name), "use printable characters, without spaces at either end"
-	}
-	return "", ""
-}
-
-func notPrintable(r rune) bool { return !unicode.IsPrint(r) }
-
 // tenantIndex finds tenants by the digests of their keys. It is immutable.
 type tenantIndex map[KeyDigest]*Tenant
 
@@ -168,7 +150,7 @@
 func (c *checker) checkTenant(path string, tenant Tenant) {
 	c.resource = tenant.Name
 	defer func() { c.resource = "" }()
-	if text, remedy := CheckTenantName(tenant.Name); text != "" {
+	if text, remedy := CheckName(tenant.Name, MaxNameBytes); text != "" {
 		c.add(path+".name", text, remedy)
 	} else {
 		c.recordOnce(path+".name", path, Key{KindTenant, tenant.Name})
--- a/internal/state/ticket.go
+++ b/internal/state/ticket.go
@@ -15,7 +15,7 @@
 	// MaxTicketBytes has room for a ticket that replaces the configuration by the
 	// largest one, and for the ticket's own fields.
 	MaxTicketBytes   = MaxStateBytes + 256<<10
-	MaxNameBytes     = 120
+	MaxNameBytes     = 200
 	MaxPathBytes     = 1024
 	MaxSlots         = 100_000
 	MaxConnections   = 100_000
--- a/internal/state/violations.go
+++ b/internal/state/violations.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Violation describes one validation rule that a ticket breaks.
@@ -178,7 +180,7 @@
 func (c *checker) checkTenantRemovals(path string, names []string) {
 	for i, name := range names {
 		at := fmt.Sprintf("%s[%d]", path, i)
-		if text, remedy := CheckTenantName(name); text != "" {
+		if text, remedy := CheckName(name, MaxNameBytes); text != "" {
 			c.add(at, text, remedy)
 			continue
 		}
@@ -218,12 +220,19 @@
 		return "is missing", "give it a name"
 	case len(name) > maxBytes:
 		return fmt.Sprintf("has %d bytes", len(name)), fmt.Sprintf("use at most %d", maxBytes)
-	case strings.ContainsFunc(name, notNameRune):
-		return fmt.Sprintf("is %q", name), "use letters, digits, dots, hyphens and underscores"
+	case !isPrintable(name):
+		return fmt.Sprintf("is %q", name), "use printable characters, without spaces at either end"
 	}
 	return "", ""
 }
 
+// isPrintable reports whether the text can be shown on one line and sent in a header, which
+// keeps no spaces at either end.
+func isPrintable(text string) bool {
+	notPrintable := func(r rune) bool { return !unicode.IsPrint(r) }
+	return utf8.ValidString(text) && !strings.ContainsFunc(text, notPrintable) && strings.TrimSpace(text) == text
+}
+
 func (c *checker) checkHost(path, host string) {
 	if strings.ContainsFunc(host, notNameRune) || host != strings.ToLower(host) {
 		c.add(path, fmt.Sprintf("is %q", host), "write the host in lower case without a port, or leave the key out")
