--- a/internal/state/ticket.go
+++ b/internal/state/ticket.go
@@ -16,14 +16,14 @@
 	// largest one, and for the ticket's own fields.
 	MaxTicketBytes   = MaxStateBytes + 256<<10
 	MaxNameBytes     = 200
-	MaxPathBytes     = 1024
+	MaxPathBytes     = 8192
 	MaxSlots         = 100_000
 	MaxConnections   = 100_000
 	MaxQueueLength   = 100_000
 	MaxRouteTimeout  = 10 * time.Minute
 	MaxQueueTimeout  = time.Minute
 	MaxRouteAttempts = 10
-	MaxDestinations  = 32
+	MaxDestinations  = 1000
 	MaxWeight        = 1_000_000
 	MaxPriority      = 100
 	MaxHeaderBytes   = 1 << 20
