A planned stop closed connections without a response, and before their time was over

Cause: when the drain timed out, the server's connections were closed with whatever was on them. With a grace under 2 s the drain timed out at 65 % of it, and refused all that was queued from the signal on, as two margins were fixed times.

The requests that are left when the drain times out now get a response: 504 with an unknown outcome, or 503 where nothing was sent to a gate or the body had not come whole. Runs that are not idempotent are not broken off for that. The drain lasts for 85 % of a short grace, and the margins are parts of it.

--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -12,7 +12,7 @@
 	// for leaving, for the last responses, and for the end of the process.
 	stopReserve = 700 * time.Millisecond
 	// stopReserveShare bounds stopReserve to a part of a short deployment.stop_grace.
-	stopReserveShare = 0.35
+	stopReserveShare = 0.15
 	// maxLeaveDelay is a platform's time for noticing that a node is not ready: two checks, one
 	// a second, and half a second for the second one's response. leaveShare bounds it to a
 	// part of deployment.stop_grace.
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -180,9 +180,12 @@
 }
 
 // cancelByCaller tells the gate that the caller disconnected, then ends the
-// attempt.
+// attempt. If the request ends because this node stops, a run that is not idempotent
+// goes on: breaking it off would not undo it.
 func (a *attempt) cancelByCaller() {
-	_ = a.stream.Send(&wire.CallFrame{Cancel: true})
+	if a.request.route.Idempotent || !a.request.endedForStop() {
+		_ = a.stream.Send(&wire.CallFrame{Cancel: true})
+	}
 	a.cancel(errCallerLeft.New("caller disconnected: the call is cancelled"))
 }
 
--- a/internal/node/calls/callerinput.go
+++ b/internal/node/calls/callerinput.go
@@ -74,6 +74,7 @@
 
 // end releases what the request holds.
 func (c *callerRequest) end() {
+	c.ignoreStop()
 	c.cancel(nil)
 	c.stopAttempts()
 }
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -32,9 +32,11 @@
 	// attemptsCtx ends when no further attempt is to be made; stopAttempts ends it.
 	attemptsCtx  context.Context
 	stopAttempts context.CancelFunc
-	controller   *http.ResponseController
-	handle       uint64
-	route        state.Route
+	// ignoreStop ends the watch for Runner.EndRequests.
+	ignoreStop func() bool
+	controller *http.ResponseController
+	handle     uint64
+	route      state.Route
 	identity
 	credentials credentials
 	// judgedBy is the configuration by which the identity was last checked.
@@ -172,9 +174,14 @@
 	}
 	c.controller = http.NewResponseController(w)
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
+	ignoreStop := context.AfterFunc(r.requestsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
 	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
+	stopped := !ignoreStop()
 	if err != nil {
 		r.refund(c)
+		if stopped {
+			return nil, shuttingDown()
+		}
 		return nil, badBody(err)
 	}
 	if body.rest != nil {
@@ -230,6 +237,7 @@
 func (r *Runner) prepare(ctx context.Context, c *callerRequest, request *http.Request, body *requestBody) {
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
+	c.ignoreStop = context.AfterFunc(r.requestsCtx, c.endForStop)
 	c.body = body
 	c.recallFirst = r.options.Overload.Enabled
 	c.wake = make(chan struct{}, 1)
@@ -460,6 +468,10 @@
 		r.fail(w, request, c, c.yieldFailure())
 		return
 	}
+	if c.endedForStop() {
+		r.fail(w, request, c, c.stopFailure())
+		return
+	}
 	r.noteCutOff(request, c, c.cutOffCause())
 	if c.cutOffCause() == callerconn.CallerClosed {
 		r.announceClose(w, request)
--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -14,7 +14,9 @@
 	// errInputClosed means that the caller of an idempotent call closed its sending side.
 	errInputClosed = errorx.NewType(Errors, "input-closed")
 	// errYielded means that a request was ended for responses behind it on its connection.
-	errYielded         = errorx.NewType(Errors, "yielded")
+	errYielded = errorx.NewType(Errors, "yielded")
+	// errStopping means that the node stops before the request has ended.
+	errStopping        = errorx.NewType(Errors, "stopping")
 	errBodyTooLarge    = errorx.NewType(Errors, "bounds")
 	errConnectionLimit = errorx.NewType(Errors, "connections")
 	// errNoResponse means that what a target sends cannot become a response.
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -118,7 +118,10 @@
 	// attempts and refuses new requests.
 	attemptsCtx  context.Context
 	stopAttempts context.CancelFunc
-	targetCalls  sync.WaitGroup
+	// requestsCtx ends with EndRequests.
+	requestsCtx context.Context
+	endRequests context.CancelFunc
+	targetCalls sync.WaitGroup
 }
 
 // routeIndex is a snapshot with the index of its routes.
@@ -147,6 +150,7 @@
 	r.quarantine = newQuarantineKeeper(options)
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
+	r.requestsCtx, r.endRequests = context.WithCancel(context.Background())
 	r.entry = newEntryLoop(options)
 	r.gate = newGateLoop(options.Now, gate.Options{
 		Incarnation:      options.Self.Incarnation,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -32,20 +32,24 @@
 	// lastResponseTimeout bounds the wait for the responses of the admin, announcement
 	// and readiness servers at the end of a shutdown.
 	lastResponseTimeout = 500 * time.Millisecond
-	// tailTimeout bounds everything after calls.drain_timeout: leaving, the last responses and
-	// the handover of the target's history. A platform's grace period has to last as long.
+	// tailTimeout bounds everything after calls.drain_timeout: the last responses to callers,
+	// leaving, the last responses of other servers and the handover of the target's history.
+	// tailShare bounds it to a part of what deployment.stop_grace leaves, the rest is for the end
+	// of the process.
 	tailTimeout = 500 * time.Millisecond
-	// leaveShare and responsesShare are the parts of tailTimeout that leaving and the last
-	// responses take at most when the drain has taken its whole time.
-	leaveShare, responsesShare = 0.4, 0.4
-	poolSweepInterval          = time.Second
+	tailShare   = 0.7
+	// callersShare, leaveShare and responsesShare are the parts of the tail that its first three
+	// steps take at most when the drain has taken its whole time.
+	callersShare, leaveShare, responsesShare = 0.2, 0.3, 0.3
+	poolSweepInterval                        = time.Second
 	// acceptGrace is how long connections are accepted after the leave delay: closing the
 	// port resets those that are open and not accepted yet.
 	acceptGrace = 100 * time.Millisecond
 	// cancelQueuedMargin is how long before the drain timeout the calls that have
 	// not started are refused, so that their callers receive the response before
-	// the node stops.
+	// the node stops. cancelQueuedShare bounds it to a part of a short drain.
 	cancelQueuedMargin = 700 * time.Millisecond
+	cancelQueuedShare  = 0.15
 )
 
 // Run runs a node until ctx ends or one of its parts fails, then shuts it down
@@ -97,7 +101,7 @@
 	case <-ctx.Done():
 	case <-parts.failed:
 	}
-	n.stopDeadline = time.Now().Add(n.settings.Calls.DrainTimeout + tailTimeout)
+	n.stopDeadline = time.Now().Add(n.settings.Calls.DrainTimeout + n.tail())
 	n.drain()
 	stop()
 	err := parts.wait()
@@ -188,7 +192,8 @@
 	n.logger.Event(logging.NodeStopping).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Calls.DrainTimeout)
 	defer cancel()
-	cancelQueued := time.AfterFunc(max(0, n.settings.Calls.DrainTimeout-cancelQueuedMargin), n.calls.CancelQueued)
+	margin := min(cancelQueuedMargin, time.Duration(cancelQueuedShare*float64(n.settings.Calls.DrainTimeout)))
+	cancelQueued := time.AfterFunc(n.settings.Calls.DrainTimeout-margin, n.calls.CancelQueued)
 	defer cancelQueued.Stop()
 	n.calls.DisableKeepAlives()
 	time.Sleep(n.settings.Calls.LeaveDelay)
@@ -197,22 +202,41 @@
 	group.Go(func() { n.logIncomplete("gate", n.calls.Drain(ctx)) })
 	group.Go(func() { n.logIncomplete("callers", n.drainCallers(ctx)) })
 	group.Wait()
+	n.respondToLastCallers()
 	leaveCtx, cancelLeave := n.stopContext(leaveTimeout, leaveShare)
 	defer cancelLeave()
 	n.members.Leave(leaveCtx)
 }
 
+// respondToLastCallers responds to the callers whose requests have not ended within the drain timeout.
+func (n *node) respondToLastCallers() {
+	n.calls.EndRequests()
+	ctx, cancel := n.stopContext(lastResponseTimeout, callersShare)
+	defer cancel()
+	_ = n.callerConns.Drain(ctx)
+}
+
+// tail returns the time for what follows the drain of a stop.
+func (n *node) tail() time.Duration {
+	grace := n.settings.Deployment.StopGrace
+	if grace == 0 {
+		return tailTimeout
+	}
+	left := grace - n.settings.Calls.DrainTimeout
+	return max(0, min(tailTimeout, time.Duration(tailShare*float64(left))))
+}
+
 // stopContext returns the context of a part of the end of a stop. It lasts for limit, or for the
-// share of tailTimeout if that is all that is left to the part by the stop's deadline.
+// share of the tail if that is all that is left to the part by the stop's deadline.
 func (n *node) stopContext(limit time.Duration, share float64) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), min(limit, partOfStop(time.Until(n.stopDeadline), share)))
+	return context.WithTimeout(context.Background(), min(limit, partOfStop(n.tail(), time.Until(n.stopDeadline), share)))
 }
 
 // partOfStop returns the time that a part of the end of a stop may take: what is left, less the
 // shares of the parts after it.
-func partOfStop(left time.Duration, share float64) time.Duration {
-	part := time.Duration(share * float64(tailTimeout))
-	return max(part, left-(tailTimeout-part))
+func partOfStop(tail, left time.Duration, share float64) time.Duration {
+	part := time.Duration(share * float64(tail))
+	return max(part, left-(tail-part))
 }
 
 // drainCallers accepts the connections that have been opened, then no more, and returns when
@@ -235,7 +259,7 @@
 	if !known {
 		return
 	}
-	ctx, cancel := n.stopContext(historyTimeout, 1-leaveShare-responsesShare)
+	ctx, cancel := n.stopContext(historyTimeout, 1-callersShare-leaveShare-responsesShare)
 	defer cancel()
 	n.members.WriteTargetHistory(ctx, history)
 }
