A stopping node took requests that could not end in time

Since the change before they get 504 with an unknown outcome, after the rest of the grace, though it was known on arrival that they could not end.

Cause: until the end of the leave delay a node took every request, however little of its grace was left, and gates took calls until then as well. What a request may take was not asked.

The new package stopping measures how long the calls of each route last, at the entry and at the gate. A node that stops refuses at once, as not run, what is not expected to end in time: nine in ten of the recent calls for requests that may be sent again, the longest one for others and at gates, where another gate can take the call; the time limit where few are known.

Before: TestPlannedStopTakesRequestsThatCannotEnd got 504 after 1.9 s for all requests of 2.5 s sent 1.5 s into a grace of 4 s. Now 503 at once, not run, and short requests are served as before.

--- /dev/null
+++ b/internal/coordination/stopping/machine.go
@@ -0,0 +1,140 @@
+// Package stopping decides which calls a node that is about to stop still takes: those that are
+// expected to end before it does.
+//
+// Load pattern: nodes that restart one after the other under load, while some calls last for a
+// considerable part of the time that each node has for its stop.
+package stopping
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// window is how long calls count at least; they count for twice as long at most.
+	window = 15 * time.Second
+	// minCalls is how many calls of a route have to be known to judge others by them.
+	minCalls = 10
+	// usualQuantile is the share of a route's calls, in percent, that has to end in time for a call
+	// that may be sent again.
+	usualQuantile = 90
+	// maxRoutes bounds the routes whose calls are measured.
+	maxRoutes = 256
+	// maxDuration bounds the measured durations, and digits is their precision.
+	maxDuration = 10 * time.Minute
+	digits      = 1
+)
+
+// Call is a call that arrives.
+type Call struct {
+	Route string
+	// Deadline is when it ends at the latest.
+	Deadline time.Time
+	// Cautious demands that the longest of the route's recent calls would end in time, in place of
+	// nine in ten: for calls that may not be sent again, and those that another node can take.
+	Cautious bool
+}
+
+// Machine measures how long calls last, by route, and decides about calls once the node is about to
+// stop. It is not safe for concurrent use.
+type Machine struct {
+	// end is when the node gives up the calls that it still has; zero if it is not about to stop.
+	end    time.Time
+	routes map[string]*durations
+}
+
+// New returns a machine of a node that is not about to stop.
+func New() *Machine { return &Machine{routes: make(map[string]*durations)} }
+
+// Stop says that the node is about to stop, and gives up the calls that it has at the end.
+func (m *Machine) Stop(end time.Time) { m.end = end }
+
+// Observe notes how long a call took.
+func (m *Machine) Observe(now time.Time, route string, took time.Duration) {
+	d := m.routes[route]
+	if d == nil {
+		if len(m.routes) >= maxRoutes {
+			m.forget(now)
+		}
+		if len(m.routes) >= maxRoutes {
+			return
+		}
+		d = newDurations(now)
+		m.routes[route] = d
+	}
+	d.observe(now, took)
+}
+
+// forget drops the routes without recent calls.
+func (m *Machine) forget(now time.Time) {
+	for route, d := range m.routes {
+		if now.Sub(d.began) >= 2*window {
+			delete(m.routes, route)
+		}
+	}
+}
+
+// MayTake reports whether the call is expected to end before the node stops. Where too few calls of
+// its route are known, its deadline decides.
+func (m *Machine) MayTake(now time.Time, c Call) bool {
+	if m.end.IsZero() || !c.Deadline.After(m.end) {
+		return true
+	}
+	d := m.routes[c.Route]
+	if d == nil {
+		return false
+	}
+	expected, known := d.expected(now, c.Cautious)
+	return known && !now.Add(expected).After(m.end)
+}
+
+// durations are those of the recent calls of one route, in milliseconds.
+type durations struct {
+	// began is when current began. previous has those of the window before it.
+	began             time.Time
+	current, previous *hdrhistogram.Histogram
+}
+
+func newDurations(now time.Time) *durations {
+	return &durations{began: now, current: newHistogram(), previous: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxDuration.Milliseconds(), digits)
+}
+
+func (d *durations) observe(now time.Time, took time.Duration) {
+	d.advance(now)
+	// A value within the bounds of the histogram is always recorded.
+	_ = d.current.RecordValue(min(max(1, took.Milliseconds()), maxDuration.Milliseconds()))
+}
+
+// advance begins a new window if the current one is over.
+func (d *durations) advance(now time.Time) {
+	age := now.Sub(d.began)
+	if age < window {
+		return
+	}
+	d.current, d.previous = d.previous, d.current
+	d.current.Reset()
+	if age >= 2*window {
+		d.previous.Reset()
+	}
+	d.began = now
+}
+
+// expected returns how long a call is expected to last, and false if too few are known.
+func (d *durations) expected(now time.Time, cautious bool) (time.Duration, bool) {
+	d.advance(now)
+	if d.current.TotalCount()+d.previous.TotalCount() < minCalls {
+		return 0, false
+	}
+	if cautious {
+		return time.Duration(max(d.current.Max(), d.previous.Max())) * time.Millisecond, true
+	}
+	all := newHistogram()
+	all.Merge(d.current)
+	all.Merge(d.previous)
+	return time.Duration(all.ValueAtQuantile(usualQuantile)) * time.Millisecond, true
+}
--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -182,6 +182,7 @@
 	if c.notRun() {
 		r.refund(c)
 	}
+	r.observeRequest(c)
 	if c.begun {
 		r.entry.notify(entry.End{Handle: c.handle})
 	}
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -228,6 +228,9 @@
 	if refused := c.readContractHeaders(receivedAt, request, r.options.Contract); refused != nil {
 		return nil, refused
 	}
+	if !r.mayTakeRequest(c) {
+		return nil, shuttingDown()
+	}
 	c.scopeKey()
 	c.priority = c.priorityOf(index.snapshot)
 	return c, nil
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -224,7 +224,7 @@
 	switch {
 	case reason != "":
 		return reason
-	case c.unclaimed:
+	case c.unclaimed, !r.mayTakeCall(c):
 		return call.ReasonLeaving
 	case c.link.refused(), !r.options.Now().Before(c.deadline):
 		return call.ReasonTooLate
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -121,7 +121,10 @@
 	// requestsCtx ends with EndRequests.
 	requestsCtx context.Context
 	endRequests context.CancelFunc
-	targetCalls sync.WaitGroup
+	// requestsBeforeStop decides about callers' requests, and callsBeforeStop about calls at this
+	// node's gate.
+	requestsBeforeStop, callsBeforeStop *stopDecider
+	targetCalls                         sync.WaitGroup
 }
 
 // routeIndex is a snapshot with the index of its routes.
@@ -151,6 +154,7 @@
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.requestsCtx, r.endRequests = context.WithCancel(context.Background())
+	r.requestsBeforeStop, r.callsBeforeStop = newStopDecider(), newStopDecider()
 	r.entry = newEntryLoop(options)
 	r.gate = newGateLoop(options.Now, gate.Options{
 		Incarnation:      options.Self.Incarnation,
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -37,6 +37,10 @@
 	startedAt := time.Now()
 	result := r.callTarget(ctx, c)
 	r.metrics.target.UpdateDuration(startedAt)
+	if result != gate.NotSent && result != gate.RejectedByTarget {
+		now := r.options.Now()
+		r.callsBeforeStop.observe(now, c.start.Route, now.Sub(c.arrivedAt))
+	}
 	r.gate.notify(gate.Finished{ID: c.id, Result: result, RetainedBytes: c.response.retainedBytes()})
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -192,6 +192,7 @@
 	n.logger.Event(logging.NodeStopping).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Calls.DrainTimeout)
 	defer cancel()
+	n.calls.StopBy(time.Now().Add(n.settings.Calls.DrainTimeout))
 	margin := min(cancelQueuedMargin, time.Duration(cancelQueuedShare*float64(n.settings.Calls.DrainTimeout)))
 	cancelQueued := time.AfterFunc(n.settings.Calls.DrainTimeout-margin, n.calls.CancelQueued)
 	defer cancelQueued.Stop()
--- a/internal/processtest/stoplate_test.go
+++ b/internal/processtest/stoplate_test.go
@@ -123,3 +123,75 @@
 		})
 	}
 }
+
+// TestPlannedStopTakesRequestsThatCannotEnd sends requests late in the grace of a node. Those that last, as
+// its recent ones of the route did, for longer than the rest must be refused at once and not run; short ones
+// of the other route must be served.
+func TestPlannedStopTakesRequestsThatCannotEnd(t *testing.T) {
+	const (
+		grace = 4 * time.Second
+		long  = 2500 * time.Millisecond
+		// sentAfter is after the signal, when callers still come to the node.
+		sentAfter    = 1500 * time.Millisecond
+		refusedAfter = 500 * time.Millisecond
+		recent       = 30
+	)
+	for _, longOrders := range []bool{true, false} {
+		t.Run(fmt.Sprintf("orders are long %v", longOrders), func(t *testing.T) {
+			t.Parallel()
+			h, node := startStopHarness(t, grace, time.Minute)
+			runs := func(order bool) time.Duration {
+				if order == longOrders {
+					return long
+				}
+				return 20 * time.Millisecond
+			}
+			var warmUp sync.WaitGroup
+			for i := range 2 * recent {
+				caller := h.dialCaller(node)
+				warmUp.Go(func() { _, _ = caller.roundTrip(h.stopRequest(i%2 == 0, runs(i%2 == 0))) })
+			}
+			warmUp.Wait()
+			kept := make([]*rawCaller, 8)
+			for i := range kept {
+				kept[i] = h.dialCaller(node)
+				_, err := kept[i].roundTrip(h.stopRequest(!longOrders, 0))
+				h.must(err)
+			}
+			stoppedAt := time.Now()
+			h.must(node.Process().SendTerminate())
+			time.Sleep(time.Until(stoppedAt.Add(sentAfter)))
+			var results rawResults
+			var callers sync.WaitGroup
+			for i := range kept {
+				caller := kept[i]
+				if i%2 == 0 {
+					caller = h.dialCaller(node)
+				}
+				order := i < len(kept)/2
+				request := h.stopRequest(order, runs(order))
+				callers.Go(func() {
+					sentAt := time.Now()
+					response, err := caller.roundTrip(request)
+					results.add(request.id, response, err)
+					if err != nil {
+						return
+					}
+					want := http.StatusOK
+					if order == longOrders {
+						want = http.StatusServiceUnavailable
+					}
+					if response.status != want {
+						t.Errorf("a request of %v got status %d, want %d", runs(order), response.status, want)
+					}
+					if took := time.Since(sentAt); order == longOrders && took > refusedAfter {
+						t.Errorf("a request of %v was refused after %v", runs(order), took)
+					}
+				})
+			}
+			callers.Wait()
+			h.must(node.Process().Wait(h.ctx()))
+			h.checkTruth(results.all)
+		})
+	}
+}
