A stopping node refused the calls of requests that still ran at its target

Cause: the drain of callers' connections began together with that of the gate. It begins now when the gate has no call left; what arrives meanwhile is served by other gates, or refused as not run if it cannot end in time.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -42,7 +42,7 @@
 	// steps take at most when the drain has taken its whole time.
 	callersShare, leaveShare, responsesShare = 0.2, 0.3, 0.3
 	poolSweepInterval                        = time.Second
-	// acceptGrace is how long connections are accepted after the leave delay: closing the
+	// acceptGrace is how long connections are accepted after the drain of the gate: closing the
 	// port resets those that are open and not accepted yet.
 	acceptGrace = 100 * time.Millisecond
 	// cancelQueuedMargin is how long before the drain timeout the calls that have
@@ -200,8 +200,15 @@
 	time.Sleep(n.settings.Calls.LeaveDelay)
 	n.targets.drain()
 	var group sync.WaitGroup
-	group.Go(func() { n.logIncomplete("gate", n.calls.Drain(ctx)) })
-	group.Go(func() { n.logIncomplete("callers", n.drainCallers(ctx)) })
+	gateDrained := make(chan struct{})
+	group.Go(func() {
+		defer close(gateDrained)
+		n.logIncomplete("gate", n.calls.Drain(ctx))
+	})
+	group.Go(func() {
+		<-gateDrained // requests that run at the local target may call through this node
+		n.logIncomplete("callers", n.drainCallers(ctx))
+	})
 	group.Wait()
 	n.respondToLastCallers()
 	leaveCtx, cancelLeave := n.stopContext(leaveTimeout, leaveShare)
@@ -244,7 +251,10 @@
 // the last one has ended or ctx ends. http.Server.Shutdown would close connections without
 // a response to a request that is being read.
 func (n *node) drainCallers(ctx context.Context) error {
-	time.Sleep(acceptGrace)
+	select {
+	case <-time.After(acceptGrace):
+	case <-ctx.Done():
+	}
 	_ = n.listeners.callers.Close()
 	<-n.callersServed
 	return n.callerConns.Drain(ctx)
--- a/internal/processtest/stoplate_test.go
+++ b/internal/processtest/stoplate_test.go
@@ -195,3 +195,59 @@
 		})
 	}
 }
+
+// TestPlannedStopRefusesCallsOfRunningRequests stops a node while requests run at its target. Until they have
+// ended, a call that they make through the node must be served, on a kept connection and on a new one.
+func TestPlannedStopRefusesCallsOfRunningRequests(t *testing.T) {
+	t.Parallel()
+	const (
+		grace = 6 * time.Second
+		runs  = 4500 * time.Millisecond
+		// calledAfter is after the signal, when other callers have left.
+		calledAfter = 3200 * time.Millisecond
+	)
+	h, node := startStopHarness(t, grace, 5*time.Second)
+	var results rawResults
+	var callers sync.WaitGroup
+	for range 4 {
+		caller, request := h.dialCaller(node), h.stopRequest(false, runs)
+		callers.Go(func() {
+			response, err := caller.roundTrip(request)
+			results.add(request.id, response, err)
+			if response.status != http.StatusOK {
+				t.Errorf("a request that runs for %v got status %d, error %v", runs, response.status, err)
+			}
+		})
+	}
+	kept := h.dialCaller(node)
+	for range 20 { // so that the node knows how long such calls take
+		_, err := kept.roundTrip(h.stopRequest(true, 20*time.Millisecond))
+		h.must(err)
+	}
+	stoppedAt := time.Now()
+	h.must(node.Process().SendTerminate())
+	time.Sleep(time.Until(stoppedAt.Add(calledAfter)))
+	for _, fresh := range []bool{false, true} {
+		caller := kept
+		if fresh {
+			var err error
+			if caller, err = dialCaller(node); err != nil {
+				t.Errorf("a call over a new connection was refused: %v", err)
+				continue
+			}
+		}
+		request := h.stopRequest(true, 20*time.Millisecond)
+		request.id = h.nextID("nested")
+		response, err := caller.roundTrip(request)
+		results.add(request.id, response, err)
+		if err != nil || response.status != http.StatusOK {
+			t.Errorf("a call over a new connection %v got status %d, error %v", fresh, response.status, err)
+		}
+	}
+	callers.Wait()
+	h.must(node.Process().Wait(h.ctx()))
+	if took := time.Since(stoppedAt); took > grace {
+		t.Errorf("the node was still there %v after the signal, grace %v", took, grace)
+	}
+	h.checkTruth(results.all)
+}
