A caller was told of an unknown outcome while its call ran at a gate that stood still

The stream of a gate that was silent for calls.silence_timeout was kept only until the entry gave up: where no other gate could take the call, and the gate did not answer a question either, it failed at once.

A request that would fail with an unknown outcome now waits for its kept streams, until one responds or ends, its time is over, or membership takes the gate for dead. Silence alone is no reason to give up.

Now the caller gets the response of the one run after the stall, and is told at once when the gate is declared dead. Calls that are not idempotent, and those whose connection broke, are as before.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -404,7 +404,9 @@
 		case entry.Wait:
 			got, event = r.wait(c, a)
 		case entry.Fail:
-			return dispatchResult{failure: &a}
+			if got = r.awaitKept(c, a); got == nil && c.ctx.Err() == nil {
+				return dispatchResult{failure: &a}
+			}
 		default: // nil: the entry loop has ended, and an attempt may have been sent
 			return dispatchResult{failure: &entry.Fail{Outcome: call.Unknown, Reason: call.ReasonLeaving}}
 		}
--- a/internal/node/calls/conn_test.go
+++ b/internal/node/calls/conn_test.go
@@ -15,6 +15,8 @@
 	dials atomic.Int64
 	// delayNew makes new connections delay their writes.
 	delayNew atomic.Bool
+	// stallNew makes new connections hold back what they read until the channel is closed.
+	stallNew atomic.Pointer[chan struct{}]
 }
 
 func (d *faultDialer) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -25,6 +27,9 @@
 	}
 	d.dials.Add(1)
 	wrapped := &faultConn{Conn: conn, closed: make(chan struct{}), holding: d.delayNew.Load()}
+	if until := d.stallNew.Load(); until != nil {
+		wrapped.stalled = *until
+	}
 	d.mu.Lock()
 	d.conns = append(d.conns, wrapped)
 	d.mu.Unlock()
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -194,6 +194,19 @@
 	f.view.Store(view)
 }
 
+// removeMember takes the node for dead in the view of all nodes.
+func (f *fleet) removeMember(i int) {
+	view := &membership.View{Epoch: 2, Self: f.nodes[0].member}
+	for j, n := range f.nodes {
+		member := n.member
+		if j == i {
+			member.State = membership.Dead
+		}
+		view.Members = append(view.Members, member)
+	}
+	f.view.Store(view)
+}
+
 // callResult is the response to a caller's request, or the error.
 type callResult struct {
 	status int
--- a/internal/node/calls/keptattempt.go
+++ b/internal/node/calls/keptattempt.go
@@ -1,7 +1,12 @@
 package calls
 
 import (
+	"slices"
+	"time"
+
+	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/entry"
+	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/protocol/wire"
 )
 
@@ -99,6 +104,49 @@
 	return got
 }
 
+// keptPollInterval is how often the gates of kept attempts are looked up in the member table.
+const keptPollInterval = 50 * time.Millisecond
+
+// awaitKept waits for the response of a kept attempt of a request that would fail otherwise. It returns
+// nil once none can come: the request's time is over, the attempts have ended, or membership takes their
+// gates for dead.
+func (r *Runner) awaitKept(c *callerRequest, failure entry.Fail) *gateResponse {
+	if failure.Outcome != call.Unknown {
+		return nil
+	}
+	timeout := time.NewTimer(c.deadline.Sub(r.options.Now()))
+	defer timeout.Stop()
+	poll := time.NewTicker(keptPollInterval)
+	defer poll.Stop()
+	for r.dropDeadKept(c); len(c.kept) > 0; r.dropDeadKept(c) {
+		select {
+		case <-c.wake:
+			if got := c.keptResponse(); got != nil {
+				return got
+			}
+		case <-poll.C:
+		case <-timeout.C:
+			return nil
+		case <-c.ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// dropDeadKept ends the kept attempts whose gates are not live members any more.
+func (r *Runner) dropDeadKept(c *callerRequest) {
+	members := r.options.View().Members
+	c.kept = slices.DeleteFunc(c.kept, func(a *attempt) bool {
+		at := slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == a.endpoint.ID })
+		dead := at < 0 || members[at].Incarnation != a.endpoint.Incarnation || members[at].State != membership.Alive && members[at].State != membership.Suspect
+		if dead {
+			a.cancelAndEnd()
+		}
+		return dead
+	})
+}
+
 // endKept ends the kept attempts, and their runs.
 func (c *callerRequest) endKept() {
 	for _, a := range c.kept {
--- a/internal/node/calls/keptattempt_test.go
+++ b/internal/node/calls/keptattempt_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,3 +117,65 @@
 	f.waitFor("all runs have ended", func() bool { return f.nodes[1].runner.Load()+f.nodes[2].runner.Load() == 0 })
 	f.is.True(time.Since(left) < bound+100*time.Millisecond)
 }
+
+// standStill stalls what the gates send, over new connections too, until the channel is closed.
+func (d *faultDialer) standStill(until chan struct{}) {
+	d.stallNew.Store(&until)
+	d.each(func(c *faultConn) { c.stallReads(until) })
+}
+
+// TestRunOfGateThatStandsStillIsCut stalls all that the gates send, over new connections too, until after
+// the entry has asked for the response in vain. The caller must get the response of the one run.
+func TestRunOfGateThatStandsStillIsCut(t *testing.T) {
+	const stall = 1500 * time.Millisecond
+	dialer := &faultDialer{}
+	running := make(chan string, 10)
+	var cut atomic.Int64
+	proceed, until := make(chan struct{}), make(chan struct{})
+	end := sync.OnceFunc(func() { close(proceed); close(until) })
+	defer end()
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, func(w http.ResponseWriter, r *http.Request) {
+		running <- r.URL.Path
+		select {
+		case <-proceed:
+		case <-r.Context().Done():
+			cut.Add(1)
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	result := make(chan callResult, 1)
+	go func() { result <- f.call(0, "GET", "/read/stalled", "") }()
+	<-running
+	dialer.standStill(until)
+	time.Sleep(stall)
+	f.is.Equal(len(result), 0) // the call was given up
+	end()
+	got := <-result
+	f.is.Equal(got.status, http.StatusOK)
+	f.is.Equal(got.body, "done")
+	f.is.Equal(cut.Load(), int64(0))
+	f.is.Equal(len(running), 0) // the call ran again
+}
+
+// TestCallerWaitsForDeadGate stalls the gate of an idempotent call for good. Once membership takes the gate
+// for dead, the caller must be told at once that the outcome is unknown.
+func TestCallerWaitsForDeadGate(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	dialer := &faultDialer{}
+	running, until := make(chan string, 10), make(chan struct{})
+	defer close(until)
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, func(_ http.ResponseWriter, r *http.Request) {
+		running <- r.URL.Path
+		<-r.Context().Done()
+	})
+	result := make(chan callResult, 1)
+	go func() { result <- f.call(0, "GET", "/read/stalled", "") }()
+	<-running
+	dialer.standStill(until)
+	time.Sleep(1500 * time.Millisecond)
+	f.is.Equal(len(result), 0) // the call was given up
+	f.removeMember(1)
+	died := time.Now()
+	f.is.Equal((<-result).status, http.StatusGatewayTimeout)
+	f.is.True(time.Since(died) < bound)
+}
