A request whose body came whole as the node stopped could lose its response

By reading, not seen: the read deadline that ends bodies when a node stops could be set after the body had come, and be taken for a disconnect of the caller. Such a request has not been sent; it is refused as not run.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -176,12 +176,12 @@
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
 	ignoreStop := context.AfterFunc(r.requestsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
 	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
-	stopped := !ignoreStop()
+	if stopped := !ignoreStop(); stopped {
+		r.refund(c)
+		return nil, shuttingDown()
+	}
 	if err != nil {
 		r.refund(c)
-		if stopped {
-			return nil, shuttingDown()
-		}
 		return nil, badBody(err)
 	}
 	if body.rest != nil {
