Idle connections were cut at the end of a drain that took its whole time

Since the drain of callers' connections began only when the gate had drained. It begins at the latest when new requests are refused.

TestPlannedStop... pass.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -194,7 +194,11 @@
 	defer cancel()
 	n.calls.StopBy(time.Now().Add(n.settings.Calls.DrainTimeout))
 	margin := min(cancelQueuedMargin, time.Duration(cancelQueuedShare*float64(n.settings.Calls.DrainTimeout)))
-	cancelQueued := time.AfterFunc(n.settings.Calls.DrainTimeout-margin, n.calls.CancelQueued)
+	refusing := make(chan struct{}) // closed when new requests are refused
+	cancelQueued := time.AfterFunc(n.settings.Calls.DrainTimeout-margin, func() {
+		n.calls.CancelQueued()
+		close(refusing)
+	})
 	defer cancelQueued.Stop()
 	n.calls.DisableKeepAlives()
 	time.Sleep(n.settings.Calls.LeaveDelay)
@@ -206,7 +210,10 @@
 		n.logIncomplete("gate", n.calls.Drain(ctx))
 	})
 	group.Go(func() {
-		<-gateDrained // requests that run at the local target may call through this node
+		select {
+		case <-gateDrained: // until then, requests that run at the local target may call through this node
+		case <-refusing:
+		}
 		n.logIncomplete("callers", n.drainCallers(ctx))
 	})
 	group.Wait()
