--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -186,7 +186,8 @@
 // nodes. Only then is the target announced as draining, which keeps the time short
 // in which it runs without its gate. Other nodes then send no new calls while the
 // calls in flight finish. When only cancelQueuedMargin is left of the drain
-// timeout, callers' requests that are not running yet are refused.
+// timeout, callers' requests that are not running yet are refused. Those that have
+// not ended by the drain timeout get a response that says so.
 func (n *node) drain() {
 	n.stopping.Store(true)
 	n.logger.Event(logging.NodeStopping).Send()
@@ -203,6 +204,16 @@
 	n.calls.DisableKeepAlives()
 	time.Sleep(n.settings.Calls.LeaveDelay)
 	n.targets.drain()
+	n.drainWork(ctx, refusing)
+	n.respondToLastCallers()
+	leaveCtx, cancelLeave := n.stopContext(leaveTimeout, leaveShare)
+	defer cancelLeave()
+	n.members.Leave(leaveCtx)
+}
+
+// drainWork drains the gate, and callers once that is done or new requests are refused: requests that
+// run at the local target may call through this node.
+func (n *node) drainWork(ctx context.Context, refusing <-chan struct{}) {
 	var group sync.WaitGroup
 	gateDrained := make(chan struct{})
 	group.Go(func() {
@@ -211,16 +222,12 @@
 	})
 	group.Go(func() {
 		select {
-		case <-gateDrained: // until then, requests that run at the local target may call through this node
+		case <-gateDrained:
 		case <-refusing:
 		}
 		n.logIncomplete("callers", n.drainCallers(ctx))
 	})
 	group.Wait()
-	n.respondToLastCallers()
-	leaveCtx, cancelLeave := n.stopContext(leaveTimeout, leaveShare)
-	defer cancelLeave()
-	n.members.Leave(leaveCtx)
 }
 
 // respondToLastCallers responds to the callers whose requests have not ended within the drain timeout.
