TestPanicAtGateEndsOnlyItsCall counted panics before the last one had happened

Cause: in that case the run panics after its response has been sent, and the test counted as soon as it had the last response.

The test waits for the five panics. The number and the other checks are unchanged.

--- a/internal/node/calls/panic_test.go
+++ b/internal/node/calls/panic_test.go
@@ -80,7 +80,8 @@
 				got := f.call(0, "POST", "/file", "b")
 				is.NoErr(got.err)
 				is.Equal(got.status, http.StatusCreated)
-				is.True(gate.runner.options.Logger.Panics() >= 5)
+				// A run that ends by a panic has responded before.
+				f.waitFor("the panics are counted", func() bool { return gate.runner.options.Logger.Panics() >= 5 })
 				f.waitFor("no call runs", func() bool { return gate.runner.gate.load.Load() == 0 })
 			})
 		}
