--- /dev/null
+++ b/review/standin/store.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// store is a stand-in for the platform's metadata store, with one partition a topic.
+type store struct {
+	address string
+	server  *http.Server
+
+	mu     sync.Mutex
+	topics map[string]*topic
+	// changed is closed and replaced at each append and each change of state.
+	changed chan struct{}
+	away    bool
+	era     int
+}
+
+// topic is one partition. Its records have a key and a value if the topic's name says so.
+type topic struct{ records [][]byte }
+
+func (t *trial) startStore(ip string) (*store, error) {
+	listener, err := net.Listen("tcp", ip+":8309")
+	if err != nil {
+		return nil, err
+	}
+	s := &store{address: listener.Addr().String(), topics: make(map[string]*topic), changed: make(chan struct{}), era: 1}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/log-append", s.handleAppend)
+	mux.HandleFunc("GET /-/log-read", s.handleRead)
+	mux.HandleFunc("GET /-/log-newest", s.handleNewest)
+	s.server = &http.Server{Handler: s.available(mux)}
+	go func() { _ = s.server.Serve(listener) }()
+	t.atEnd(func() { _ = s.server.Close() })
+	return s, nil
+}
+
+// available refuses all calls while the store is away: nothing is done then.
+func (s *store) available(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away, era := s.away, s.era
+		s.mu.Unlock()
+		w.Header().Set("Store-Era", strconv.Itoa(era))
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *store) topic(name string) *topic {
+	if s.topics[name] == nil {
+		s.topics[name] = &topic{}
+	}
+	return s.topics[name]
+}
+
+// notify wakes the reads that wait. The caller holds mu.
+func (s *store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write appends the operator's record of a key and returns its offset.
+func (s *store) write(name, key string, value []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	record := append([]byte{byte(len(key))}, key...)
+	t.records = append(t.records, append(record, value...))
+	s.notify()
+	return len(t.records) - 1
+}
+
+// copy returns the present contents.
+func (s *store) copy() map[string]*topic {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	topics := make(map[string]*topic, len(s.topics))
+	for name, t := range s.topics {
+		topics[name] = &topic{records: slices.Clone(t.records)}
+	}
+	return topics
+}
+
+// goAway makes the store refuse all calls.
+func (s *store) goAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.notify()
+}
+
+// comeBack makes the store serve again, from a copy.
+func (s *store) comeBack(topics map[string]*topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.topics = false, topics
+	s.era++
+	s.notify()
+}
+
+func (s *store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	name := r.URL.Query().Get("Topic")
+	if name == "keyed.op" || name == "keyed.servers" {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	if asOf := r.URL.Query().Get("AsOf"); asOf != "" && asOf != strconv.Itoa(len(t.records)) {
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"End": len(t.records)})
+		return
+	}
+	offset := len(t.records)
+	for len(body) >= 4 {
+		end := 4 + int(binary.BigEndian.Uint32(body))
+		t.records = append(t.records, body[4:end])
+		body = body[end:]
+	}
+	s.notify()
+	writeJSON(w, http.StatusOK, map[string]any{"Offset": offset, "End": len(t.records)})
+}
+
+func (s *store) handleRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, _ := strconv.ParseInt(query.Get("From"), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get("WaitMs"), 10, 64)
+	end := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
+	for waiting := true; ; {
+		s.mu.Lock()
+		records, changed, away, restored := s.topic(query.Get("Topic")).records, s.changed, s.away, s.era > 1
+		s.mu.Unlock()
+		switch {
+		case away:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case restored && from > int64(len(records)):
+			writeJSON(w, http.StatusGone, map[string]any{"First": 0})
+			return
+		case from < int64(len(records)) || !waiting:
+			_, _ = w.Write(encodeRead(records, from))
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-end:
+			waiting = false
+		}
+	}
+}
+
+func encodeRead(records [][]byte, from int64) []byte {
+	body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+	body = binary.BigEndian.AppendUint64(body, 0)
+	for _, record := range records[min(from, int64(len(records))):] {
+		body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
+		body = append(body, record...)
+	}
+	return body
+}
+
+// newestItem is the newest record of a key. Its value is in base64 in JSON.
+type newestItem struct {
+	Key    string
+	Value  []byte
+	Offset int
+}
+
+func (s *store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	records := s.topic(r.URL.Query().Get("Topic")).records
+	s.mu.Unlock()
+	newest := make(map[string]newestItem)
+	for offset, record := range records {
+		keyEnd := 1 + int(record[0])
+		key := string(record[1:keyEnd])
+		newest[key] = newestItem{Key: key, Value: record[keyEnd:], Offset: offset}
+	}
+	items := []newestItem{}
+	for key, item := range newest {
+		if len(item.Value) > 0 && key > r.URL.Query().Get("after") {
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return strings.Compare(items[i].Key, items[j].Key) < 0 })
+	const page = 500
+	writeJSON(w, http.StatusOK, map[string]any{"items": items[:min(page, len(items))], "More": len(items) > page, "End": len(records)})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
