Review case 2: the store turns readers away, and no other node reads it

What breaks: CONFIG. While the store refuses a third of the machines, those that call it most, an accepted version is not in force at any of the machines that it serves, for as long as that lasts.

Cause: two nodes of each zone read the store, chosen by a hash among the live ones. One that the store refuses stays a reader, and a joined node that is none never reads (internal/coordination/spread/topology.go, join.go, reading.go).

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// fleet is a deployment of two zones with three machines each.
+// fleet is a small deployment.
 type fleet struct {
 	trial     *trial
 	store     *store
@@ -20,23 +20,30 @@
 	upstreamWork = 20 * time.Millisecond
 )
 
-// startFleet starts the store, the upstreams and the nodes.
-func (t *trial) startFleet() (*fleet, error) {
+// zones are the names of the zones, of which a fleet has the first ones.
+var zones = []string{"plateau-dc", "almadies-dc", "rufisque-dc"}
+
+// startFleet starts the store, and upstreams and nodes in so many zones with so many machines each.
+func (t *trial) startFleet(zoneCount, perZone int) (*fleet, error) {
 	f := &fleet{trial: t, ledger: &ledger{}}
 	var err error
 	if f.store, err = t.startStore(t.ip(250)); err != nil {
 		return nil, err
 	}
-	for i := range 6 {
-		zone := []string{"plateau-dc", "almadies-dc"}[i/3]
-		m := machine{name: fmt.Sprintf("sidecar-%s-%d", zone, i%3+1), zone: zone, service: []string{serviceA, serviceB}[i%2], ip: t.ip(i + 1)}
+	for i := range zoneCount * perZone {
+		zone := zones[i/perZone]
+		m := machine{name: fmt.Sprintf("sidecar-%s-%d", zone, i%perZone+1), zone: zone, service: []string{serviceA, serviceB}[i%2], ip: t.ip(i + 1)}
 		f.machines = append(f.machines, m)
 		u, err := t.startUpstream(m, f.ledger, upstreamWork)
 		if err != nil {
 			return nil, err
 		}
 		f.upstreams = append(f.upstreams, u)
-		n, err := t.startNode(m, f.store.address)
+		address, err := t.addressFor(f.store, m, t.ip(100+i))
+		if err != nil {
+			return nil, err
+		}
+		n, err := t.startNode(m, address)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin/killafterrestore.go
+++ b/review/standin/killafterrestore.go
@@ -8,7 +8,7 @@
 // killAfterRestore: the store comes back from a copy. Later all nodes are killed at once and started
 // again, as in a final fault.
 func killAfterRestore(t *trial, trouble bool) (verdict, error) {
-	f, err := t.startFleet()
+	f, err := t.startFleet(2, 3)
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(t *trial, trouble bool) (verdict, error){
 	"store-restored":     storeRestored,
 	"kill-after-restore": killAfterRestore,
+	"readers-refused":    readersRefused,
 }
 
 func main() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -17,7 +18,7 @@
 // store is a stand-in for the platform's metadata store, with one partition a topic.
 type store struct {
 	address string
-	server  *http.Server
+	handler http.Handler
 
 	mu     sync.Mutex
 	topics map[string]*topic
@@ -25,6 +26,9 @@
 	changed chan struct{}
 	away    bool
 	era     int
+	// refused holds the machines that the store turns away, and calls when each machine called.
+	refused map[string]bool
+	calls   map[string][]time.Time
 }
 
 // topic is one partition. Its records have a key and a value if the topic's name says so.
@@ -35,17 +39,79 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: listener.Addr().String(), topics: make(map[string]*topic), changed: make(chan struct{}), era: 1}
+	s := &store{
+		address: listener.Addr().String(), topics: make(map[string]*topic), changed: make(chan struct{}), era: 1,
+		refused: make(map[string]bool), calls: make(map[string][]time.Time),
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/log-append", s.handleAppend)
 	mux.HandleFunc("GET /-/log-read", s.handleRead)
 	mux.HandleFunc("GET /-/log-newest", s.handleNewest)
-	s.server = &http.Server{Handler: s.available(mux)}
-	go func() { _ = s.server.Serve(listener) }()
-	t.atEnd(func() { _ = s.server.Close() })
+	s.handler = s.available(mux)
+	t.serve(listener, s.handler)
 	return s, nil
 }
 
+// serve serves HTTP until the end of the trial.
+func (t *trial) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	t.atEnd(func() { _ = server.Close() })
+}
+
+// addressFor returns an address of the store for one machine, by which it tells the machines apart.
+func (t *trial) addressFor(s *store, m machine, ip string) (string, error) {
+	listener, err := net.Listen("tcp", ip+":8309")
+	if err != nil {
+		return "", err
+	}
+	t.serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.called(m.name) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), machineKey{}, m.name)))
+	}))
+	return listener.Addr().String(), nil
+}
+
+// machineKey is the key of the machine's name in the context of its calls.
+type machineKey struct{}
+
+// called notes a call, and returns whether the machine is turned away.
+func (s *store) called(name string) (refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[name] = append(s.calls[name], time.Now())
+	return s.refused[name]
+}
+
+// callsSince returns how often each machine called since the given time.
+func (s *store) callsSince(since time.Time) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[string]int)
+	for name, calls := range s.calls {
+		for _, at := range calls {
+			if at.After(since) {
+				counts[name]++
+			}
+		}
+	}
+	return counts
+}
+
+// turnAway sets the machines that are turned away from now on, also those whose reads wait.
+func (s *store) turnAway(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = make(map[string]bool)
+	for _, name := range names {
+		s.refused[name] = true
+	}
+	s.notify()
+}
+
 // available refuses all calls while the store is away: nothing is done then.
 func (s *store) available(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -148,7 +214,8 @@
 	end := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	for waiting := true; ; {
 		s.mu.Lock()
-		records, changed, away, restored := s.topic(query.Get("Topic")).records, s.changed, s.away, s.era > 1
+		records, changed, restored := s.topic(query.Get("Topic")).records, s.changed, s.era > 1
+		away := s.away || s.refused[machineOf(r)]
 		s.mu.Unlock()
 		switch {
 		case away:
@@ -171,6 +238,11 @@
 	}
 }
 
+func machineOf(r *http.Request) string {
+	name, _ := r.Context().Value(machineKey{}).(string)
+	return name
+}
+
 func encodeRead(records [][]byte, from int64) []byte {
 	body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	body = binary.BigEndian.AppendUint64(body, 0)
--- a/review/standin/storerestored.go
+++ b/review/standin/storerestored.go
@@ -9,7 +9,7 @@
 // operator writes its newest one again, and a further one when all is calm. That one moves a route
 // to another service.
 func storeRestored(t *trial, trouble bool) (verdict, error) {
-	f, err := t.startFleet()
+	f, err := t.startFleet(2, 3)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -38,6 +38,7 @@
 	acked := time.Now()
 	// The bound, and what an unstable core would add to it at the most.
 	time.Sleep(boundConfig + boundMaxSkew)
+	checked := time.Now()
 	answers := t.sendFor(5*time.Second, 100*time.Millisecond, f.machines, "GET", host, "/r/after", time.Second)
 	byOld, byNew := 0, 0
 	for _, a := range answers {
@@ -49,8 +50,12 @@
 			}
 		}
 	}
-	summary := fmt.Sprintf("%d requests sent %.1f to %.1f s after the ack of version 9, which moves the route from %s to %s: %d run by the old service, %d by the new one",
-		len(answers), (boundConfig + boundMaxSkew).Seconds(), time.Since(acked).Seconds(), serviceA, serviceB, byOld, byNew)
+	calls := 0
+	for _, n := range f.store.callsSince(checked) {
+		calls += n
+	}
+	summary := fmt.Sprintf("%d requests sent %.1f to %.1f s after the ack of version 9, which moves the route from %s to %s: %d run by the old service, %d by the new one; the nodes called the store %.0f times a second meanwhile",
+		len(answers), (boundConfig + boundMaxSkew).Seconds(), time.Since(acked).Seconds(), serviceA, serviceB, byOld, byNew, float64(calls)/time.Since(checked).Seconds())
 	if byOld+byNew == 0 {
 		return verdict{}, fmt.Errorf("no request was run")
 	}
