--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"store-restored":     storeRestored,
 	"kill-after-restore": killAfterRestore,
 	"readers-refused":    readersRefused,
+	"silent-store":       silentStore,
 }
 
 func main() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -26,6 +26,9 @@
 	changed chan struct{}
 	away    bool
 	era     int
+	// silentBefore is the number of the first connection that is answered; those before it have gone
+	// silent. opened counts the connections.
+	silentBefore, opened int
 	// refused holds the machines that the store turns away, and calls when each machine called.
 	refused map[string]bool
 	calls   map[string][]time.Time
@@ -48,24 +51,55 @@
 	mux.HandleFunc("GET /-/log-read", s.handleRead)
 	mux.HandleFunc("GET /-/log-newest", s.handleNewest)
 	s.handler = s.available(mux)
-	t.serve(listener, s.handler)
+	t.serve(s, listener, s.handler)
 	return s, nil
 }
 
-// serve serves HTTP until the end of the trial.
-func (t *trial) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler}
+// serve serves the store's calls until the end of the trial.
+func (t *trial) serve(s *store, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ConnContext: s.number}
 	go func() { _ = server.Serve(listener) }()
 	t.atEnd(func() { _ = server.Close() })
 }
 
+// connectionKey is the key of a connection's number in the context of its calls.
+type connectionKey struct{}
+
+// number counts a connection.
+func (s *store) number(ctx context.Context, _ net.Conn) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opened++
+	return context.WithValue(ctx, connectionKey{}, s.opened-1)
+}
+
+// silence makes all open connections go silent for good. New ones work.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentBefore = s.opened
+	s.notify()
+}
+
+// silent reports whether the call's connection has gone silent. The caller holds mu.
+func (s *store) silent(r *http.Request) bool {
+	number, ok := r.Context().Value(connectionKey{}).(int)
+	return ok && number < s.silentBefore
+}
+
+// hang leaves a call without an answer.
+func hang(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // addressFor returns an address of the store for one machine, by which it tells the machines apart.
 func (t *trial) addressFor(s *store, m machine, ip string) (string, error) {
 	listener, err := net.Listen("tcp", ip+":8309")
 	if err != nil {
 		return "", err
 	}
-	t.serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	t.serve(s, listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.called(m.name) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -116,8 +150,11 @@
 func (s *store) available(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		away, era := s.away, s.era
+		away, era, silent := s.away, s.era, s.silent(r)
 		s.mu.Unlock()
+		if silent {
+			hang(r)
+		}
 		w.Header().Set("Store-Era", strconv.Itoa(era))
 		if away {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -215,8 +252,11 @@
 	for waiting := true; ; {
 		s.mu.Lock()
 		records, changed, restored := s.topic(query.Get("Topic")).records, s.changed, s.era > 1
-		away := s.away || s.refused[machineOf(r)]
+		away, silent := s.away || s.refused[machineOf(r)], s.silent(r)
 		s.mu.Unlock()
+		if silent {
+			hang(r)
+		}
 		switch {
 		case away:
 			w.WriteHeader(http.StatusServiceUnavailable)
