--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -54,7 +54,7 @@
 
 // publish writes a configuration to the store, as the operator does.
 func (f *fleet) publish(version int, routes map[string]route) {
-	offset := f.store.write("keyed.op", "config", configuration(version, routes))
+	offset := f.store.write(topicOperator, "config", configuration(version, routes))
 	f.trial.note("the operator writes version %d, acknowledged at offset %d", version, offset)
 }
 
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -40,10 +40,10 @@
 
 func (m machine) fields(store string) map[string]string {
 	return map[string]string{
-		"NodeName": m.name, "Zone": m.zone, "Service": m.service, "Ip": m.ip, "AppAddr": m.ip + ":" + portApp,
+		fieldNode: m.name, "Zone": m.zone, "Service": m.service, "Ip": m.ip, fieldTarget: m.ip + ":" + portApp,
 		"Listen.Outbound": m.ip + ":" + portOutbound, "Listen.Control": m.ip + ":" + portControl,
 		"Listen.Ready": m.ip + ":" + portReady, "Listen.Inbound": m.ip + ":" + portInbound,
-		"InternalPorts.0": "7620", "InternalPorts.1": "7635", "Limits.LinkMbps": "1000.0", "Platform.Address": store, "Heartbeat": "1500ms",
+		fieldPorts + ".0": "7620", fieldPorts + ".1": "7635", "Limits.LinkMbps": "1000.0", "Platform.Address": store, "Heartbeat": "1500ms",
 		"Bounds.Grace": "6s", "Bounds.Config": "2000ms", "Bounds.StabilityWindow": "3000ms", "Bounds.BudgetRatio": "0.2",
 	}
 }
@@ -137,7 +137,7 @@
 // ready reports whether the node's readiness check succeeds.
 func (n *nodeProcess) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + n.ip + ":" + portReady + "/-/readiness")
+	response, err := client.Get("http://" + n.ip + ":" + portReady + pathReady)
 	if err != nil {
 		return false
 	}
--- a/review/standin/storerestored.go
+++ b/review/standin/storerestored.go
@@ -18,7 +18,7 @@
 		return verdict{}, err
 	}
 	backup := f.store.copy()
-	t.note("the copy is made, with %d records of the operator", len(backup["keyed.op"].records))
+	t.note("the copy is made, with %d records of the operator", len(backup[topicOperator].records))
 	for i, timeout := range []string{"1100ms", "1000ms", "900ms"} {
 		f.publish(3+2*i, map[string]route{"r-1": routeTo(serviceA, timeout)})
 		time.Sleep(time.Second)
