A restored store kept accepted configurations out of force

Cause: configurations, reads and updates between nodes were ordered by the offset of the store alone. A store that comes back from a copy gives offsets out again, so every record below the offset reached before was taken for one already applied; and nothing paused between reads that brought nothing.

A read from an earlier era, or from an offset that the store does not have, is answered by reading the newest ticket. Configurations of different eras are ordered by their ticket's number, so that the older ticket in the copy does not replace the one in force; the newest one written again is accepted at its new position. Nodes send era and number with their versions; those of an earlier release send neither, and their positions are taken to be of the receiver's era. A read without progress is followed by the delay of a failed one. Plain positions in the status commands begin with the era.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"jasminegate/internal/protocol/adminapi"
+	"jasminegate/internal/state"
 	"jasminegate/internal/transport/adminclient"
 )
 
@@ -51,7 +52,7 @@
 	rows.row("node", status.Node)
 	rows.row("failure domain", status.Domain)
 	rows.row("state", string(status.State))
-	rows.row("version", fmt.Sprintf("%d@%s", status.Version.Position, status.Version.Digest))
+	rows.row("version", state.FormatPosition(status.Version.Position)+"@"+status.Version.Digest)
 	rows.row("incarnation", fmt.Sprint(status.Incarnation))
 	rows.row("calls in flight", fmt.Sprint(status.CallsInFlight))
 	rows.row("calls waiting", fmt.Sprint(status.QueueLength))
@@ -71,7 +72,7 @@
 func printDomains(out io.Writer, domains []adminapi.DomainProgress) {
 	rows := newTable(out, "DOMAIN", "MEMBERS", "LEAST VERSION", "BEHIND", "HEARD", "LEFT OUT")
 	for _, domain := range domains {
-		rows.row(domain.Domain, fmt.Sprint(domain.Members), fmt.Sprint(domain.LeastPosition),
+		rows.row(domain.Domain, fmt.Sprint(domain.Members), state.FormatPosition(domain.LeastPosition),
 			orDash(strings.Join(domain.Laggards, ",")), formatAge(domain.AgeMS)+" ago", orDash(strings.Join(domain.LeftOut, "; ")))
 	}
 	rows.flush()
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -8,6 +8,7 @@
 
 	"jasminegate/internal/protocol/adminapi"
 	"jasminegate/internal/protocol/ticketfile"
+	"jasminegate/internal/state"
 	"jasminegate/internal/transport/adminclient"
 )
 
@@ -88,7 +89,7 @@
 func printVerdicts(out io.Writer, list adminapi.VerdictList) {
 	rows := newTable(out, "NUMBER", "CONTENT", "POSITION", "OUTCOME", "REASON")
 	for _, verdict := range list.Verdicts {
-		rows.row(formatUint(verdict.Number), verdict.Content, formatUint(verdict.Position), verdict.Outcome, orDash(verdict.Reason))
+		rows.row(formatUint(verdict.Number), verdict.Content, state.FormatPosition(verdict.Position), verdict.Outcome, orDash(verdict.Reason))
 	}
 	rows.flush()
 }
--- a/internal/cli/ticket_status.go
+++ b/internal/cli/ticket_status.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"jasminegate/internal/protocol/adminapi"
+	"jasminegate/internal/state"
 	"jasminegate/internal/transport/adminclient"
 )
 
@@ -92,7 +93,7 @@
 	rows.row("ticket", formatUint(status.Number))
 	rows.row("state", string(status.State)+durationSuffix(status.SinceMS))
 	rows.row("content", orDash(status.Content))
-	rows.row("version", formatUint(status.Position)) // a ticket's status has no digest
+	rows.row("version", state.FormatPosition(status.Position)) // a ticket's status has no digest
 	if status.Reason != "" {
 		rows.row("reason", status.Reason)
 	}
--- a/internal/coordination/acceptance/fold.go
+++ b/internal/coordination/acceptance/fold.go
@@ -144,12 +144,19 @@
 	if decodeErr != nil {
 		return Result{Verdict: verdict.rejected(decodeErr)}
 	}
-	if ticket.Number <= f.highest {
+	if ticket.Number < f.highest || ticket.Number == f.highest && !f.restates(verdict) {
 		return Result{Verdict: f.decideNotAbove(verdict)}
 	}
 	return f.decideNew(verdict, ticket)
 }
 
+// restates reports whether a ticket with the highest accepted number is the first of
+// its log era. After the log was restored from a copy, its author wrote it again; it is
+// accepted at its new position.
+func (f *Fold) restates(verdict Verdict) bool {
+	return state.EraOf(verdict.Position) > f.Version().Era()
+}
+
 // numberOf returns the ticket number in otherwise undecodable data, or 0, so that
 // the ticket's author can query the verdict by number.
 func numberOf(data []byte) uint64 {
@@ -174,7 +181,7 @@
 	if err != nil {
 		return Result{Verdict: verdict.rejected(err)}
 	}
-	f.snapshot = next
+	f.snapshot = next.Numbered(ticket.Number)
 	f.highest = ticket.Number
 	verdict.Outcome = Accepted
 	return Result{Verdict: verdict, Changes: changes}
--- a/internal/coordination/acceptance/update.go
+++ b/internal/coordination/acceptance/update.go
@@ -1,6 +1,8 @@
 package acceptance
 
 import (
+	"slices"
+
 	"jasminegate/internal/state"
 )
 
@@ -18,6 +20,22 @@
 	Verdicts      []Verdict
 }
 
+// InEra returns an update of a node that states no eras, with its positions in the given
+// era of the log.
+func (u Update) InEra(era uint64) Update {
+	u.To.Position = state.PositionInEra(era, u.To.Position)
+	u.To.Number = u.HighestNumber
+	u.NextOffset = int64(state.PositionInEra(era, uint64(max(u.NextOffset, 0))))
+	if !u.Full() {
+		u.From.Position = state.PositionInEra(era, u.From.Position)
+	}
+	u.Verdicts = slices.Clone(u.Verdicts)
+	for i := range u.Verdicts {
+		u.Verdicts[i].Position = state.PositionInEra(era, u.Verdicts[i].Position)
+	}
+	return u
+}
+
 // Full reports whether the update holds the full state.
 func (u Update) Full() bool { return u.From.Position == 0 }
 
@@ -34,13 +52,13 @@
 
 // ApplyUpdate moves the fold to the state at the end of the update. If it fails, it
 // changes nothing. The error is ErrOutdated when the fold is already at that offset
-// or beyond, ErrGap when the fold lacks tickets before the update, ErrMalformed when
+// or beyond, or has a newer configuration from another era of the log, ErrGap when the fold lacks tickets before the update, ErrMalformed when
 // the update is inconsistent, and state.ErrDigestMismatch when the resulting state
 // does not have the digest of the update's version. Errors of state.Snapshot.With
 // are returned as they are.
 func (f *Fold) ApplyUpdate(update Update) error {
-	if update.NextOffset <= f.next {
-		return ErrOutdated.New("update ends at log offset %d, this node is already at %d: nothing to do", update.NextOffset, f.next)
+	if f.isOutdated(update) {
+		return ErrOutdated.New("update to %s ends at log offset %d, this node is at %s and %d: nothing to do", update.To, update.NextOffset, f.Version(), f.next)
 	}
 	if err := update.check(); err != nil {
 		return err
@@ -53,12 +71,23 @@
 		return err
 	}
 	f.applyVerdicts(update)
-	f.snapshot = snapshot
-	f.next = update.NextOffset
+	f.snapshot = snapshot.Numbered(update.HighestNumber)
+	f.next = max(f.next, update.NextOffset)
 	f.highest = update.HighestNumber
 	return nil
 }
 
+// isOutdated reports whether the update brings the fold nothing. Offsets of different
+// eras say nothing about the configurations: the fold may have skipped to the end of a
+// restored log that lacks the update's ticket.
+func (f *Fold) isOutdated(update Update) bool {
+	if f.Version().Position > 0 && update.To.Era() != f.Version().Era() {
+		return !update.To.Newer(f.Version())
+	}
+	acrossEras := state.EraOf(update.NextOffset) != state.EraOf(f.next)
+	return update.NextOffset <= f.next && !(acrossEras && update.To.Newer(f.Version()))
+}
+
 func (u Update) check() error {
 	if u.NextOffset < 0 || u.To.Position > uint64(u.NextOffset) || u.From.Position > u.To.Position {
 		return ErrMalformed.New("update from position %d to %d with log offset %d: pull the full state", u.From.Position, u.To.Position, u.NextOffset)
@@ -76,7 +105,8 @@
 // snapshotAfter returns the snapshot after the update, which is the current one when
 // the update has only newer verdicts.
 func (f *Fold) snapshotAfter(update Update) (*state.Snapshot, error) {
-	if update.To.Position < f.Version().Position || update.HighestNumber < f.highest {
+	sameEra := update.To.Era() == f.Version().Era()
+	if sameEra && update.To.Position < f.Version().Position || update.HighestNumber < f.highest {
 		return nil, ErrMalformed.New("update would decrease the position (to %d, this node is at %d) or the highest ticket number: pull the full state", update.To.Position, f.Version().Position)
 	}
 	if update.To.Position == f.Version().Position {
--- a/internal/coordination/membership/current.go
+++ b/internal/coordination/membership/current.go
@@ -26,7 +26,7 @@
 // configurationCurrent records a report of this node's reader. The version is recorded
 // with it: an ack must not state the instant beside an earlier version.
 func (m *Machine) configurationCurrent(now time.Time, event ConfigurationCurrent) {
-	if event.Version.Position > m.version.Position {
+	if event.Version.Newer(m.version) {
 		m.localChanged(now, LocalStatusChanged{Version: event.Version, Load: m.load})
 	}
 	m.learnCurrent(event.At, "")
@@ -36,7 +36,7 @@
 // configuration. The age counts from when the probe was sent, because the ack may have
 // been delivered much later than it was sent.
 func (m *Machine) recordCurrent(sent *pendingProbe, ack Ack) {
-	if ack.CurrentAge > 0 && ack.Version.Position <= m.version.Position {
+	if ack.CurrentAge > 0 && !ack.Version.Newer(m.version) {
 		m.learnCurrent(sent.sentAt.Add(-ack.CurrentAge), ack.From)
 	}
 }
--- a/internal/coordination/membership/fence.go
+++ b/internal/coordination/membership/fence.go
@@ -27,7 +27,7 @@
 	if r == nil || r.Incarnation != ack.FromIncarnation || !ack.Known {
 		return
 	}
-	ahead := ack.Version.Position > m.version.Position
+	ahead := ack.Version.Newer(m.version)
 	if r.Domain != m.self.Domain {
 		if !ahead {
 			m.contact.external = later(m.contact.external, sent.sentAt)
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -164,7 +164,7 @@
 }
 
 func (m *Machine) localChanged(now time.Time, event LocalStatusChanged) {
-	advanced := event.Version.Position > m.version.Position
+	advanced := event.Version.Newer(m.version)
 	m.version, m.load = event.Version, event.Load
 	if advanced {
 		m.expediteProbe(now)
--- a/internal/coordination/spread/compacted_log_test.go
+++ b/internal/coordination/spread/compacted_log_test.go
@@ -12,9 +12,10 @@
 
 // newestTicketRead returns the newest ticket, as a compacted log does.
 func (f *fleet) newestTicketRead() Event {
-	response := NewestTicketRead{Next: int64(len(f.tickets))}
+	f.newestReads++
+	response := NewestTicketRead{Next: f.logEnd()}
 	if last := len(f.tickets) - 1; last >= 0 {
-		response.Records = []Record{{Offset: int64(last), Data: f.tickets[last]}}
+		response.Records = []Record{{Offset: f.logEnd() - 1, Data: f.tickets[last]}}
 	}
 	return response
 }
--- a/internal/coordination/spread/fleet_checks_test.go
+++ b/internal/coordination/spread/fleet_checks_test.go
@@ -7,7 +7,7 @@
 // missing service.
 func (f *fleet) checkInstall(n *node, snapshot *state.Snapshot) {
 	version := snapshot.Version()
-	if version.Position < n.highest.Position {
+	if n.highest.Newer(version) {
 		f.fail("%s goes back from version %v to %v", n.member.ID, n.highest, version)
 	}
 	if digest, ok := f.digests[version.Position]; !ok || digest != version.Digest {
@@ -28,7 +28,10 @@
 // are accepted although they were removed (tenants.revoke_strict).
 func (f *fleet) checkCurrent(n *node, report ReportCurrent) {
 	applied := n.machine.Fold().NextOffset()
-	if applied < int64(len(f.appendedAt)) && !f.appendedAt[applied].After(report.At) {
+	if state.EraOf(applied) < state.EraOf(f.logEnd()) && f.restoredAt.Before(report.At) {
+		f.fail("%s takes version %v for the newest at %v, but has not read the restored log", n.member.ID, report.Version, report.At)
+	}
+	if state.EraOf(applied) == state.EraOf(f.logEnd()) && applied < f.logEnd() && !f.appendedAt[state.OffsetOf(applied)].After(report.At) {
 		f.fail("%s takes version %v for the newest at %v, but has not applied offset %d", n.member.ID, report.Version, report.At, applied)
 	}
 	if installedVersion(n) != report.Version {
--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -33,7 +33,10 @@
 	appendedAt     []time.Time
 	currentReports int
 	firstOffset    int64 // offset of the first ticket that the log keeps
-	checkpoints    []acceptance.Update
+	// era is that of the log, restoredAt when it began.
+	era         uint64
+	restoredAt  time.Time
+	checkpoints []acceptance.Update
 	// reference has applied the whole log. digests maps the position of each
 	// accepted state to its digest.
 	reference *acceptance.Fold
@@ -52,6 +55,7 @@
 	platformPartitioned map[string]bool // domains without access to the platform
 	domainsPartitioned  bool            // no domain reaches another
 	ticketReads         int             // ReadTickets actions
+	newestReads         int             // ReadNewestTicket actions that had a response
 	pulls               int
 	fullStates          int // responses to pulls with the full state
 	pushedTo            map[string]int
@@ -359,7 +363,7 @@
 		return f.newestTicketRead()
 	case ReadBounds:
 		if a.Stream == StreamTickets {
-			return BoundsRead{StreamTickets, int64(len(f.tickets))}
+			return BoundsRead{StreamTickets, f.logEnd()}
 		}
 		return BoundsRead{StreamCheckpoints, int64(len(f.checkpoints))}
 	case WriteCheckpoint:
@@ -381,12 +385,12 @@
 	switch {
 	case !f.reachesPlatform(n):
 		f.after(testTimeout, func() { reply(PlatformFailed{Request: read}) })
-	case read.From < f.firstOffset:
+	case state.EraOf(read.From) != state.EraOf(f.logEnd()) || read.From > f.logEnd() || state.OffsetOf(read.From) < f.firstOffset:
 		reply(TicketsTrimmed{})
-	case read.From < int64(len(f.tickets)):
+	case read.From < f.logEnd():
 		var records []Record
-		for i := read.From; i < min(int64(len(f.tickets)), read.From+f.recordsPerRead()); i++ {
-			records = append(records, Record{Offset: i, Data: f.tickets[i]})
+		for at := read.From; at < min(f.logEnd(), read.From+f.recordsPerRead()); at++ {
+			records = append(records, Record{Offset: at, Data: f.tickets[state.OffsetOf(at)]})
 		}
 		f.deliverRead(n, TicketsRead{records}, reply)
 	case !read.Wait || !f.now.Before(end):
@@ -493,7 +497,7 @@
 	if err != nil {
 		f.fail("encode: %v", err)
 	}
-	offset := int64(len(f.tickets))
+	offset := f.logEnd()
 	f.tickets = append(f.tickets, data)
 	f.appendedAt = append(f.appendedAt, f.now)
 	if _, _, err := f.reference.Apply(offset, data); err != nil {
@@ -503,6 +507,9 @@
 	f.digests[version.Position] = version.Digest
 }
 
+// logEnd returns the log position of the next ticket.
+func (f *fleet) logEnd() int64 { return state.LogPosition(f.era, int64(len(f.tickets))) }
+
 // trim drops the tickets that the newest checkpoint includes.
 func (f *fleet) trim() {
 	if len(f.checkpoints) > 0 {
--- a/internal/coordination/spread/history.go
+++ b/internal/coordination/spread/history.go
@@ -43,7 +43,9 @@
 }
 
 // since returns the newest state of each resource that changed after position.
-// It reports false if the entries after position were dropped.
+// It reports false if the entries after position were dropped, or if position is of a
+// later era of the log than the entry before it: its holder then has a state that these
+// changes do not build on.
 func (h *history) since(position uint64) ([]state.Resource, bool) {
 	if position < h.base {
 		return nil, false
@@ -52,7 +54,10 @@
 	var changes []state.Resource
 	for _, entry := range slices.Backward(h.entries) {
 		if entry.position <= position {
-			break
+			if entry.position != position && state.EraOf(entry.position) != state.EraOf(position) {
+				return nil, false
+			}
+			return changes, true
 		}
 		for _, change := range entry.changes {
 			if !seen[change.Key] {
@@ -61,5 +66,5 @@
 			}
 		}
 	}
-	return changes, true
+	return changes, h.base == position || state.EraOf(h.base) == state.EraOf(position)
 }
--- a/internal/coordination/spread/join.go
+++ b/internal/coordination/spread/join.go
@@ -1,6 +1,10 @@
 package spread
 
-import "time"
+import (
+	"time"
+
+	"jasminegate/internal/state"
+)
 
 // joinState tracks the join of a starting node. The node installs no configuration
 // before it has applied the tickets stream up to the join offset, which is the end
@@ -22,8 +26,8 @@
 	// peerWaitEnd is when a joining node that is not a reader stops relying on
 	// peers and reads the log.
 	peerWaitEnd time.Time
-	// installedPosition is the position of the installed configuration.
-	installedPosition uint64
+	// installed is the version of the installed configuration.
+	installed state.Version
 }
 
 func (m *Machine) recordStart(now time.Time) {
@@ -67,12 +71,12 @@
 	if m.options.CompactedLog && m.position() == 0 {
 		return // no configuration has been published yet
 	}
-	if m.join.joined && m.position() <= m.join.installedPosition {
+	if m.join.joined && !m.fold.Version().Newer(m.join.installed) {
 		return
 	}
 	first := !m.join.joined
 	m.join.joined = true
-	m.join.installedPosition = m.position()
+	m.join.installed = m.fold.Version()
 	m.emit(Install{Snapshot: m.fold.Snapshot()})
 	if first {
 		m.reportCurrent(m.join.offsetRequestedAt)
--- a/internal/coordination/spread/machine.go
+++ b/internal/coordination/spread/machine.go
@@ -91,7 +91,7 @@
 		m.handleNewestTicket(now, e)
 	case TicketsTrimmed:
 		m.handlePlatformResponse()
-		m.reading.request.succeeded()
+		m.reading.request.inFlight = false // the next read tells whether there is progress
 		m.reading.recordsMissing = true
 	case CheckpointRead:
 		m.handlePlatformResponse()
@@ -142,6 +142,9 @@
 // state advanced, if only by verdicts.
 func (m *Machine) applyUpdate(update acceptance.Update) (advanced bool, err error) {
 	before := m.position()
+	if update.To.Number == 0 {
+		update = update.InEra(m.logEra())
+	}
 	err = m.fold.ApplyUpdate(update)
 	if err != nil {
 		return false, err
@@ -159,6 +162,20 @@
 	return true, nil
 }
 
+// logEra returns the era of the log that this node knows of.
+func (m *Machine) logEra() uint64 {
+	return max(state.EraOf(m.fold.NextOffset()), state.EraOf(m.join.offset))
+}
+
+// inLogEra returns the version that a peer sent. Peers of an earlier release state no
+// number and no era; their positions are taken to be of this node's era.
+func (m *Machine) inLogEra(version state.Version) state.Version {
+	if version.Number == 0 && version.Position > 0 {
+		version.Position = state.PositionInEra(m.logEra(), version.Position)
+	}
+	return version
+}
+
 // updateSince returns the changes after position. If the history no longer holds
 // them, it returns the full state and sets fullState. For position 0 the result is a
 // full update (Update.Full) in either case.
--- a/internal/coordination/spread/pulling.go
+++ b/internal/coordination/spread/pulling.go
@@ -43,6 +43,7 @@
 }
 
 func (m *Machine) handlePeerVersion(now time.Time, e PeerVersion) {
+	e.Version = m.inLogEra(e.Version)
 	own := m.fold.Version()
 	if e.Version.Position == own.Position && e.Version.Digest != own.Digest {
 		m.reportDivergence(e)
@@ -108,7 +109,7 @@
 		return
 	}
 	from := m.fold.Version()
-	if p.needsFullState || from.Position == 0 {
+	if p.needsFullState || m.hasEarlierPosition(peer) {
 		from = state.Version{}
 	}
 	p.request.inFlight = true
@@ -117,6 +118,14 @@
 	m.emit(PullUpdate{Peer: peer, From: from, Failures: p.failures})
 }
 
+// hasEarlierPosition reports whether the peer's newer version has an earlier position than
+// this node's: it was accepted before the log was restored from a copy, this node's after
+// that.
+func (m *Machine) hasEarlierPosition(peer membership.Member) bool {
+	newer, known := m.pulling.newerPeers[peer.ID]
+	return known && newer.version.Position < m.position()
+}
+
 // scheduleRequestedPull schedules a requested pull, at most once per
 // minRequestedPullInterval. A reader needs none while it can read the log.
 func (m *Machine) scheduleRequestedPull(now time.Time) {
@@ -270,6 +279,7 @@
 // servePull responds to a peer's pull. The rate of full states is limited, so that many
 // nodes joining at once do not overload this node.
 func (m *Machine) servePull(now time.Time, e PullReceived) {
+	e.From = m.inLogEra(e.From)
 	if !m.join.joined || e.From.Position > m.position() {
 		m.refusePull(e.Token)
 		return
--- a/internal/coordination/spread/pushing.go
+++ b/internal/coordination/spread/pushing.go
@@ -135,7 +135,7 @@
 		m.handlePushFailure(e.PeerID, progress)
 		return
 	}
-	progress.peerPosition = e.Version.Position
+	progress.peerPosition = m.inLogEra(e.Version).Position
 	if progress.peerPosition >= progress.sentPosition {
 		progress.peerNext = max(progress.peerNext, progress.sentNext)
 		return
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -9,8 +9,11 @@
 
 // readingState tracks the reads of the tickets stream and the checkpoints.
 type readingState struct {
-	request     requestState
-	requestedAt time.Time
+	request requestState
+	// requestedAt and requestedFrom are when the last read was sent, and the log offset
+	// that this node had reached then.
+	requestedAt   time.Time
+	requestedFrom int64
 	// recordsMissing is true if the next records cannot be read: retention dropped them, or
 	// a read skipped some (acceptance.ErrGap). Only a checkpoint or a peer can then
 	// supply the missing state; on a compacted log, the newest ticket or a peer.
@@ -26,7 +29,7 @@
 		return
 	}
 	m.reading.request.inFlight = true
-	m.reading.requestedAt = now
+	m.reading.requestedAt, m.reading.requestedFrom = now, m.fold.NextOffset()
 	if m.needsFullState() {
 		if m.options.CompactedLog {
 			m.emit(ReadNewestTicket{})
@@ -49,8 +52,8 @@
 }
 
 func (m *Machine) handleTickets(now time.Time, records []Record) {
-	m.reading.request.succeeded()
 	if len(records) == 0 {
+		m.reading.request.succeeded()
 		m.reading.request.notBefore = m.reading.requestedAt.Add(emptyReadDelay)
 		if m.join.joined {
 			m.reportCurrent(m.reading.requestedAt)
@@ -68,6 +71,7 @@
 			m.addToHistory(result.Verdict.Position, result.Changes)
 		}
 	}
+	m.finishRead(now)
 	if m.fold.NextOffset() == next {
 		return
 	}
@@ -75,6 +79,17 @@
 	m.installAndPush(now, before)
 }
 
+// finishRead ends a read that had a response with records. If this node is still where it
+// was when the read was sent, they were of no use, and the next read is delayed like after
+// a failure.
+func (m *Machine) finishRead(now time.Time) {
+	if m.fold.NextOffset() > m.reading.requestedFrom {
+		m.reading.request.succeeded()
+		return
+	}
+	m.reading.request.failed(now, m.readRetryLimit(), m.random)
+}
+
 func (m *Machine) applyRecord(record Record) (result acceptance.Result, decided bool, err error) {
 	if record.Skip {
 		return acceptance.Result{}, false, m.fold.Skip(record.Offset)
@@ -93,7 +108,6 @@
 // handleNewestTicket applies the newest ticket without the tickets before it, which
 // it replaces.
 func (m *Machine) handleNewestTicket(now time.Time, e NewestTicketRead) {
-	m.reading.request.succeeded()
 	before, next := m.position(), m.fold.NextOffset()
 	for _, record := range e.Records {
 		result, decided, err := m.fold.ApplyReplacement(record.Offset, record.Data)
@@ -109,6 +123,7 @@
 	// This also skips a ticket that could not be applied; reading continues at Next.
 	m.fold.SkipTo(e.Next)
 	m.reading.recordsMissing = false
+	m.finishRead(now)
 	if m.fold.NextOffset() > next {
 		m.installAndPush(now, before)
 	}
@@ -145,10 +160,7 @@
 		m.reading.platformUnreachable = true
 		m.emit(ReportCondition{Condition: PlatformUnreachable, Failed: e.Request, Reason: e.Reason})
 	}
-	limit := maxRetryDelay
-	if m.topology.isReader(m.options.Readers) {
-		limit = maxReaderRetryDelay
-	}
+	limit := m.readRetryLimit()
 	switch r := e.Request.(type) {
 	case ReadBounds:
 		if r.Stream == StreamTickets {
@@ -163,6 +175,14 @@
 	}
 }
 
+// readRetryLimit limits the delay between two reads of the platform's log.
+func (m *Machine) readRetryLimit() time.Duration {
+	if m.topology.isReader(m.options.Readers) {
+		return maxReaderRetryDelay
+	}
+	return maxRetryDelay
+}
+
 func (m *Machine) handleBounds(now time.Time, e BoundsRead) {
 	if e.Stream == StreamTickets {
 		m.setJoinOffset(now, e.Next)
--- a/internal/node/members/codec.go
+++ b/internal/node/members/codec.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jasminegate/internal/coordination/membership"
+	"jasminegate/internal/protocol/codec"
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
 )
@@ -16,12 +17,10 @@
 	if v == (state.Version{}) {
 		return nil
 	}
-	return &wire.Version{Position: v.Position, Digest: v.Digest}
+	return codec.VersionToProto(v)
 }
 
-func versionFromWire(v *wire.Version) state.Version {
-	return state.Version{Position: v.GetPosition(), Digest: v.GetDigest()}
-}
+func versionFromWire(v *wire.Version) state.Version { return codec.VersionFromProto(v) }
 
 func memberToWire(m membership.Member) *wire.Member {
 	return &wire.Member{
@@ -119,7 +118,8 @@
 			Reporter:      s.Reporter,
 			Sequence:      s.Sequence,
 			Members:       s.Members,
-			LeastPosition: s.LeastPosition,
+			LeastPosition: state.OffsetOf(s.LeastPosition),
+			Era:           uint32(state.EraOf(s.LeastPosition)),
 			Laggards:      s.Laggards,
 			LeftOut:       s.LeftOut,
 			AgeMs:         ageToWire(s.Age),
@@ -148,7 +148,7 @@
 			Reporter:      s.GetReporter(),
 			Sequence:      s.GetSequence(),
 			Members:       s.GetMembers(),
-			LeastPosition: s.GetLeastPosition(),
+			LeastPosition: codec.PositionFromProto(s.GetEra(), s.GetLeastPosition()),
 			Laggards:      s.GetLaggards(),
 			LeftOut:       s.GetLeftOut(),
 			Age:           time.Duration(s.GetAgeMs()) * time.Millisecond,
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -19,6 +19,7 @@
 	"jasminegate/internal/logging"
 	"jasminegate/internal/node/configuration"
 	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/state"
 	"jasminegate/internal/transport/platformlog"
 )
 
@@ -283,6 +284,9 @@
 		if found || record.Phase.Final() || record.Order > uint64(read.Next) {
 			continue
 		}
+		if state.EraOf(record.Order) != state.EraOf(read.Next) {
+			continue // the log was restored from a copy that lacks the order
+		}
 		withdrawals = append(withdrawals, pendingOrder{configuration.NumberedOrder{
 			Order: platformlog.Order{Service: record.Service, Withdrawn: true}, Number: uint64(read.Next) + 1,
 		}, now})
@@ -330,7 +334,8 @@
 }
 
 // accept begins the order's rollout, or ends that of a withdrawn one. An order that is not newer than
-// the known one of its service changes nothing.
+// the known one of its service changes nothing, nor does that order written again after the log was
+// restored from a copy.
 func (r *rollouts) accept(now time.Time, order pendingOrder) {
 	r.mu.Lock()
 	known, exists := r.table.Get(order.Service)
@@ -338,6 +343,7 @@
 	r.mu.Unlock()
 	switch {
 	case exists && known.Order >= order.Number:
+	case exists && !order.Withdrawn && known.TargetVersion == order.TargetVersion && state.EraOf(known.Order) < state.EraOf(order.Number):
 	case order.Withdrawn:
 		if exists && !known.Phase.Final() {
 			r.abort(now, known, "the order was withdrawn")
--- a/internal/protocol/adminapi/status.go
+++ b/internal/protocol/adminapi/status.go
@@ -18,7 +18,8 @@
 // Version identifies one accepted configuration.
 type Version struct {
 	// Position is one past the log offset of the last accepted ticket; 0 means
-	// that no ticket has been accepted.
+	// that no ticket has been accepted. On a log with eras it is greater by the era
+	// times 2^40, here and in all other positions.
 	Position uint64 `json:"position"`
 	// Digest is the digest of the full state, as 16 hexadecimal digits.
 	Digest string `json:"digest"`
--- a/internal/protocol/codec/update.go
+++ b/internal/protocol/codec/update.go
@@ -3,6 +3,8 @@
 package codec
 
 import (
+	"math"
+
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
@@ -67,7 +69,8 @@
 func updateToProto(update acceptance.Update) *wire.Update {
 	message := &wire.Update{
 		To:            VersionToProto(update.To),
-		NextOffset:    uint64(update.NextOffset),
+		NextOffset:    uint64(state.OffsetOf(update.NextOffset)),
+		Era:           uint32(state.EraOf(update.NextOffset)),
 		HighestNumber: update.HighestNumber,
 	}
 	if !update.Full() {
@@ -86,7 +89,7 @@
 	update := acceptance.Update{
 		From:          VersionFromProto(message.GetFrom()),
 		To:            VersionFromProto(message.GetTo()),
-		NextOffset:    int64(message.GetNextOffset()),
+		NextOffset:    int64(PositionFromProto(message.GetEra(), message.GetNextOffset())),
 		HighestNumber: message.GetHighestNumber(),
 	}
 	for _, resource := range message.GetResources() {
@@ -100,12 +103,27 @@
 
 // VersionToProto returns the message for the version.
 func VersionToProto(version state.Version) *wire.Version {
-	return &wire.Version{Position: version.Position, Digest: version.Digest}
+	return &wire.Version{
+		Position: state.OffsetOf(version.Position), Era: uint32(version.Era()),
+		Number: version.Number, Digest: version.Digest,
+	}
 }
 
 // VersionFromProto returns the version of the message; nil yields the zero version.
 func VersionFromProto(message *wire.Version) state.Version {
-	return state.Version{Position: message.GetPosition(), Digest: message.GetDigest()}
+	return state.Version{
+		Position: PositionFromProto(message.GetEra(), message.GetPosition()),
+		Number:   message.GetNumber(), Digest: message.GetDigest(),
+	}
+}
+
+// PositionFromProto returns the log position of a message. An offset or era out of range
+// yields a position that makes an update malformed.
+func PositionFromProto(era uint32, offset uint64) uint64 {
+	if offset > state.MaxOffset || era > state.MaxEra {
+		return math.MaxUint64
+	}
+	return uint64(state.LogPosition(uint64(era), int64(offset)))
 }
 
 func resourceToProto(resource state.Resource) *wire.Resource {
@@ -129,7 +147,8 @@
 	return &wire.Verdict{
 		Number:   verdict.Number,
 		Content:  verdict.ContentHash,
-		Position: verdict.Position,
+		Position: state.OffsetOf(verdict.Position),
+		Era:      uint32(state.EraOf(verdict.Position)),
 		Outcome:  uint32(verdict.Outcome),
 		Reason:   verdict.Reason,
 	}
@@ -139,7 +158,7 @@
 	return acceptance.Verdict{
 		Number:      message.GetNumber(),
 		ContentHash: message.GetContent(),
-		Position:    message.GetPosition(),
+		Position:    PositionFromProto(message.GetEra(), message.GetPosition()),
 		Outcome:     acceptance.Outcome(message.GetOutcome()),
 		Reason:      message.GetReason(),
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -276,6 +276,13 @@
 	return changes
 }
 
+// Numbered returns the snapshot with the number of the ticket that was accepted last.
+func (s *Snapshot) Numbered(number uint64) *Snapshot {
+	numbered := *s
+	numbered.version.Number = number
+	return &numbered
+}
+
 // finalize sets the version and the sorted routes of s and returns s, which must
 // not be changed afterwards.
 func (s *Snapshot) finalize(position uint64) *Snapshot {
--- a/internal/transport/platformlog/errors.go
+++ b/internal/transport/platformlog/errors.go
@@ -6,7 +6,8 @@
 var (
 	Errors = errorx.NewNamespace("platformlog")
 
-	// ErrTrimmed means that the requested records are past the log's retention.
+	// ErrTrimmed means that the requested records are past the log's retention, or that
+	// the log was restored from a copy and they are of an earlier era.
 	ErrTrimmed = errorx.NewType(Errors, "trimmed")
 	// ErrUnavailable means that the platform did not respond, responded with an
 	// error or sent a malformed response, that the caller's context ended, or that
@@ -18,6 +19,6 @@
 	// ErrTooLarge means that a record is over the platform's size limit.
 	ErrTooLarge = errorx.NewType(Errors, "too_large")
 	// ErrConditionFailed means that a stream did not end where the writer had read it. Nothing
-	// was added.
+	// was added, unless the log was restored from a copy at the same time.
 	ErrConditionFailed = errorx.NewType(Errors, "condition_failed")
 )
--- a/internal/transport/platformlog/log.go
+++ b/internal/transport/platformlog/log.go
@@ -15,7 +15,8 @@
 	StreamStatus      = "status"      // nodes write the states of rollouts for operators
 )
 
-// Record is one entry of a stream.
+// Record is one entry of a stream. Offsets, here and below, are log positions on a log
+// with eras (state.LogPosition).
 type Record struct {
 	Offset int64
 	Time   time.Time // when the platform accepted the record, by its own clock
