A node that started on a restored store served the older configuration in the copy

Cause: a starting node serves with what the log holds at its end. A log that was restored from a copy lacks what was in force, and nothing told the node so. The directory of nodes lost records too: a node that had registered since the copy was missing there for good.

Change: a node registers again when it learns of a new era of the log, spread over 10 s, and states the number of the newest ticket that it had accepted. A starting node that finds only older tickets in the log pulls from its peers first, for 2 s at the most; if none has the ticket, it serves with what the log has.

--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -33,10 +33,12 @@
 	appendedAt     []time.Time
 	currentReports int
 	firstOffset    int64 // offset of the first ticket that the log keeps
-	// era is that of the log, restoredAt when it began.
-	era         uint64
-	restoredAt  time.Time
-	checkpoints []acceptance.Update
+	// era is that of the log, restoredAt when it began. acceptedNumber is the newest ticket
+	// of which the directory has word.
+	era            uint64
+	restoredAt     time.Time
+	acceptedNumber uint64
+	checkpoints    []acceptance.Update
 	// reference has applied the whole log. digests maps the position of each
 	// accepted state to its digest.
 	reference *acceptance.Fold
@@ -176,7 +178,7 @@
 	n.machine = New(Options{
 		Self: n.member, Readers: f.readers, FanOut: f.fanOut, PullsPerSecond: 20,
 		CheckpointInterval: 20 * time.Second, Seed: f.random.Uint64(), CompactedLog: f.compactedLog,
-		Registered: f.registered(),
+		Registered: f.registered(), AcceptedNumber: f.acceptedNumber,
 	})
 	f.step(n, n.incarnation, Tick{})
 	n.shownStates = ""
--- a/internal/coordination/spread/join.go
+++ b/internal/coordination/spread/join.go
@@ -9,7 +9,8 @@
 // joinState tracks the join of a starting node. The node installs no configuration
 // before it has applied the tickets stream up to the join offset, which is the end
 // of the stream as the platform reported it after the start. A restarted node
-// therefore never serves with an older configuration than its earlier incarnations.
+// therefore never serves with an older configuration than its earlier incarnations. A log
+// that was restored from a copy may lack their configuration (Options.AcceptedNumber).
 type joinState struct {
 	startedAt     time.Time
 	joined        bool
@@ -59,12 +60,12 @@
 	m.join.offsetKnown = true
 	m.join.offset = next
 	m.join.peerWaitEnd = now.Add(joinPeerWait + jitter(m.random, joinPeerWait))
-	m.installIfJoined()
+	m.installIfJoined(now)
 }
 
 // installIfJoined installs the newest configuration if the join offset is reached
 // and the configuration is not installed yet.
-func (m *Machine) installIfJoined() {
+func (m *Machine) installIfJoined(now time.Time) {
 	if !m.join.offsetKnown || m.fold.NextOffset() < m.join.offset {
 		return
 	}
@@ -74,6 +75,9 @@
 	if m.join.joined && !m.fold.Version().Newer(m.join.installed) {
 		return
 	}
+	if m.awaitsAcceptedTicket(now) {
+		return
+	}
 	first := !m.join.joined
 	m.join.joined = true
 	m.join.installed = m.fold.Version()
@@ -83,6 +87,13 @@
 	}
 }
 
+// awaitsAcceptedTicket reports whether a joining node has an older configuration than one
+// that was in force, and still waits for its peers to send that.
+func (m *Machine) awaitsAcceptedTicket(now time.Time) bool {
+	return !m.join.joined && m.fold.HighestNumber() < m.options.AcceptedNumber &&
+		!m.dueOrWake(now, m.join.startedAt.Add(acceptedTicketWait))
+}
+
 // reportCurrent reports that the installed configuration was the newest when a request was
 // sent. The response may have been delivered much later than it was sent.
 func (m *Machine) reportCurrent(requestedAt time.Time) {
--- a/internal/coordination/spread/machine.go
+++ b/internal/coordination/spread/machine.go
@@ -66,7 +66,7 @@
 	m.nextWake = time.Time{}
 	m.recordStart(now)
 	m.handle(now, event)
-	m.installIfJoined()
+	m.installIfJoined(now)
 	m.maybeReadJoinOffset(now)
 	m.maybeReadLog(now)
 	m.maybeCheckpoint(now)
--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -24,6 +24,9 @@
 	// Registered are the nodes that the platform's directory had when this node started,
 	// on a platform with one. Some of them may not run.
 	Registered []membership.Member
+	// AcceptedNumber is the number of the newest ticket that a registered node had
+	// accepted. A log that was restored from a copy may lack it.
+	AcceptedNumber uint64
 	// CheckpointInterval is the time until a reader's next checkpoint is due, before
 	// the stagger delay. Many new records make it due earlier.
 	CheckpointInterval time.Duration
@@ -49,6 +52,9 @@
 	// maxJoinPeerWait is how long after its start a joining node that is not a reader
 	// waits for peers that have a newer version.
 	maxJoinPeerWait = 10 * time.Second
+	// acceptedTicketWait is how long after its start a node waits for a peer that has the
+	// ticket Options.AcceptedNumber or a later one, before it serves with an older one.
+	acceptedTicketWait = 2 * time.Second
 	// memberTableWait is how long a starting node that knows no other live node
 	// waits for the member table before it reads the log.
 	memberTableWait = time.Second
--- a/internal/coordination/spread/pulling.go
+++ b/internal/coordination/spread/pulling.go
@@ -109,7 +109,7 @@
 		return
 	}
 	from := m.fold.Version()
-	if p.needsFullState || m.hasEarlierPosition(peer) {
+	if p.needsFullState || m.hasEarlierPosition(peer) || m.awaitsAcceptedTicket(now) {
 		from = state.Version{}
 	}
 	p.request.inFlight = true
@@ -150,7 +150,7 @@
 	if m.join.joined || m.topology.isAlone() {
 		return false
 	}
-	return !m.shouldReadLog(now) || m.reading.recordsMissing || m.reading.platformUnreachable
+	return !m.shouldReadLog(now) || m.reading.recordsMissing || m.reading.platformUnreachable || m.awaitsAcceptedTicket(now)
 }
 
 func (m *Machine) pruneNewerPeers() {
@@ -202,7 +202,7 @@
 	}
 	p.request.succeeded()
 	advanced, err := m.applyUpdate(e.Response.Update)
-	m.installIfJoined()
+	m.installIfJoined(now)
 	switch {
 	case advanced:
 		p.needsFullState = false
--- a/internal/coordination/spread/pushing.go
+++ b/internal/coordination/spread/pushing.go
@@ -176,7 +176,7 @@
 // the state on.
 func (m *Machine) handlePush(now time.Time, e PushReceived) {
 	advanced, err := m.applyUpdate(e.Update)
-	m.installIfJoined()
+	m.installIfJoined(now)
 	if advanced {
 		m.pushToChildren()
 	}
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -101,7 +101,7 @@
 // base before the read.
 func (m *Machine) installAndPush(now time.Time, base uint64) {
 	m.pushing.base = base
-	m.installIfJoined()
+	m.installIfJoined(now)
 	m.pushNewTickets(now)
 }
 
--- a/internal/coordination/spread/restored_log_test.go
+++ b/internal/coordination/spread/restored_log_test.go
@@ -163,6 +163,56 @@
 	f.requireInForce()
 }
 
+// TestNodeStartedOnRestoredLogServesOlderTicket guards against a node that starts before the
+// newest ticket was written again, and serves with the one in the copy.
+func TestNodeStartedOnRestoredLogServesOlderTicket(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newRestoredFleet(t, seed, 2, 3)
+		for range 3 {
+			f.publishNext()
+			f.run(time.Second)
+		}
+		f.restore(3)
+		f.acceptedNumber = f.number
+		f.run(time.Second)
+		for _, n := range f.nodes[:2] {
+			f.crash(n)
+			f.start(n)
+		}
+		f.requireFewReads(3 * time.Second)
+		f.requireInForce()
+		f.publishNext()
+		f.run(2 * time.Second)
+		f.requireInForce()
+	}
+}
+
+// TestFleetStartedOnRestoredLogWaitsForLostTicket guards against nodes that start together on
+// a log without the newest ticket, which none of them has, and never serve.
+func TestFleetStartedOnRestoredLogWaitsForLostTicket(t *testing.T) {
+	f := newRestoredFleet(t, 1, 2, 3)
+	f.publishNext()
+	f.run(time.Second)
+	f.restore(1)
+	f.acceptedNumber = f.number
+	for _, n := range f.nodes {
+		f.crash(n)
+		n.highest = state.Version{}
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.run(maxJoinPeerWait)
+	for _, n := range f.nodes {
+		if n.installed == nil {
+			t.Fatalf("%s serves nothing", n.member.ID)
+		}
+	}
+	f.publishNext()
+	f.run(2 * time.Second)
+	f.requireInForce()
+}
+
 // TestEarlierReleaseStatesNoEra guards against nodes that take the versions of peers of an
 // earlier release, which state no era, for ones of another era.
 func TestEarlierReleaseStatesNoEra(t *testing.T) {
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -173,6 +173,7 @@
 		RandomSeed:     seed,
 		CurrentBound:   currentBound,
 		AppliedVersion: func() state.Version { return n.configuration.AppliedVersion() },
+		LogEra:         func() uint64 { return n.configuration.LogEra() },
 		Load:           func() uint32 { return n.calls.Load() },
 		OnPeerVersion: func(member membership.Member, version state.Version) {
 			n.configuration.ObservePeerVersion(member, version)
@@ -191,6 +192,7 @@
 		Log:               adapter.Log,
 		CompactedLog:      adapter.CompactedLog,
 		Registered:        n.registrations.Members(),
+		AcceptedNumber:    n.registrations.AcceptedNumber(),
 		Logger:            n.logger,
 		RandomSeed:        seed,
 		View:              n.members.View,
--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -54,6 +54,8 @@
 	Logger       *logging.Logger
 	// Registered are the nodes in the platform's directory at the start, or none.
 	Registered []membership.Member
+	// AcceptedNumber is the number of the newest ticket that one of them had accepted.
+	AcceptedNumber uint64
 	// RandomSeed seeds the random choices.
 	RandomSeed uint64
 	// View returns the current member table.
@@ -134,6 +136,7 @@
 			CompactedLog:       options.CompactedLog != nil,
 			CheckpointInterval: options.Platform.CheckpointInterval,
 			Registered:         options.Registered,
+			AcceptedNumber:     options.AcceptedNumber,
 			Seed:               options.RandomSeed,
 		}),
 		messages:      ring.New[message](messageCapacity),
@@ -157,6 +160,15 @@
 	return state.Version{}
 }
 
+// LogEra returns the era of the platform's log up to which this node knows the
+// configuration, 0 if it knows none.
+func (r *Runner) LogEra() uint64 {
+	if fold := r.foldState.Load(); fold != nil {
+		return state.EraOf(fold.next)
+	}
+	return 0
+}
+
 // Verdicts returns the retained verdicts in log order.
 func (r *Runner) Verdicts() []acceptance.Verdict {
 	if fold := r.foldState.Load(); fold != nil {
--- a/internal/node/members/directory.go
+++ b/internal/node/members/directory.go
@@ -33,6 +33,9 @@
 	// targetCheckInterval is the time between two comparisons of this node's record
 	// with its target.
 	targetCheckInterval = 500 * time.Millisecond
+	// directoryRenewSpread is the interval over which the nodes register again after the log
+	// was restored from a copy, and the mean time between two tries of a node.
+	directoryRenewSpread = 10 * time.Second
 	// directoryRetention is how long the record of a dead or departed node is kept.
 	directoryRetention = 5 * time.Minute
 )
@@ -51,6 +54,10 @@
 	recordedSlots   uint32
 	recordedVersion string
 	targetUpdatedAt time.Time
+	// era is that of the log, 0 if it is not known. renewAt is when the node registers again
+	// because a new era began, or zero.
+	era     uint64
+	renewAt time.Time
 	// departedAt is, by ID, when each dead or departed node was first seen as such,
 	// or when its record was last deleted.
 	departedAt map[string]time.Time
@@ -80,6 +87,7 @@
 			next.Reset(dir.sync(ctx))
 		case <-check.C:
 			dir.updateTarget(ctx)
+			dir.renew(ctx)
 		}
 	}
 }
@@ -99,6 +107,26 @@
 	}
 }
 
+// renew registers the node again when the log was restored from a copy, which may lack its
+// record. A node that starts meanwhile learns from it how new its configuration has to be.
+func (r *directory) renew(ctx context.Context) {
+	now := r.runner.options.Now()
+	if era := r.runner.options.LogEra(); era != r.era {
+		if r.era > 0 {
+			r.renewAt = now.Add(time.Duration(r.random.Int64N(int64(directoryRenewSpread))))
+		}
+		r.era = era
+	}
+	if !r.registered || r.renewAt.IsZero() || now.Before(r.renewAt) {
+		return
+	}
+	if r.register(ctx) {
+		r.renewAt = time.Time{}
+		return
+	}
+	r.renewAt = now.Add(r.jittered(directoryRenewSpread))
+}
+
 // sync registers the node, reads the directory and prunes it, each if due. It
 // returns the delay until the next sync.
 func (r *directory) sync(ctx context.Context) time.Duration {
@@ -142,7 +170,10 @@
 	if current := r.runner.View().Self; current.Slots > 0 {
 		member.Service, member.Slots, member.TargetVersion = current.Service, current.Slots, current.TargetVersion
 	}
-	record := &wire.Roster{Domain: self.Domain, Members: []*wire.Member{member}, TargetHistory: history}
+	record := &wire.Roster{
+		Domain: self.Domain, Members: []*wire.Member{member}, TargetHistory: history,
+		AcceptedNumber: r.runner.options.AppliedVersion().Number,
+	}
 	data, err := proto.Marshal(record)
 	if err != nil {
 		r.runner.options.Logger.Event(logging.PlatformRequestFailed).Err(err).Send()
@@ -206,6 +237,8 @@
 	histories map[string]leaving.History
 	// quarantine are the requests in quarantine.
 	quarantine []*wire.QuarantineRecord
+	// acceptedNumber is that of the newest ticket that any node had accepted.
+	acceptedNumber uint64
 }
 
 // ReadDirectory reads the records of all nodes. The errors are those of the directory.
@@ -215,7 +248,22 @@
 		return Registrations{}, err
 	}
 	rosters := decodeRosters(batch.Records, logger)
-	return Registrations{ReadAt: now, members: membersOf(rosters), histories: historiesOf(rosters), quarantine: quarantineOf(rosters)}, nil
+	return Registrations{
+		ReadAt: now, members: membersOf(rosters), histories: historiesOf(rosters), quarantine: quarantineOf(rosters),
+		acceptedNumber: acceptedNumberOf(rosters),
+	}, nil
+}
+
+// AcceptedNumber returns the number of the newest ticket that any node had accepted when it
+// registered. The log lacks that ticket if it was restored from a copy since.
+func (r Registrations) AcceptedNumber() uint64 { return r.acceptedNumber }
+
+func acceptedNumberOf(rosters []*wire.Roster) uint64 {
+	var newest uint64
+	for _, roster := range rosters {
+		newest = max(newest, roster.GetAcceptedNumber())
+	}
+	return newest
 }
 
 // Quarantine returns the requests that were in quarantine when the directory was read.
--- a/internal/node/members/runner.go
+++ b/internal/node/members/runner.go
@@ -56,6 +56,9 @@
 	CurrentBound time.Duration
 	// AppliedVersion returns the configuration version that this node runs.
 	AppliedVersion func() state.Version
+	// LogEra returns the era of the platform's log that this node knows of, 0 if none.
+	// Nil is a log without eras.
+	LogEra func() uint64
 	// Load returns the number of calls running and queued at this node's gate.
 	Load func() uint32
 	// OnPeerVersion is called with each configuration version that a peer reports.
@@ -92,6 +95,9 @@
 
 // New returns a Runner that is idle until Run.
 func New(options Options) *Runner {
+	if options.LogEra == nil {
+		options.LogEra = func() uint64 { return 0 }
+	}
 	source := rand.NewPCG(options.RandomSeed, options.Self.Incarnation)
 	r := &Runner{
 		options:    options,
