A platform that sends a head without end filled 10 MiB of a node's memory

A faulty store, or whatever answers at its address, may send bytes that are no response, without end. A node read up to 10 MiB of a head or of interim responses for each request, the default of net/http; a head takes a multiple of its size while it is parsed. Nodes have from 60 MB of memory.

Cause: the HTTP client of the platform had no limit of its own for heads; those of targets and of health checks have 32 KiB. Bodies are bounded: twice the largest ticket on this store, also after decompression.

Change: the same 32 KiB for the platform's responses.

Measured: TestEndlessResponseOfPlatformIsKept without the limit reads more than 256 KiB of a head, of interim responses and of bytes that are no response (three of seven cases fail); all pass now. Bodies, chunks, trailers and compressed zeros without end passed before.

--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -301,8 +301,9 @@
 func (n *node) platformClient() *http.Client {
 	dialer := &net.Dialer{Timeout: n.settings.Platform.RequestTimeout, KeepAliveConfig: peer.KeepAlive}
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: platformIdleConnections,
-		IdleConnTimeout:     n.settings.Calls.IdleTimeout + n.settings.Platform.ReadWait,
+		MaxIdleConnsPerHost:    platformIdleConnections,
+		IdleConnTimeout:        n.settings.Calls.IdleTimeout + n.settings.Platform.ReadWait,
+		MaxResponseHeaderBytes: calls.MaxResponseHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
