A response of the log that never ends counted as one that has begun

A reader whose response had begun was never overdue: one that dribbles kept its domain waiting for up to the 30 s of a transfer. A response that has not ended 5 s after it began is overdue now, and another node reads; a configuration of 2 MB on a link of 5 Mbit/s takes 3 s.

By reading; the tests of spread pass, none shows a dribbling log.

--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -72,6 +72,8 @@
 	// nodes are told that this one does not reach the log. A log that responds later is
 	// given twice its last delay, up to Options.RequestTimeout.
 	overdueDelay = 350 * time.Millisecond
+	// transferLimit is how long a response may take from its begin before it is overdue too.
+	transferLimit = 5 * time.Second
 	// initialRetryDelay is the retry delay after the first failure.
 	initialRetryDelay = 250 * time.Millisecond
 	// emptyReadDelay is the minimum time from an empty read to the next read,
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -26,12 +26,13 @@
 	// confirmed is true if the log responded to this node's last request as a reader.
 	confirmed bool
 	// sent is the last read, wait how long it may wait for a ticket, responding whether its
-	// response has begun, and delay how much longer than the wait a response took to begin
+	// response has begun, at respondedAt, and delay how much longer than the wait a response took to begin
 	// of late.
-	sent       Action
-	wait       time.Duration
-	responding bool
-	delay      time.Duration
+	sent        Action
+	wait        time.Duration
+	responding  bool
+	respondedAt time.Time
+	delay       time.Duration
 }
 
 func (m *Machine) maybeReadLog(now time.Time) {
@@ -74,11 +75,15 @@
 // for so: it may take long on a slow link.
 func (m *Machine) noticeOverdueRead(now time.Time) {
 	r := &m.reading
-	if _, tickets := r.sent.(ReadTickets); !tickets || !r.request.inFlight || r.responding || r.platformUnreachable {
+	if _, tickets := r.sent.(ReadTickets); !tickets || !r.request.inFlight || r.platformUnreachable {
 		return
 	}
 	limit := min(max(overdueDelay, 2*r.delay), m.options.RequestTimeout)
-	if m.dueOrWake(now, r.requestedAt.Add(r.wait+limit)) {
+	due := r.requestedAt.Add(r.wait + limit)
+	if r.responding {
+		due = r.respondedAt.Add(transferLimit)
+	}
+	if m.dueOrWake(now, due) {
 		m.loseLog(r.sent, "the response is overdue")
 	}
 }
@@ -202,7 +207,7 @@
 // noteReadResponse notes that the response to a read has begun, and how late.
 func (m *Machine) noteReadResponse(now time.Time) {
 	if r := &m.reading; !r.responding {
-		r.responding = true
+		r.responding, r.respondedAt = true, now
 		r.delay = max(now.Sub(r.requestedAt)-r.wait, r.delay/2)
 	}
 }
