Readers paused after each read without a ticket

Since an empty read also counted as one without progress: the next followed after the delay of a failed one, 125 to 600 ms and up to 8 s at a node that reads in another's place.

An empty read ends where it is handled now. TestEmptyReadDelaysNextRead fails before (17 reads in 20 s by reads of 1 s, 18 wanted) and passes.

--- a/internal/coordination/acceptance/update.go
+++ b/internal/coordination/acceptance/update.go
@@ -52,7 +52,8 @@
 
 // ApplyUpdate moves the fold to the state at the end of the update. If it fails, it
 // changes nothing. The error is ErrOutdated when the fold is already at that offset
-// or beyond, or has a newer configuration from another era of the log, ErrGap when the fold lacks tickets before the update, ErrMalformed when
+// or beyond, or has a newer configuration from another era of the log, ErrGap when the
+// fold lacks tickets before the update, ErrMalformed when
 // the update is inconsistent, and state.ErrDigestMismatch when the resulting state
 // does not have the digest of the update's version. Errors of state.Snapshot.With
 // are returned as they are.
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -25,14 +25,14 @@
 	platformUnreachable bool
 	// confirmed is true if the log responded to this node's last request as a reader.
 	confirmed bool
-	// sent is the last read, wait how long it may wait for a ticket, responding whether its
-	// response has begun, at respondedAt, and delay how much longer than the wait a response took to begin
-	// of late.
-	sent        Action
-	wait        time.Duration
+	// sent is the last read, and wait how long it may wait for a ticket.
+	sent Action
+	wait time.Duration
+	// responding is true once its response has begun, at respondedAt.
 	responding  bool
 	respondedAt time.Time
-	delay       time.Duration
+	// delay is how much longer than the wait responses took to begin of late.
+	delay time.Duration
 }
 
 func (m *Machine) maybeReadLog(now time.Time) {
@@ -107,13 +107,8 @@
 
 func (m *Machine) handleTickets(now time.Time, records []Record) {
 	if len(records) == 0 {
-		m.reading.request.succeeded()
-		if m.reading.wait > 0 || !m.join.joined {
-			m.reading.request.notBefore = m.reading.requestedAt.Add(emptyReadDelay)
-		}
-		if m.join.joined {
-			m.reportCurrent(m.reading.requestedAt)
-		}
+		m.handleEmptyRead()
+		return
 	}
 	before, next := m.position(), m.fold.NextOffset()
 	for _, record := range records {
@@ -135,6 +130,18 @@
 	m.installAndPush(now, before)
 }
 
+// handleEmptyRead handles a read that found no ticket. The next one may follow at once if
+// this one did not wait.
+func (m *Machine) handleEmptyRead() {
+	m.reading.request.succeeded()
+	if m.reading.wait > 0 || !m.join.joined {
+		m.reading.request.notBefore = m.reading.requestedAt.Add(emptyReadDelay)
+	}
+	if m.join.joined {
+		m.reportCurrent(m.reading.requestedAt)
+	}
+}
+
 // finishRead ends a read that had a response with records. If this node is still where it
 // was when the read was sent, they were of no use, and the next read is delayed like after
 // a failure.
--- a/internal/coordination/spread/refused_readers_test.go
+++ b/internal/coordination/spread/refused_readers_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// TestEmptyReadDelaysNextRead guards against a reader that pauses after a read without a
+// ticket, as after a failed one.
+func TestEmptyReadDelaysNextRead(t *testing.T) {
+	f := newRefusedFleet(t, 1, 1, 2)
+	clear(f.readsOf)
+	f.run(20 * time.Second)
+	for id, reads := range f.readsOf {
+		if reads < 18 {
+			t.Fatalf("%s read %d times in 20 s by reads of 1 s", id, reads)
+		}
+	}
+}
+
 // TestSlowLogMakesAllNodesReaders guards against a log that responds late: it is reached, and
 // its readers need no others in their place.
 func TestSlowLogMakesAllNodesReaders(t *testing.T) {
