A version was installed before its verdict could be read

An operator who asks a node right after it has installed a version could be told that there is no verdict on it.

Cause: the runner published the verdicts after it had performed all actions of a step, the install among them. They are published before the actions now.

With 2 ms added where the verdicts were published the test fails (0 != 1); with 2 ms after the install in the changed code it passes 3 of 3. The package passes twice with the race detector.

--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -245,14 +245,15 @@
 	for len(pending) > 0 {
 		next := pending[0]
 		pending = pending[1:]
-		for _, action := range r.machine.Step(r.options.Now(), next.event) {
+		actions := r.machine.Step(r.options.Now(), next.event)
+		r.publishFold() // before a version is installed, so that its verdict is known with it
+		for _, action := range actions {
 			if failed := r.perform(action, next.reply); failed != nil {
 				pending = append(pending, message{event: failed})
 			}
 		}
 	}
 	r.logUnreachable.Store(r.machine.LogUnreachable())
-	r.publishFold()
 }
 
 // publishFold stores the fold's state for other goroutines if the fold has
