Logs did not tell a slow log from a silent or a restored one

Event 204 of a reader has "the response is overdue" or "no data within 1s" in all three cases, and 205 had no fields. 205 now states how long the log was unreachable, how late its responses to reads have been of late, and the era of the log. No decision changes.

Measured: go test ./internal/logging and the fleets of internal/coordination/spread pass.

--- a/internal/coordination/spread/actions.go
+++ b/internal/coordination/spread/actions.go
@@ -102,11 +102,14 @@
 )
 
 // ReportCondition reports that a condition began. With PlatformUnreachable, Failed is
-// the request that failed and Reason says why.
+// the request that failed and Reason says why. With PlatformReachable, Delay is how much longer
+// than their wait responses took to begin of late, and Lasted how long the log was unreachable.
 type ReportCondition struct {
 	Condition Condition
 	Failed    Action
 	Reason    string
+	Delay     time.Duration
+	Lasted    time.Duration
 }
 
 func (ReadBounds) action()          {}
--- a/internal/coordination/spread/machine.go
+++ b/internal/coordination/spread/machine.go
@@ -82,27 +82,27 @@
 		m.topology = newTopology(m.options.Self, e.View)
 		m.pruneProgress()
 	case BoundsRead:
-		m.handlePlatformResponse()
+		m.handlePlatformResponse(now)
 		m.handleBounds(now, e)
 	case ReadResponding:
 		m.noteReadResponse(now)
 	case TicketsRead:
-		m.handlePlatformResponse()
 		m.noteReadResponse(now)
+		m.handlePlatformResponse(now)
 		m.handleTickets(now, e.Records)
 	case NewestTicketRead:
-		m.handlePlatformResponse()
 		m.noteReadResponse(now)
+		m.handlePlatformResponse(now)
 		m.handleNewestTicket(now, e)
 	case TicketsTrimmed:
-		m.handlePlatformResponse()
+		m.handlePlatformResponse(now)
 		m.reading.request.inFlight = false // the next read tells whether there is progress
 		m.reading.recordsMissing = true
 	case CheckpointRead:
-		m.handlePlatformResponse()
+		m.handlePlatformResponse(now)
 		m.handleCheckpoint(now, e)
 	case CheckpointWritten:
-		m.handlePlatformResponse()
+		m.handlePlatformResponse(now)
 		m.handleCheckpointWritten(now, e.Offset)
 	case PlatformFailed:
 		m.handlePlatformFailure(now, e)
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -23,6 +23,8 @@
 	// platformUnreachable is true if the last request to the platform failed, or has no
 	// response in time.
 	platformUnreachable bool
+	// unreachableSince is when the platform was last found unreachable.
+	unreachableSince time.Time
 	// confirmed is true if the log responded to this node's last request as a reader.
 	confirmed bool
 	// sent is the last read, and wait how long it may wait for a ticket.
@@ -84,15 +86,15 @@
 		due = r.respondedAt.Add(transferLimit)
 	}
 	if m.dueOrWake(now, due) {
-		m.loseLog(r.sent, "the response is overdue")
+		m.loseLog(now, r.sent, "the response is overdue")
 	}
 }
 
 // loseLog notes that a request to the log failed or is overdue.
-func (m *Machine) loseLog(failed Action, reason string) {
+func (m *Machine) loseLog(now time.Time, failed Action, reason string) {
 	m.reading.confirmed = false
 	if !m.reading.platformUnreachable {
-		m.reading.platformUnreachable = true
+		m.reading.platformUnreachable, m.reading.unreachableSince = true, now
 		m.emit(ReportCondition{Condition: PlatformUnreachable, Failed: failed, Reason: reason})
 	}
 }
@@ -219,16 +221,17 @@
 	}
 }
 
-func (m *Machine) handlePlatformResponse() {
-	m.reading.confirmed = m.topology.isReader(m.options.Readers)
-	if m.reading.platformUnreachable {
-		m.reading.platformUnreachable = false
-		m.emit(ReportCondition{Condition: PlatformReachable})
+func (m *Machine) handlePlatformResponse(now time.Time) {
+	r := &m.reading
+	r.confirmed = m.topology.isReader(m.options.Readers)
+	if r.platformUnreachable {
+		r.platformUnreachable = false
+		m.emit(ReportCondition{Condition: PlatformReachable, Delay: r.delay, Lasted: now.Sub(r.unreachableSince)})
 	}
 }
 
 func (m *Machine) handlePlatformFailure(now time.Time, e PlatformFailed) {
-	m.loseLog(e.Request, e.Reason)
+	m.loseLog(now, e.Request, e.Reason)
 	limit := m.readRetryLimit()
 	switch r := e.Request.(type) {
 	case ReadBounds:
--- a/internal/node/configuration/perform.go
+++ b/internal/node/configuration/perform.go
@@ -72,7 +72,8 @@
 		line := r.options.Logger.Event(logging.PlatformUnreachable)
 		line.Str("request", requestName(report.Failed)).Str("reason", report.Reason).Send()
 	case spread.PlatformReachable:
-		r.options.Logger.Event(logging.PlatformReachable).Send()
+		line := r.options.Logger.Event(logging.PlatformReachable).Int("after_ms", report.Lasted.Milliseconds())
+		line.Int("delay_ms", report.Delay.Milliseconds()).Uint("era", r.LogEra()).Send()
 	case spread.LogTrimmed:
 		r.options.Logger.Event(logging.LogTrimmed).Send()
 	}
