Versions stayed out of force on a log slower than the request timeout

A node that was started then never served.

Cause: a read is given up at its wait and the request timeout, and the next one has no more time. The class is a fixed time limit below what a working peer needs, with the same limit at each retry.

Change: a read without a response is sent again after the request timeout, on a new connection and without a wait, while the earlier attempts go on, four in all; the first response to begin is used. A longer limit alone would keep a reader as long on a connection that has gone silent. Reads of tickets, the newest records, the end of the log and the directory go this way, on both logs. A reader counts as not reaching the log after twice the last delay up to the same time; before, a log slower than the request timeout made all nodes readers (TestSlowLogMakesAllNodesReaders with the former limit: "12 nodes regularly read a log that is late by 1s").

The simulated fleets repeat reads as the client does.

--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -49,6 +49,7 @@
 
 	readers, fanOut int
 	maxLatency      time.Duration // one way
+	logDelay        time.Duration // how much longer requests to the log take
 	pollEvery       time.Duration
 
 	lossRate            float64
@@ -125,6 +126,8 @@
 	testProbeInterval = 500 * time.Millisecond
 	testTimeout       = time.Second
 	testReadWait      = 5 * time.Second
+	// testReadAttempts is how often a read without a response is sent, testTimeout apart.
+	testReadAttempts = 4
 )
 
 func newFleet(seed uint64, domains, perDomain int, fail func(string, ...any)) *fleet {
@@ -199,7 +202,7 @@
 	n.machine = New(Options{
 		Self: n.member, Readers: f.readers, FanOut: f.fanOut, PullsPerSecond: 20,
 		CheckpointInterval: 20 * time.Second, Seed: f.random.Uint64(), CompactedLog: f.compactedLog,
-		ReadWait: f.readWait, RequestTimeout: testTimeout,
+		ReadWait: f.readWait, ResponseLimit: testReadAttempts * testTimeout,
 		Registered: f.registered(), AcceptedNumber: f.acceptedNumber,
 	})
 	f.step(n, n.incarnation, Tick{})
@@ -373,16 +376,10 @@
 	reply := func(event Event) { f.after(f.latency(), func() { f.step(n, incarnation, event) }) }
 	switch a := action.(type) {
 	case ReadBounds, ReadCheckpoint, WriteCheckpoint, ReadNewestTicket:
-		f.readsOf[n.member.ID]++
-		if f.turnedAway[n.member.ID] == isSilent {
-			f.after(testTimeout, func() { reply(PlatformFailed{Request: a}) })
-			return
-		}
-		f.after(f.latency(), func() { f.deliverRead(n, f.platformResponse(n, a), reply) })
+		f.sendRead(n, a, testReadAttempts, reply)
 	case ReadTickets:
 		f.ticketReads++
-		f.readsOf[n.member.ID]++
-		f.after(f.latency(), func() { f.poll(n, a, f.now.Add(f.readWait), reply) })
+		f.sendRead(n, a, testReadAttempts, reply)
 	case PushUpdate:
 		f.push(n, a, reply)
 	case PullUpdate:
@@ -398,6 +395,37 @@
 	}
 }
 
+// sendRead sends a request to the log, and again without a wait while the log leaves it without a
+// response, up to the number of attempts.
+func (f *fleet) sendRead(n *node, request Action, attempts int, reply func(Event)) {
+	f.readsOf[n.member.ID]++
+	f.after(f.latency()+f.logDelay, func() {
+		read, isTickets := request.(ReadTickets)
+		end := f.now
+		if read.Wait {
+			end = end.Add(f.readWait)
+		}
+		overdue := func() {
+			if attempts == 1 {
+				reply(PlatformFailed{Request: request})
+				return
+			}
+			if isTickets {
+				request = ReadTickets{From: read.From}
+			}
+			f.sendRead(n, request, attempts-1, reply)
+		}
+		switch {
+		case isTickets:
+			f.poll(n, read, end, reply, overdue)
+		case f.turnedAway[n.member.ID] == isSilent:
+			f.after(testTimeout, overdue)
+		default:
+			f.deliverRead(n, f.platformResponse(n, request), reply)
+		}
+	})
+}
+
 func (f *fleet) deliverResponse(token uint64, action Action) {
 	deliver := f.pendingResponses[token]
 	delete(f.pendingResponses, token)
@@ -430,13 +458,14 @@
 	}
 }
 
-// poll responds to a read once a ticket is available or the wait has ended.
-func (f *fleet) poll(n *node, read ReadTickets, end time.Time, reply func(Event)) {
+// poll responds to a read once a ticket is available or the wait has ended. It calls overdue
+// after testTimeout more if the log leaves the read without a response.
+func (f *fleet) poll(n *node, read ReadTickets, end time.Time, reply func(Event), overdue func()) {
 	switch {
 	case f.turnedAway[n.member.ID] == refuses:
 		f.after(f.latency(), func() { reply(PlatformFailed{Request: read}) })
 	case f.turnedAway[n.member.ID] == isSilent:
-		f.after(max(0, end.Sub(f.now))+testTimeout, func() { reply(PlatformFailed{Request: read}) })
+		f.after(max(0, end.Sub(f.now))+testTimeout, overdue)
 	case !f.reachesPlatform(n):
 		f.after(testTimeout, func() { reply(PlatformFailed{Request: read}) })
 	case state.EraOf(read.From) != state.EraOf(f.logEnd()) || read.From > f.logEnd() || state.OffsetOf(read.From) < f.firstOffset:
@@ -450,7 +479,7 @@
 	case !read.Wait || !f.now.Before(end):
 		reply(TicketsRead{})
 	default:
-		f.after(f.pollEvery, func() { f.poll(n, read, end, reply) })
+		f.after(f.pollEvery, func() { f.poll(n, read, end, reply, overdue) })
 	}
 }
 
--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -27,10 +27,10 @@
 	// AcceptedNumber is the number of the newest ticket that a registered node had
 	// accepted. A log that was restored from a copy may lack it.
 	AcceptedNumber uint64
-	// ReadWait is how long a read may wait for a new ticket, RequestTimeout how much longer
+	// ReadWait is how long a read may wait for a new ticket, ResponseLimit how much longer
 	// its response may take before the request fails.
-	ReadWait       time.Duration
-	RequestTimeout time.Duration
+	ReadWait      time.Duration
+	ResponseLimit time.Duration
 	// CheckpointInterval is the time until a reader's next checkpoint is due, before
 	// the stagger delay. Many new records make it due earlier.
 	CheckpointInterval time.Duration
@@ -70,7 +70,7 @@
 	maxReaderRetryDelay = 600 * time.Millisecond
 	// overdueDelay is how long a response may take beyond the wait of its read before other
 	// nodes are told that this one does not reach the log. A log that responds later is
-	// given twice its last delay, up to Options.RequestTimeout.
+	// given twice its last delay, up to Options.ResponseLimit.
 	overdueDelay = 350 * time.Millisecond
 	// transferLimit is how long a response may take from its begin before it is overdue too.
 	transferLimit = 5 * time.Second
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -80,7 +80,7 @@
 	if _, tickets := r.sent.(ReadTickets); !tickets || !r.request.inFlight || r.platformUnreachable {
 		return
 	}
-	limit := min(max(overdueDelay, 2*r.delay), m.options.RequestTimeout)
+	limit := min(max(overdueDelay, 2*r.delay), m.options.ResponseLimit)
 	due := r.requestedAt.Add(r.wait + limit)
 	if r.responding {
 		due = r.respondedAt.Add(transferLimit)
--- a/internal/coordination/spread/refused_readers_test.go
+++ b/internal/coordination/spread/refused_readers_test.go
@@ -103,19 +103,21 @@
 // TestSlowLogMakesAllNodesReaders guards against a log that responds late: it is reached, and
 // its readers need no others in their place.
 func TestSlowLogMakesAllNodesReaders(t *testing.T) {
-	f := newRefusedFleet(t, 1, 2, 6)
-	f.maxLatency = 900 * time.Millisecond
-	f.run(10 * time.Second)
-	clear(f.readsOf)
-	f.run(10 * time.Second)
-	busy := 0
-	for _, reads := range f.readsOf {
-		if reads > 2 {
-			busy++
+	for _, delay := range []time.Duration{0, testTimeout, 5 * testTimeout / 2} {
+		f := newRefusedFleet(t, 1, 2, 6)
+		f.maxLatency, f.logDelay = 900*time.Millisecond, delay
+		f.run(10 * time.Second)
+		clear(f.readsOf)
+		f.run(10 * time.Second)
+		busy := 0
+		for _, reads := range f.readsOf {
+			if reads > 2 {
+				busy++
+			}
+		}
+		if busy > 2*4 {
+			t.Fatalf("%d nodes regularly read a log that is late by %v, want 2 of each of 2 domains and few others", busy, delay)
 		}
-	}
-	if busy > 2*4 {
-		t.Fatalf("%d nodes read a slow log regularly, want 2 of each of 2 domains and few others", busy)
 	}
 }
 
--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -55,7 +55,7 @@
 // ErrUnavailable it may have been added.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
 	var response appendResponse
-	err := c.do(ctx, 0, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
+	err := c.do(ctx, c.requestTimeout, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
 	if err != nil {
 		return 0, err
 	}
@@ -65,13 +65,14 @@
 // Read implements Log. With ErrTrimmed it returns a batch that has only the
 // stream's bounds. Any other error is ErrUnavailable.
 func (c *Client) Read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
-	query := url.Values{
-		"from":      {strconv.FormatInt(from, 10)},
-		"wait_ms":   {strconv.FormatInt(wait.Milliseconds(), 10)},
-		"max_bytes": {strconv.Itoa(MaxReadBytes)},
-	}
-	var response readResponse
-	err := c.do(ctx, wait, http.MethodGet, c.streamURL(stream)+"/records?"+query.Encode(), nil, &response)
+	response, err := get[readResponse](ctx, c, wait, func(wait time.Duration) string {
+		query := url.Values{
+			"from":      {strconv.FormatInt(from, 10)},
+			"wait_ms":   {strconv.FormatInt(wait.Milliseconds(), 10)},
+			"max_bytes": {strconv.Itoa(MaxReadBytes)},
+		}
+		return c.streamURL(stream) + "/records?" + query.Encode()
+	})
 	var trimmed *trimmedError
 	if errors.As(err, &trimmed) {
 		return Batch{Bounds: trimmed.bounds}, trimmed.toErrTrimmed(stream, from)
@@ -84,8 +85,8 @@
 
 // Bounds implements Log. It fails with ErrUnavailable.
 func (c *Client) Bounds(ctx context.Context, stream string) (Bounds, error) {
-	var response boundsResponse
-	if err := c.do(ctx, 0, http.MethodGet, c.streamURL(stream), nil, &response); err != nil {
+	response, err := get[boundsResponse](ctx, c, 0, func(time.Duration) string { return c.streamURL(stream) })
+	if err != nil {
 		return Bounds{}, err
 	}
 	return response.bounds()
@@ -121,7 +122,7 @@
 func (c *Client) PutIf(ctx context.Context, stream, _ string, data []byte, next int64) error {
 	var response appendResponse
 	query := url.Values{"next": {strconv.FormatInt(next, 10)}}
-	if err := c.do(ctx, 0, http.MethodPost, c.streamURL(stream)+"/records?"+query.Encode(), data, &response); err != nil {
+	if err := c.do(ctx, c.requestTimeout, http.MethodPost, c.streamURL(stream)+"/records?"+query.Encode(), data, &response); err != nil {
 		return err
 	}
 	_, err := response.offset()
@@ -135,10 +136,20 @@
 	return c.base + "/streams/" + url.PathEscape(stream)
 }
 
-// do sends one request, whose response may take wait longer, and decodes the body of
+// get performs a read, which may wait for a record, and decodes the body of a 200 response. target
+// returns the URL for a wait.
+func get[T any](ctx context.Context, c *Client, wait time.Duration, target func(wait time.Duration) string) (T, error) {
+	hedge := Hedge{Timeout: c.requestTimeout, Wait: wait, BeforeRetry: c.http.CloseIdleConnections}
+	return ReadHedged(ctx, hedge, func(ctx context.Context, wait, limit time.Duration) (response T, err error) {
+		err = c.do(ctx, limit, http.MethodGet, target(wait), nil, &response)
+		return response, err
+	})
+}
+
+// do sends one request, whose response has to begin within limit, and decodes the body of
 // a 200 response into result.
-func (c *Client) do(ctx context.Context, wait time.Duration, method, target string, body []byte, result any) error {
-	transfer := NewTransfer(ctx, wait, c.requestTimeout)
+func (c *Client) do(ctx context.Context, limit time.Duration, method, target string, body []byte, result any) error {
+	transfer := NewTransfer(ctx, limit, c.requestTimeout)
 	defer transfer.Stop()
 	request, err := transfer.NewRequest(method, target, body)
 	if err != nil {
--- a/internal/transport/platformlog/transfer.go
+++ b/internal/transport/platformlog/transfer.go
@@ -25,15 +25,15 @@
 	limit   *time.Timer
 }
 
-// NewTransfer returns a transfer and its context. The first byte of the response may
-// take wait longer than the timeout. Stop must be called when the exchange has ended.
-func NewTransfer(parent context.Context, wait, timeout time.Duration) *Transfer {
+// NewTransfer returns a transfer. The first byte of the response may take as long as first.
+// Stop must be called when the exchange has ended.
+func NewTransfer(parent context.Context, first, timeout time.Duration) *Transfer {
 	ctx, cancel := context.WithCancelCause(parent)
 	t := &Transfer{ctx: ctx, cancel: cancel, timeout: timeout}
-	t.stalled = time.AfterFunc(wait+timeout, func() {
-		cancel(ErrStalled.New("no data within %v: check the network path to the platform", timeout))
+	t.stalled = time.AfterFunc(first, func() {
+		cancel(ErrStalled.New("no data within %v, or %v of its begin: check the network path to the platform", timeout, first))
 	})
-	t.limit = time.AfterFunc(wait+MaxTransferTime, func() {
+	t.limit = time.AfterFunc(first+MaxTransferTime, func() {
 		cancel(ErrStalled.New("not complete after %v: check the bandwidth to the platform", MaxTransferTime))
 	})
 	return t
