Readers pushed nothing more after they had read the newest ticket

A new configuration came into force at the nodes of a domain by pulls alone, one after another: callers were served by the older one for 1.3 s and longer in place of 0.1 s, and for seconds more if one pull had no response.

Cause: startPush (pushing.go) leaves out a push that would need the full state, and takes the position that the peer stated in its last response to a push as its base. After a restore of the log, after a 410, and with changes over the history's limit, the history begins after that position. No push is sent, so no response corrects the position: the reader pushes nothing more to this peer until it leaves the tree.

Fix: such a peer pulls the full state, so its position is no longer known. The next ticket is pushed to it from the position before that ticket, as to any peer whose position is not known. A peer that is not there refuses it and states its position.

Before: TestNewestTicketReadEndsPushes fails, the two readers of 12 nodes push to nobody. All tests of the package pass with -race.

--- a/internal/coordination/spread/pushing.go
+++ b/internal/coordination/spread/pushing.go
@@ -119,8 +119,10 @@
 	}
 	update, fullState := m.updateSince(min(base, m.position()))
 	// The full state is pushed only if base is 0, to a peer that is assumed to have
-	// no configuration. Other peers pull it, at the rate that the serving node allows.
+	// no configuration. Other peers pull it, at the rate that the serving node allows, and
+	// their position is then no longer known.
 	if fullState && base > 0 {
+		progress.peerPosition, progress.peerNext = 0, 0
 		return
 	}
 	progress.inFlight = true
