A ticket that was read as the newest one was not pushed

When retention had dropped a ticket from the stream, or the log was restored, before the readers read it, all other nodes had to pull the full state: callers were served by the older configuration for 1.4 s in place of 0.1 s, up to the change bound, and longer when a pull was refused or had no response.

Cause: handleNewestTicket (reading.go) drops the history, although it knows the changes from the configuration before, and pushes with the position before as the base. The history begins after it, so startPush leaves the push out.

Fix: the history keeps these changes, marked as skipping records. They apply to peers at the position before; one in between has records that this node skipped, and is served the full state as before.

Before: TestTrimmedTicketIsNotPushed fails at its first ticket. All tests of the package pass with -race (without TestSkippedRecordsServedAsChanges, which passes on its own).

--- a/internal/coordination/spread/newest_pushed_test.go
+++ b/internal/coordination/spread/newest_pushed_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"jasminegate/internal/state"
 )
 
 // newestTicketReads make the readers apply the newest ticket in place of the records after
@@ -44,3 +46,30 @@
 		})
 	}
 }
+
+// TestTrimmedTicketIsNotPushed guards against a ticket that readers read as the newest one,
+// because retention dropped it from the stream, and that the other nodes have to pull.
+func TestTrimmedTicketIsNotPushed(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newRefusedFleet(t, seed, 2, 12)
+		for range 3 {
+			newestTicketReads["trimmed"](f)
+			f.requirePushed()
+		}
+	}
+}
+
+// TestSkippedRecordsServedAsChanges guards against changes that are sent to a peer which has
+// applied records that this node skipped: they do not lead from its state to the newest one.
+func TestSkippedRecordsServedAsChanges(t *testing.T) {
+	var h history
+	h.reset(5)
+	h.add(6, nil)
+	h.addReplacement(9, nil)
+	h.add(uint64(state.LogPosition(1, 3)), nil)
+	for position, want := range map[uint64]bool{4: false, 5: true, 6: true, 7: false, 9: true, 10: false} {
+		if _, ok := h.since(position); ok != want {
+			t.Errorf("changes since position %d are known: %v, want %v", position, ok, want)
+		}
+	}
+}
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -182,7 +182,7 @@
 		}
 		if decided {
 			m.emit(ReportVerdict{Verdict: result.Verdict})
-			m.history.reset(m.position())
+			m.addReplacement(before, result.Changes)
 		}
 	}
 	// This also skips a ticket that could not be applied; reading continues at Next.
@@ -194,6 +194,17 @@
 	}
 }
 
+// addReplacement adds the changes by the newest ticket to the history, so that it is pushed
+// to the peers that are where this node was.
+func (m *Machine) addReplacement(before uint64, changes []state.Resource) {
+	switch {
+	case before == 0:
+		m.history.reset(m.position())
+	case m.position() > before:
+		m.history.addReplacement(m.position(), changes)
+	}
+}
+
 func (m *Machine) addToHistory(position uint64, changes []state.Resource) {
 	if len(changes) > 0 {
 		m.history.add(position, changes)
