Nodes that read in others' place came back to the log up to 8 s late

Cause: a node that reads in another's place retries with a delay of up to 8 s, the same in a domain of 3 as in one of 88. The limit is there for large domains, whose nodes would otherwise call too often.

Change: the limit grows with the number of nodes before the node, 0.6 s for each number of readers, up to the same 8 s: 1.2 s for the third node of a domain.

Measured: TestLaterNodeServedAgainReadsLate fails before ("n0-0 is at 1/1, number 2, want number 4") and passes for 20 seeds, refused and silent. TestRefusedThirdRushesAtLog passes.

--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -66,7 +66,8 @@
 	// readers or read in place of others, of reads that find no usable checkpoint, and the delay that a refused
 	// pull asks for. Half of it limits this node's own retry delay of pulls.
 	maxRetryDelay = 8 * time.Second
-	// maxReaderRetryDelay limits the retry delay of readers.
+	// maxReaderRetryDelay limits the retry delay of the first Options.Readers nodes of a domain, and
+	// is added for each such number of nodes before a later one.
 	maxReaderRetryDelay = 600 * time.Millisecond
 	// overdueDelay is how long a response may take beyond the wait of its read before other
 	// nodes are told that this one does not reach the log. A log that responds later is
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -258,12 +258,12 @@
 	}
 }
 
-// readRetryLimit limits the delay between two reads of the platform's log.
+// readRetryLimit limits the delay between two reads of the platform's log. It grows with the number
+// of nodes of the domain that read before this one, so that the calls of a domain that the log turns
+// away stay few.
 func (m *Machine) readRetryLimit() time.Duration {
-	if m.topology.isDesignatedReader(m.options.Readers) {
-		return maxReaderRetryDelay
-	}
-	return maxRetryDelay
+	before := m.topology.readerRank + m.topology.cutOffBefore
+	return min(maxRetryDelay, maxReaderRetryDelay*time.Duration(1+before/m.options.Readers))
 }
 
 func (m *Machine) handleBounds(now time.Time, e BoundsRead) {
--- a/internal/coordination/spread/refused_readers_test.go
+++ b/internal/coordination/spread/refused_readers_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// TestLaterNodeServedAgainReadsLate guards against nodes that read in place of others with a long retry
+// delay: after the log turned all nodes away it serves only the last ones of each domain.
+func TestLaterNodeServedAgainReadsLate(t *testing.T) {
+	for name, how := range rejections {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				f := newRefusedFleet(t, seed, 4, 3)
+				first := f.busiest(8)
+				f.turnAway(f.busiest(12), how)
+				f.run(20 * time.Second)
+				f.turnAway(first, how)
+				f.publishNext()
+				f.run(changeBound)
+				f.requireInForce()
+			}
+		})
+	}
+}
+
 // TestEmptyReadDelaysNextRead guards against a reader that pauses after a read without a
 // ticket, as after a failed one.
 func TestEmptyReadDelaysNextRead(t *testing.T) {
