A domain that was cut off from the log read it more often than allowed when it came back

TestHealedPartitionCatchesUpIncrementally failed with: 21 reads by a domain of 20 nodes, 20 are allowed.

Cause: the retry delay grew too slowly with the number of nodes that read before a node, so that in a domain of 20 several of them read before they had learned that the first ones are served again.

Change: the delay of a node that reads in another's place is 0.6 s for each node of the domain, up to 8 s: 1.8 s in a domain of 3, 8 s as before from 14 on.

--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -67,7 +67,7 @@
 	// pull asks for. Half of it limits this node's own retry delay of pulls.
 	maxRetryDelay = 8 * time.Second
 	// maxReaderRetryDelay limits the retry delay of the first Options.Readers nodes of a domain, and
-	// is added for each such number of nodes before a later one.
+	// once for each node of the domain that of the others.
 	maxReaderRetryDelay = 600 * time.Millisecond
 	// overdueDelay is how long a response may take beyond the wait of its read before other
 	// nodes are told that this one does not reach the log. A log that responds later is
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -258,12 +258,14 @@
 	}
 }
 
-// readRetryLimit limits the delay between two reads of the platform's log. It grows with the number
-// of nodes of the domain that read before this one, so that the calls of a domain that the log turns
-// away stay few.
+// readRetryLimit limits the delay between two reads of the platform's log. For nodes that read in
+// place of others it grows with the size of the domain, so that the calls of a domain that the log
+// turns away stay few.
 func (m *Machine) readRetryLimit() time.Duration {
-	before := m.topology.readerRank + m.topology.cutOffBefore
-	return min(maxRetryDelay, maxReaderRetryDelay*time.Duration(1+before/m.options.Readers))
+	if m.topology.isDesignatedReader(m.options.Readers) {
+		return maxReaderRetryDelay
+	}
+	return min(maxRetryDelay, maxReaderRetryDelay*time.Duration(len(m.topology.tree)))
 }
 
 func (m *Machine) handleBounds(now time.Time, e BoundsRead) {
--- a/internal/coordination/spread/topology.go
+++ b/internal/coordination/spread/topology.go
@@ -113,6 +113,12 @@
 // not reach it one more tries, so that those who do are found in few steps.
 func (t *topology) isReader(readers int) bool { return t.readerRank < readers+t.cutOffBefore }
 
+// isDesignatedReader reports whether this node is a reader even if all nodes before it reach
+// the log.
+func (t *topology) isDesignatedReader(readers int) bool {
+	return t.readerRank+t.cutOffBefore < readers
+}
+
 // isReaderAmong reports whether self is a reader of its domain if all the given nodes run.
 // It is false if none of them is given.
 func isReaderAmong(self membership.Member, registered []membership.Member, readers int) bool {
