A pull from a suspended peer keeps a node behind: failing test

A node that has missed a push and pulls from a peer that is suspended just then stays at the older configuration for the pull's time limit, 2 s and more after failures in a row, though other peers have the newer one.

A trial that let a node pull from another peer while the first is suspected is not kept: TestSeriesOfRestartsDelaysLargeConfigurations failed with it.

--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -62,8 +62,9 @@
 	turnedAway  map[string]rejection
 	readsOf     map[string]int
 	readWait    time.Duration
-	ticketReads int // ReadTickets actions
-	newestReads int // ReadNewestTicket actions that had a response
+	pullTimeout time.Duration // of a first pull; 0 is testTimeout for all
+	ticketReads int           // ReadTickets actions
+	newestReads int           // ReadNewestTicket actions that had a response
 	pulls       int
 	fullStates  int // responses to pulls with the full state
 	pushedTo    map[string]int
@@ -550,7 +551,7 @@
 			}
 		})
 	}
-	f.after(f.failureDelay(peer), func() { finish(PullDone{PeerID: a.Peer.ID, Failed: true}) })
+	f.after(max(f.failureDelay(peer), f.pullTimeout<<a.Failures), func() { finish(PullDone{PeerID: a.Peer.ID, Failed: true}) })
 }
 
 func (f *fleet) request(peer *node, event func(token uint64) Event, deliver func(Action)) {
