Repeated reads of the log hid silence and gave way to a refused attempt

Cause: the reads were made one request for their caller, and what the caller concludes from times and failures of single requests was not made to follow.

Change: the client measures how long the winning attempt took from its own begin, and reports only that one's response. A refusal or a broken connection ends a read only if no other attempt is left. A read of the newest ticket is overdue after the request timeout, as it failed before, unless its response has begun. The simulated fleets measure delays as the client does.

--- a/internal/coordination/spread/events.go
+++ b/internal/coordination/spread/events.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"time"
+
 	"jasminegate/internal/coordination/acceptance"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/state"
@@ -43,9 +45,9 @@
 // without a new record.
 type TicketsRead struct{ Records []Record }
 
-// ReadResponding reports that the response to ReadTickets has begun. Its end may take long
-// on a slow link.
-type ReadResponding struct{}
+// ReadResponding reports that the response to ReadTickets or ReadNewestTicket has begun, later than
+// its wait by Delay. Its end may take long on a slow link.
+type ReadResponding struct{ Delay time.Duration }
 
 // NewestTicketRead is the response to ReadNewestTicket. Records holds the newest
 // record of each key: normally the newest ticket alone, or none. Next is the offset of
--- a/internal/coordination/spread/fleet_test.go
+++ b/internal/coordination/spread/fleet_test.go
@@ -203,7 +203,7 @@
 	n.machine = New(Options{
 		Self: n.member, Readers: f.readers, FanOut: f.fanOut, PullsPerSecond: 20,
 		CheckpointInterval: 20 * time.Second, Seed: f.random.Uint64(), CompactedLog: f.compactedLog,
-		ReadWait: f.readWait, ResponseLimit: testReadAttempts * testTimeout,
+		ReadWait: f.readWait, RequestTimeout: testTimeout, ResponseLimit: testReadAttempts * testTimeout,
 		Registered: f.registered(), AcceptedNumber: f.acceptedNumber,
 	})
 	f.step(n, n.incarnation, Tick{})
@@ -377,10 +377,10 @@
 	reply := func(event Event) { f.after(f.latency(), func() { f.step(n, incarnation, event) }) }
 	switch a := action.(type) {
 	case ReadBounds, ReadCheckpoint, WriteCheckpoint, ReadNewestTicket:
-		f.sendRead(n, a, testReadAttempts, reply)
+		f.sendRead(n, a, testReadAttempts)
 	case ReadTickets:
 		f.ticketReads++
-		f.sendRead(n, a, testReadAttempts, reply)
+		f.sendRead(n, a, testReadAttempts)
 	case PushUpdate:
 		f.push(n, a, reply)
 	case PullUpdate:
@@ -398,14 +398,25 @@
 
 // sendRead sends a request to the log, and again without a wait while the log leaves it without a
 // response, up to the number of attempts.
-func (f *fleet) sendRead(n *node, request Action, attempts int, reply func(Event)) {
+func (f *fleet) sendRead(n *node, request Action, attempts int) {
 	f.readsOf[n.member.ID]++
+	read, isTickets := request.(ReadTickets)
+	wait := time.Duration(0)
+	if read.Wait {
+		wait = f.readWait
+	}
+	sentAt, incarnation := f.now, n.incarnation
+	reply := func(event Event) {
+		f.after(f.latency(), func() {
+			switch event.(type) {
+			case ReadResponding, TicketsRead, NewestTicketRead:
+				f.step(n, incarnation, ReadResponding{Delay: max(0, f.now.Sub(sentAt)-wait)})
+			}
+			f.step(n, incarnation, event)
+		})
+	}
 	f.after(f.latency()+f.logDelay, func() {
-		read, isTickets := request.(ReadTickets)
-		end := f.now
-		if read.Wait {
-			end = end.Add(f.readWait)
-		}
+		end := f.now.Add(wait)
 		overdue := func() {
 			if attempts == 1 {
 				reply(PlatformFailed{Request: request})
@@ -414,7 +425,9 @@
 			if isTickets {
 				request = ReadTickets{From: read.From}
 			}
-			f.sendRead(n, request, attempts-1, reply)
+			if n.up && n.incarnation == incarnation {
+				f.sendRead(n, request, attempts-1)
+			}
 		}
 		switch {
 		case isTickets:
--- a/internal/coordination/spread/links_test.go
+++ b/internal/coordination/spread/links_test.go
@@ -101,9 +101,7 @@
 	if l.storeFreeAt.After(end) {
 		end = l.storeFreeAt
 	}
-	if _, tickets := event.(TicketsRead); tickets {
-		reply(ReadResponding{})
-	}
+	reply(ReadResponding{})
 	f.after(end.Sub(f.now), func() { reply(event) })
 }
 
--- a/internal/coordination/spread/machine.go
+++ b/internal/coordination/spread/machine.go
@@ -85,13 +85,11 @@
 		m.handlePlatformResponse(now)
 		m.handleBounds(now, e)
 	case ReadResponding:
-		m.noteReadResponse(now)
+		m.noteReadResponse(now, e.Delay)
 	case TicketsRead:
-		m.noteReadResponse(now)
 		m.handlePlatformResponse(now)
 		m.handleTickets(now, e.Records)
 	case NewestTicketRead:
-		m.noteReadResponse(now)
 		m.handlePlatformResponse(now)
 		m.handleNewestTicket(now, e)
 	case TicketsTrimmed:
--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -27,10 +27,11 @@
 	// AcceptedNumber is the number of the newest ticket that a registered node had
 	// accepted. A log that was restored from a copy may lack it.
 	AcceptedNumber uint64
-	// ReadWait is how long a read may wait for a new ticket, ResponseLimit how much longer
-	// its response may take before the request fails.
-	ReadWait      time.Duration
-	ResponseLimit time.Duration
+	// ReadWait is how long a read may wait for a new ticket. RequestTimeout is how much longer
+	// its response may take before the read is sent again, ResponseLimit before it fails.
+	ReadWait       time.Duration
+	RequestTimeout time.Duration
+	ResponseLimit  time.Duration
 	// CheckpointInterval is the time until a reader's next checkpoint is due, before
 	// the stagger delay. Many new records make it due earlier.
 	CheckpointInterval time.Duration
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -73,15 +73,25 @@
 }
 
 // noticeOverdueRead takes the log for unreachable while the response to a read of tickets
-// is overdue. The read goes on: a slow log still responds. The newest ticket is not waited
-// for so: it may take long on a slow link.
+// or of the newest ticket is overdue. The read goes on: a slow log still responds. The newest
+// ticket gets more time, as it is large and may be on a slow link.
 func (m *Machine) noticeOverdueRead(now time.Time) {
 	r := &m.reading
-	if _, tickets := r.sent.(ReadTickets); !tickets || !r.request.inFlight || r.platformUnreachable {
+	if !r.request.inFlight || r.platformUnreachable {
 		return
 	}
-	limit := min(max(overdueDelay, 2*r.delay), m.options.ResponseLimit)
-	due := r.requestedAt.Add(r.wait + limit)
+	delay := overdueDelay
+	switch r.sent.(type) {
+	case ReadTickets:
+	case ReadNewestTicket:
+		if r.responding {
+			return
+		}
+		delay = m.options.RequestTimeout
+	default:
+		return
+	}
+	due := r.requestedAt.Add(r.wait + min(max(delay, 2*r.delay), m.options.ResponseLimit))
 	if r.responding {
 		due = r.respondedAt.Add(transferLimit)
 	}
@@ -225,10 +235,10 @@
 }
 
 // noteReadResponse notes that the response to a read has begun, and how late.
-func (m *Machine) noteReadResponse(now time.Time) {
+func (m *Machine) noteReadResponse(now time.Time, delay time.Duration) {
 	if r := &m.reading; !r.responding {
 		r.responding, r.respondedAt = true, now
-		r.delay = max(now.Sub(r.requestedAt)-r.wait, r.delay/2)
+		r.delay = max(delay, r.delay/2)
 	}
 }
 
--- a/internal/coordination/spread/refused_readers_test.go
+++ b/internal/coordination/spread/refused_readers_test.go
@@ -106,6 +106,47 @@
 	}
 }
 
+// TestSecondSilenceIsNoticedLate guards against a reader that takes the time until it replaced a silent
+// connection for the delay of a slow log, and then waits as long when the log is silent again.
+func TestSecondSilenceIsNoticedLate(t *testing.T) {
+	for _, silence := range []time.Duration{3 * testTimeout / 2, 5 * testTimeout / 2} {
+		for seed := range uint64(20) {
+			f := newRefusedFleet(t, seed, 3, 6)
+			readers := f.busiest(6)
+			f.turnAway(readers, isSilent)
+			f.run(silence)
+			f.turnAway(nil, 0)
+			f.run(1200 * time.Millisecond)
+			f.turnAway(readers, isSilent)
+			f.run(500 * time.Millisecond)
+			f.publishNext()
+			f.run(changeBound)
+			f.requireInForce()
+		}
+	}
+}
+
+// TestSilentReadOfNewestTicketIsNoticedLate guards against readers that the log leaves without a response
+// while they read the newest ticket, which may take longer than a read of tickets.
+func TestSilentReadOfNewestTicketIsNoticedLate(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newRefusedFleet(t, seed, 3, 6)
+		readers := f.busiest(6)
+		f.publishNext()
+		f.firstOffset = int64(len(f.tickets))
+		for range changeBound / time.Millisecond {
+			f.run(time.Millisecond)
+			for _, id := range readers {
+				reading := &f.byID[id].machine.reading
+				if _, newest := reading.sent.(ReadNewestTicket); newest && reading.request.inFlight {
+					f.turnedAway[id] = isSilent
+				}
+			}
+		}
+		f.requireInForce()
+	}
+}
+
 // TestEmptyReadDelaysNextRead guards against a reader that pauses after a read without a
 // ticket, as after a failed one.
 func TestEmptyReadDelaysNextRead(t *testing.T) {
--- a/internal/node/configuration/platform.go
+++ b/internal/node/configuration/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http/httptrace"
 	"slices"
 	"time"
 
@@ -58,16 +57,12 @@
 }
 
 func (r *Runner) readTickets(ctx context.Context, request spread.ReadTickets) (spread.Event, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		// A full queue drops the event: the response then counts from its end.
-		r.messages.TryPush(message{event: spread.ReadResponding{}})
-	}})
 	var wait time.Duration
 	if request.Wait {
 		wait = r.options.Platform.ReadWait
 	}
 	r.stats.platformReads.Add(1)
-	batch, err := r.options.Log.Read(ctx, platformlog.StreamTickets, request.From, wait)
+	batch, err := r.options.Log.Read(r.reportingResponse(ctx), platformlog.StreamTickets, request.From, wait)
 	if errorx.IsOfType(err, platformlog.ErrTrimmed) {
 		return spread.TicketsTrimmed{}, nil
 	}
@@ -83,9 +78,17 @@
 	return spread.TicketsRead{Records: recordsOf(batch)}, nil
 }
 
+// reportingResponse returns the context for a read that tells the machine when its response begins.
+func (r *Runner) reportingResponse(ctx context.Context) context.Context {
+	return platformlog.OnResponse(ctx, func(delay time.Duration) {
+		// A full queue drops the event: the response is then taken for overdue for a while.
+		r.messages.TryPush(message{event: spread.ReadResponding{Delay: delay}})
+	})
+}
+
 func (r *Runner) readNewest(ctx context.Context) (spread.Event, error) {
 	r.stats.platformReads.Add(1)
-	batch, err := r.options.CompactedLog.NewestByKey(ctx, platformlog.StreamTickets)
+	batch, err := r.options.CompactedLog.NewestByKey(r.reportingResponse(ctx), platformlog.StreamTickets)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -137,6 +137,7 @@
 			CompactedLog:       options.CompactedLog != nil,
 			CheckpointInterval: options.Platform.CheckpointInterval,
 			ReadWait:           options.Platform.ReadWait,
+			RequestTimeout:     options.Platform.RequestTimeout,
 			ResponseLimit:      platformlog.ReadAttempts * options.Platform.RequestTimeout,
 			Registered:         options.Registered,
 			AcceptedNumber:     options.AcceptedNumber,
--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -41,7 +41,7 @@
 
 // New returns a client of the log at url, for example
 // "http://10.0.0.5:7400". requestTimeout bounds the time without progress of each
-// request; the wait of a read is added to it. client makes the requests and should
+// request; a read without a response is then repeated (Hedge), its wait is added. client makes the requests and should
 // set no timeout of its own.
 func New(url string, requestTimeout time.Duration, client *http.Client) *Client {
 	return &Client{
@@ -55,7 +55,7 @@
 // ErrUnavailable it may have been added.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
 	var response appendResponse
-	err := c.do(ctx, c.requestTimeout, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
+	err := c.do(ctx, Attempt{Limit: c.requestTimeout}, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
 	if err != nil {
 		return 0, err
 	}
@@ -122,7 +122,7 @@
 func (c *Client) PutIf(ctx context.Context, stream, _ string, data []byte, next int64) error {
 	var response appendResponse
 	query := url.Values{"next": {strconv.FormatInt(next, 10)}}
-	if err := c.do(ctx, c.requestTimeout, http.MethodPost, c.streamURL(stream)+"/records?"+query.Encode(), data, &response); err != nil {
+	if err := c.do(ctx, Attempt{Limit: c.requestTimeout}, http.MethodPost, c.streamURL(stream)+"/records?"+query.Encode(), data, &response); err != nil {
 		return err
 	}
 	_, err := response.offset()
@@ -140,16 +140,15 @@
 // returns the URL for a wait.
 func get[T any](ctx context.Context, c *Client, wait time.Duration, target func(wait time.Duration) string) (T, error) {
 	hedge := Hedge{Timeout: c.requestTimeout, Wait: wait, BeforeRetry: c.http.CloseIdleConnections}
-	return ReadHedged(ctx, hedge, func(ctx context.Context, wait, limit time.Duration) (response T, err error) {
-		err = c.do(ctx, limit, http.MethodGet, target(wait), nil, &response)
+	return ReadHedged(ctx, hedge, func(ctx context.Context, attempt Attempt) (response T, err error) {
+		err = c.do(ctx, attempt, http.MethodGet, target(attempt.Wait), nil, &response)
 		return response, err
 	})
 }
 
-// do sends one request, whose response has to begin within limit, and decodes the body of
-// a 200 response into result.
-func (c *Client) do(ctx context.Context, limit time.Duration, method, target string, body []byte, result any) error {
-	transfer := NewTransfer(ctx, limit, c.requestTimeout)
+// do sends one request and decodes the body of a 200 response into result.
+func (c *Client) do(ctx context.Context, attempt Attempt, method, target string, body []byte, result any) error {
+	transfer := NewTransfer(ctx, attempt.Limit, c.requestTimeout)
 	defer transfer.Stop()
 	request, err := transfer.NewRequest(method, target, body)
 	if err != nil {
@@ -163,6 +162,9 @@
 	if response.StatusCode != http.StatusOK {
 		return responseError(response)
 	}
+	if attempt.Began != nil {
+		attempt.Began()
+	}
 	if err := decodeResponse(transfer.Reader(response.Body), result); err != nil {
 		return c.requestError(transfer.Err(err))
 	}
--- a/internal/transport/platformlog/faults_test.go
+++ b/internal/transport/platformlog/faults_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,3 +156,33 @@
 		io.WriteString(w, body)
 	}
 }
+
+// TestFailedAttemptEndsHedgedRead guards against a read that is given up because a later attempt is
+// refused or reset, while a slow log still responds to the first one.
+func TestFailedAttemptEndsHedgedRead(t *testing.T) {
+	fail := map[string]http.HandlerFunc{
+		"refused": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
+		"reset":   func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	}
+	for name, respond := range fail {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if requests.Add(1) > 1 {
+					respond(w, r)
+					return
+				}
+				time.Sleep(2 * faultTimeout)
+				_, _ = io.WriteString(w, `{"first":3,"next":19}`)
+			}))
+			defer server.Close()
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			bounds, err := platformlog.New(server.URL, faultTimeout, &http.Client{Transport: transport}).Bounds(context.Background(), stream)
+			is.NoErr(err)
+			is.Equal(bounds.Next, int64(19))
+			is.True(requests.Load() > 1)
+		})
+	}
+}
--- a/internal/transport/platformlog/hedge.go
+++ b/internal/transport/platformlog/hedge.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net/http/httptrace"
-	"sync"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // ReadAttempts is how many times a read is sent at most.
@@ -23,61 +23,99 @@
 	BeforeRetry func()
 }
 
-// attempt is one attempt of a hedged read. The result is set when done is closed.
+// Attempt is one attempt of a hedged read.
+type Attempt struct {
+	// Wait is how long the log may wait for a record. The response has to begin within Limit.
+	Wait, Limit time.Duration
+	// Began is to be called when a response has begun that is not a refusal.
+	Began func()
+}
+
+// attempt is the state of an attempt. The result is set when done is closed.
 type attempt[T any] struct {
 	cancel context.CancelFunc
+	sentAt time.Time
+	wait   time.Duration
 	done   chan struct{}
 	result T
 	err    error
 }
 
-// ReadHedged performs a read. In send, the log may wait for a record for the given wait, and the
-// response has to begin within limit. ReadHedged fails like the attempt whose response begins or
-// that ends first.
-func ReadHedged[T any](ctx context.Context, hedge Hedge, send func(ctx context.Context, wait, limit time.Duration) (T, error)) (T, error) {
+// ReadHedged performs a read. It fails with the error of the last attempt if all of those in flight end
+// with ErrUnavailable, and with any other error of an attempt at once.
+func ReadHedged[T any](ctx context.Context, hedge Hedge, send func(context.Context, Attempt) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	first := make(chan *attempt[T], 2*ReadAttempts)
-	attempts := []*attempt[T]{startAttempt(ctx, first, func(ctx context.Context) (T, error) {
-		return send(ctx, hedge.Wait, hedge.Wait+ReadAttempts*hedge.Timeout)
-	})}
+	began := make(chan *attempt[T], ReadAttempts)
+	ended := make(chan *attempt[T], ReadAttempts)
+	var attempts []*attempt[T]
+	start := func(wait time.Duration) {
+		limit := wait + time.Duration(ReadAttempts-len(attempts))*hedge.Timeout
+		attempts = append(attempts, startAttempt(ctx, Attempt{Wait: wait, Limit: limit}, began, ended, send))
+	}
+	start(hedge.Wait)
 	overdue := time.NewTimer(hedge.Wait + hedge.Timeout)
 	defer overdue.Stop()
-	for {
+	for failed := 0; ; {
 		select {
-		case winner := <-first:
+		case winner := <-began:
 			for _, other := range attempts {
 				if other != winner {
 					other.cancel()
 				}
 			}
+			reportResponse(ctx, max(0, time.Since(winner.sentAt)-winner.wait))
 			<-winner.done
 			return winner.result, winner.err
+		case a := <-ended:
+			failed++
+			if failed == len(attempts) || !errorx.IsOfType(a.err, ErrUnavailable) {
+				return a.result, a.err
+			}
 		case <-overdue.C:
-			limit := time.Duration(ReadAttempts-len(attempts)) * hedge.Timeout
-			if limit == 0 {
-				continue // all attempts reach their limits now
+			if len(attempts) < ReadAttempts {
+				hedge.BeforeRetry()
+				start(0)
+				overdue.Reset(hedge.Timeout)
 			}
-			hedge.BeforeRetry()
-			attempts = append(attempts, startAttempt(ctx, first, func(ctx context.Context) (T, error) { return send(ctx, 0, limit) }))
-			overdue.Reset(hedge.Timeout)
 		}
 	}
 }
 
-// startAttempt starts an attempt, which is sent to first when its response begins and when it ends.
-func startAttempt[T any](ctx context.Context, first chan<- *attempt[T], send func(context.Context) (T, error)) *attempt[T] {
-	a := &attempt[T]{done: make(chan struct{})}
+// startAttempt starts an attempt, which is sent to began when its response begins, or to ended if it ends
+// without.
+func startAttempt[T any](ctx context.Context, options Attempt, began, ended chan<- *attempt[T], send func(context.Context, Attempt) (T, error)) *attempt[T] {
+	a := &attempt[T]{sentAt: time.Now(), wait: options.Wait, done: make(chan struct{})}
 	ctx, a.cancel = context.WithCancel(ctx)
-	var begin sync.Once
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		begin.Do(func() { first <- a })
-	}})
+	hasBegun := false
+	options.Began = func() {
+		if !hasBegun {
+			hasBegun = true
+			began <- a
+		}
+	}
 	go func() {
 		defer a.cancel()
-		a.result, a.err = send(ctx)
+		a.result, a.err = send(ctx, options)
 		close(a.done)
-		first <- a
+		if !hasBegun {
+			ended <- a
+		}
 	}()
 	return a
 }
+
+// responseKey is the key of a context's function for OnResponse.
+type responseKey struct{}
+
+// OnResponse returns a context for a read. The function is called when the response begins, with
+// the time that the attempt of the read took until then, without its wait.
+func OnResponse(ctx context.Context, began func(delay time.Duration)) context.Context {
+	return context.WithValue(ctx, responseKey{}, began)
+}
+
+func reportResponse(ctx context.Context, delay time.Duration) {
+	if began, ok := ctx.Value(responseKey{}).(func(time.Duration)); ok {
+		began(delay)
+	}
+}
--- a/internal/transport/platformlog/transfer.go
+++ b/internal/transport/platformlog/transfer.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	t := &Transfer{ctx: ctx, cancel: cancel, timeout: timeout}
 	t.stalled = time.AfterFunc(first, func() {
-		cancel(ErrStalled.New("no data within %v, or %v of its begin: check the network path to the platform", timeout, first))
+		cancel(ErrStalled.New("no data within %v of the request, or %v of the last data: check the network path to the platform", first, timeout))
 	})
 	t.limit = time.AfterFunc(first+MaxTransferTime, func() {
 		cancel(ErrStalled.New("not complete after %v: check the bandwidth to the platform", MaxTransferTime))
