A stopping node took late requests that it then broke off

Cause: a stopping node took a safe request if nine in ten of the route's recent ones would have ended in the time left, at any moment of the stop. On a route of which one in twelve lasts for seconds it so took all, and broke those off that lasted. For unsafe requests the longest recent one had to fit, which one in n+1 exceeds if n are known: an order sent 2.994 s after the signal was given up that way.

Until the end of the leave delay callers cannot know that the node stops, and a refusal would reach all of them; nothing changes there. A request that comes later is taken only if twice the longest recent one would end in time, or its own time limit does. It is refused at once and not run otherwise, and another node can serve it. If durations are exponential, 2 in (n+1)(n+2) last longer than twice the longest of n.

Ruled out: responses that were lost on the way, silent gates and connections closed without a response. A test holds the node open for callers by a request that runs.

The test between processes before the change: --- FAIL: TestPlannedStopCutsOffRequestsSentLate/order_that_is_just_in_time (13.73s) stoplate_test.go:250: a request of 2.5s got status 504 after 1.213244634s stoplate_test.go:259: statuses: map[200:1 504:6] --- FAIL: TestPlannedStopCutsOffRequestsSentLate/read_that_may_last (15.26s) stoplate_test.go:250: a request of 2.5s got status 504 after 1.204935727s stoplate_test.go:259: statuses: map[200:1 504:6]

--- a/internal/coordination/stopping/machine.go
+++ b/internal/coordination/stopping/machine.go
@@ -19,6 +19,10 @@
 	// usualQuantile is the share of a route's calls, in percent, that has to end in time for a call
 	// that may be sent again.
 	usualQuantile = 90
+	// lateHeadroom is how many times the longest of the recent calls has to fit for a call that comes
+	// once callers had the time to leave. If durations are exponential, a call lasts longer than the
+	// longest of n others in 1 of n+1 cases, and longer than twice that in 2 of (n+1)(n+2).
+	lateHeadroom = 2
 	// maxRoutes bounds the routes whose calls are measured.
 	maxRoutes = 256
 	// maxDuration bounds the measured durations, and digits is their precision.
@@ -32,23 +36,26 @@
 	// Deadline is when it ends at the latest.
 	Deadline time.Time
 	// Cautious demands that the longest of the route's recent calls would end in time, in place of
-	// nine in ten: for calls that may not be sent again, and those that another node can take.
+	// nine in ten: for calls that may not be sent again, and those that another node can take. It
+	// makes no difference once callers had the time to leave.
 	Cautious bool
 }
 
 // Machine measures how long calls last, by route, and decides about calls once the node is about to
 // stop. It is not safe for concurrent use.
 type Machine struct {
-	// end is when the node gives up the calls that it still has; zero if it is not about to stop.
-	end    time.Time
-	routes map[string]*durations
+	// leave is when callers had the time to leave, and end when the node gives up the calls that it
+	// still has; zero if it is not about to stop.
+	leave, end time.Time
+	routes     map[string]*durations
 }
 
 // New returns a machine of a node that is not about to stop.
 func New() *Machine { return &Machine{routes: make(map[string]*durations)} }
 
-// Stop says that the node is about to stop, and gives up the calls that it has at the end.
-func (m *Machine) Stop(end time.Time) { m.end = end }
+// Stop says that the node is about to stop: callers have had the time to leave it by leave, and it
+// gives up the calls that it has at the end.
+func (m *Machine) Stop(leave, end time.Time) { m.leave, m.end = leave, end }
 
 // Observe notes how long a call took.
 func (m *Machine) Observe(now time.Time, route string, took time.Duration) {
@@ -76,7 +83,9 @@
 }
 
 // MayTake reports whether the call is expected to end before the node stops. Where too few calls of
-// its route are known, its deadline decides.
+// its route are known, its deadline decides. Until callers had the time to leave, a refusal would
+// reach all of them, and a call may be taken that is only likely to end. Later, one that is cut off
+// costs its caller more than a refusal at once, after which another node serves it.
 func (m *Machine) MayTake(now time.Time, c Call) bool {
 	if m.end.IsZero() || !c.Deadline.After(m.end) {
 		return true
@@ -85,7 +94,11 @@
 	if d == nil {
 		return false
 	}
-	expected, known := d.expected(now, c.Cautious)
+	late := !now.Before(m.leave)
+	expected, known := d.expected(now, c.Cautious || late)
+	if late {
+		expected *= lateHeadroom
+	}
 	return known && !now.Add(expected).After(m.end)
 }
 
--- a/internal/coordination/stopping/machine_test.go
+++ b/internal/coordination/stopping/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -30,23 +31,34 @@
 		deadline time.Duration
 		cautious bool
 		later    time.Duration
+		left     bool // callers had the time to leave
 		want     bool
 	}{
-		"not about to stop":                {0, "other", never, true, 0, true},
-		"deadline before the stop":         {2 * time.Second, "other", time.Second, true, 0, true},
-		"route without known calls":        {2 * time.Second, "other", 3 * time.Second, false, 0, false},
-		"usual call fits":                  {500 * time.Millisecond, "file", never, false, 0, true},
-		"usual call does not fit":          {90 * time.Millisecond, "file", never, false, 0, false},
-		"longest call fits":                {1200 * time.Millisecond, "file", never, true, 0, true},
-		"longest call does not fit":        {900 * time.Millisecond, "file", never, true, 0, false},
-		"calls still count":                {100 * time.Second, "file", 200 * time.Second, true, 2*window - time.Second, true},
-		"calls are too long ago":           {100 * time.Second, "file", 200 * time.Second, true, 2 * window, false},
-		"after the end, and it would last": {time.Second, "file", never, false, 2 * time.Second, false},
+		"not about to stop":                {0, "other", never, true, 0, false, true},
+		"deadline before the stop":         {2 * time.Second, "other", time.Second, true, 0, false, true},
+		"route without known calls":        {2 * time.Second, "other", 3 * time.Second, false, 0, false, false},
+		"usual call fits":                  {500 * time.Millisecond, "file", never, false, 0, false, true},
+		"usual call does not fit":          {90 * time.Millisecond, "file", never, false, 0, false, false},
+		"longest call fits":                {1200 * time.Millisecond, "file", never, true, 0, false, true},
+		"longest call does not fit":        {900 * time.Millisecond, "file", never, true, 0, false, false},
+		"calls still count":                {100 * time.Second, "file", 200 * time.Second, true, 2*window - time.Second, false, true},
+		"calls are too long ago":           {100 * time.Second, "file", 200 * time.Second, true, 2 * window, false, false},
+		"late, deadline before the stop":   {2 * time.Second, "other", time.Second, true, 0, true, true},
+		"late, usual call fits":            {900 * time.Millisecond, "file", never, false, 0, true, false},
+		"late, longest call fits":          {1200 * time.Millisecond, "file", never, false, 0, true, false},
+		"late, longest call fits twice":    {2500 * time.Millisecond, "file", never, false, 0, true, true},
+		"late, cautious, longest fits":     {1200 * time.Millisecond, "file", never, true, 0, true, false},
+		"late, route without known calls":  {2 * time.Second, "other", 3 * time.Second, false, 0, true, false},
+		"after the end, and it would last": {time.Second, "file", never, false, 2 * time.Second, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := observed()
 			if row.stopIn > 0 {
-				m.Stop(start.Add(row.stopIn))
+				leave := start.Add(row.stopIn)
+				if row.left {
+					leave = start
+				}
+				m.Stop(leave, start.Add(row.stopIn))
 			}
 			call := Call{Route: row.route, Deadline: start.Add(row.deadline), Cautious: row.cautious}
 			is.New(t).Equal(m.MayTake(start.Add(row.later), call), row.want)
@@ -79,7 +91,7 @@
 			now = now.Add(window / 250)
 		}
 		end := now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "left")) * time.Millisecond)
-		m.Stop(end)
+		m.Stop(end, end)
 		call := Call{Route: "file", Deadline: end.Add(time.Hour), Cautious: true}
 		usual := call
 		usual.Cautious = false
@@ -91,3 +103,38 @@
 		}
 	})
 }
+
+// TestLateCallIsCutOff draws calls whose durations are exponential and a stop after which callers had the
+// time to leave. The calls that are taken must end in time but for 1 in 50, and none may be taken whose
+// refusal was due before.
+func TestLateCallIsCutOff(t *testing.T) {
+	const mean, rounds, known, allowed = 500.0, 5_000, 10, 0.02
+	random := rand.New(rand.NewPCG(1, 2))
+	draw := func() time.Duration { return time.Duration(random.ExpFloat64() * mean * float64(time.Millisecond)) }
+	taken, cut := 0, 0
+	for range rounds {
+		m := New()
+		for range known {
+			m.Observe(start, "file", draw())
+		}
+		end := start.Add(time.Duration(random.IntN(2800)) * time.Millisecond)
+		call := Call{Route: "file", Deadline: end.Add(time.Hour)}
+		m.Stop(end, end)
+		early := m.MayTake(start, call)
+		m.Stop(start, end)
+		if !m.MayTake(start, call) {
+			continue
+		}
+		if !early {
+			t.Fatal("a call is taken late that is refused before")
+		}
+		taken++
+		if start.Add(draw()).After(end) {
+			cut++
+		}
+	}
+	t.Logf("taken %d, cut off %d", taken, cut)
+	if float64(cut) > allowed*float64(taken) {
+		t.Fatalf("of %d calls taken, %d are cut off", taken, cut)
+	}
+}
--- a/internal/node/calls/stopping.go
+++ b/internal/node/calls/stopping.go
@@ -20,10 +20,10 @@
 
 func newStopDecider() *stopDecider { return &stopDecider{machine: stopping.New()} }
 
-func (d *stopDecider) stop(end time.Time) {
+func (d *stopDecider) stop(leave, end time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.machine.Stop(end)
+	d.machine.Stop(leave, end)
 }
 
 func (d *stopDecider) observe(now time.Time, route string, took time.Duration) {
@@ -38,11 +38,12 @@
 	return d.machine.MayTake(now, c)
 }
 
-// StopBy says that EndRequests is called at the given time. From now on, callers' requests and calls
-// of other nodes that are not expected to end by then are refused.
-func (r *Runner) StopBy(end time.Time) {
-	r.requestsBeforeStop.stop(end)
-	r.callsBeforeStop.stop(end)
+// StopBy says that callers have had the time to leave the node by leave, and that EndRequests is called at
+// the end. From now on, callers' requests and calls of other nodes that are not expected to end by then are
+// refused.
+func (r *Runner) StopBy(leave, end time.Time) {
+	r.requestsBeforeStop.stop(leave, end)
+	r.callsBeforeStop.stop(leave, end)
 }
 
 // mayTakeRequest reports whether the caller's request is expected to end before the node stops.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -193,7 +193,8 @@
 	n.logger.Event(logging.NodeStopping).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Calls.DrainTimeout)
 	defer cancel()
-	n.calls.StopBy(time.Now().Add(n.settings.Calls.DrainTimeout))
+	now := time.Now()
+	n.calls.StopBy(now.Add(n.settings.Calls.LeaveDelay), now.Add(n.settings.Calls.DrainTimeout))
 	margin := min(cancelQueuedMargin, time.Duration(cancelQueuedShare*float64(n.settings.Calls.DrainTimeout)))
 	refusing := make(chan struct{}) // closed when new requests are refused
 	cancelQueued := time.AfterFunc(n.settings.Calls.DrainTimeout-margin, func() {
--- a/internal/processtest/stoplate_test.go
+++ b/internal/processtest/stoplate_test.go
@@ -196,6 +196,71 @@
 	}
 }
 
+// TestPlannedStopCutsOffRequestsSentLate sends requests that last when callers had the time to leave, on
+// routes whose recent requests mostly or all would have ended in time. Each must be refused at once and not
+// run: one that is taken is broken off at the end of the grace.
+func TestPlannedStopCutsOffRequestsSentLate(t *testing.T) {
+	const (
+		grace = 4 * time.Second
+		long  = 2500 * time.Millisecond
+		// sentAfter is after the signal and the leave delay, with about 1.2 s left.
+		sentAfter    = 2200 * time.Millisecond
+		refusedAfter = 500 * time.Millisecond
+		recent       = 30
+	)
+	for name, row := range map[string]struct {
+		order bool
+		// longest is the time of one in ten recent requests.
+		longest time.Duration
+	}{
+		"read that may last":         {false, long},
+		"order that is just in time": {true, 900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, node := startStopHarness(t, grace, time.Minute)
+			var warmUp sync.WaitGroup
+			for i := range recent {
+				caller, runs := h.dialCaller(node), 20*time.Millisecond
+				if i%(recent/2) == 0 {
+					runs = row.longest
+				}
+				warmUp.Go(func() { _, _ = caller.roundTrip(h.stopRequest(row.order, runs)) })
+			}
+			warmUp.Wait()
+			// A running request keeps the node open for callers.
+			var results rawResults
+			var callers sync.WaitGroup
+			running, request := h.dialCaller(node), h.stopRequest(false, grace-time.Second)
+			callers.Go(func() {
+				response, err := running.roundTrip(request)
+				results.add(request.id, response, err)
+			})
+			time.Sleep(200 * time.Millisecond) // it runs
+			stoppedAt := time.Now()
+			h.must(node.Process().SendTerminate())
+			time.Sleep(time.Until(stoppedAt.Add(sentAfter)))
+			for range 6 {
+				caller, request := h.dialCaller(node), h.stopRequest(row.order, long)
+				callers.Go(func() {
+					sentAt := time.Now()
+					response, err := caller.roundTrip(request)
+					results.add(request.id, response, err)
+					if err == nil && response.status != http.StatusServiceUnavailable {
+						t.Errorf("a request of %v got status %d after %v", long, response.status, time.Since(sentAt))
+					}
+					if took := time.Since(sentAt); took > refusedAfter {
+						t.Errorf("a request of %v was refused after %v", long, took)
+					}
+				})
+			}
+			callers.Wait()
+			h.must(node.Process().Wait(h.ctx()))
+			h.checkTruth(results.all)
+		})
+	}
+}
+
 // TestPlannedStopRefusesCallsOfRunningRequests stops a node while requests run at its target. Until they have
 // ended, a call that they make through the node must be served, on a kept connection and on a new one.
 func TestPlannedStopRefusesCallsOfRunningRequests(t *testing.T) {
