An order was given up while its gate stood still

What callers saw: a call that is not idempotent got 504 2.2 s after it was sent, with 6 s of its time left, 0.9 s after its run had ended. Its gate had got no processor time twice, for 0.98 and 1.17 s.

Cause: an entry asks the gate of a lost attempt for the outcome three times, each within calls.silence_timeout, and takes it for unknown then, whatever the time that is left.

A gate that accepts connections and stays silent on them has not ended. It is now asked about a call that is not idempotent until the deadline, also if it takes no new calls or membership takes it for dead: its caller may not send the call again. What was said of a connection that breaks or cannot be opened holds as before, so a gate that was killed is noticed as soon. Nothing changes for idempotent calls.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -23,7 +23,8 @@
 	// primary of its key again, and maxPrimaryWaits is the number of such delays.
 	primaryWait     = 100 * time.Millisecond
 	maxPrimaryWaits = 10
-	// maxResolveAttempts is how many times a gate is asked to resolve one attempt.
+	// maxResolveAttempts is how many times a gate is asked to resolve one attempt, except that one that
+	// is silent about a call that is not idempotent is asked until the deadline.
 	maxResolveAttempts = 3
 	// noEndpointRetryAfter is the Retry-After of a call for which no gate was
 	// available.
@@ -155,7 +156,7 @@
 		m.eject(now, c.Service, ep)
 	}
 	if c.resolving {
-		return m.resolveAgain(now, c)
+		return m.resolveAgain(now, c, e.Silent)
 	}
 	m.detach(c)
 	m.observe(now, c, rollout.NotCounted)
@@ -179,7 +180,7 @@
 	m.recordLost(now, ep)
 	c.bodyConsumed = c.bodyConsumed || e.BodyConsumed
 	if c.resolving {
-		return m.resolveAgain(now, c)
+		return m.resolveAgain(now, c, e.Silent)
 	}
 	if c.Idempotent && c.Key == "" && !m.shouldFetch(now, c) {
 		c.otherUnknown = c.otherUnknown || c.outcomeUnknown
@@ -213,8 +214,15 @@
 }
 
 // resolveAgain repeats resolve after a backoff, or fails the request with an
-// unknown outcome after maxResolveAttempts requests or the deadline.
-func (m *Machine) resolveAgain(now time.Time, c *request) []Action {
+// unknown outcome after maxResolveAttempts requests or the deadline. A gate that accepts connections
+// and is silent on them has not ended. If the call is not idempotent its caller cannot send it again, and
+// the gate is asked until the deadline, also if membership takes it for dead.
+//
+// Load pattern: gates that get no processor time for longer than a few silence timeouts.
+func (m *Machine) resolveAgain(now time.Time, c *request, silent bool) []Action {
+	if silent && !c.Idempotent {
+		c.resolveAttempts = min(c.resolveAttempts, maxResolveAttempts-1)
+	}
 	if c.resolveAttempts >= maxResolveAttempts || !now.Before(c.Deadline) {
 		m.detach(c)
 		m.observe(now, c, rollout.NotCounted)
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -107,6 +107,9 @@
 	// ConnectionLimitReached says that this node already has as many connections to
 	// the gate as it may open.
 	ConnectionLimitReached bool
+	// Silent says that a connection was open, and that the gate did not respond on it within the
+	// silence timeout.
+	Silent bool
 	// GateReached says that the gate could have taken the call, which was not sent because
 	// its caller has left or its time is over.
 	GateReached bool
@@ -116,6 +119,8 @@
 // it, broke or went silent after sending.
 type ConnectionLost struct {
 	Handle uint64
+	// Silent says that the connection was open when the silence timeout ended.
+	Silent bool
 	// BodyConsumed is as in Refused.
 	BodyConsumed bool
 }
--- a/internal/coordination/entry/lostattempt_test.go
+++ b/internal/coordination/entry/lostattempt_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -80,6 +81,42 @@
 	is.Equal(fail.Outcome, call.Unknown)
 }
 
+// TestSilentGateIsGivenUp lets a gate that is no endpoint any more accept connections and stay silent on
+// them: for a call that is not idempotent it must be asked until the deadline. One whose connections fail is
+// asked three times.
+func TestSilentGateIsGivenUp(t *testing.T) {
+	const asked = 20
+	silent := func(h uint64) Event { return ConnectionLost{Handle: h, Silent: true} }
+	for name, row := range map[string]struct {
+		event func(handle uint64) Event
+		after time.Duration
+		want  string
+	}{
+		"silent after the question":  {silent, 0, "entry.Resolve"},
+		"silent before the question": {func(h uint64) Event { return NotSent{Handle: h, Silent: true} }, 0, "entry.Resolve"},
+		"silent at the deadline":     {silent, time.Minute, "entry.Fail"},
+		"connections break":          {func(h uint64) Event { return ConnectionLost{Handle: h} }, 0, "entry.Fail"},
+		"connections are refused":    {func(h uint64) Event { return NotSent{Handle: h} }, 0, "entry.Fail"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDriver(endpoints("near", 0, 1))
+			d.begin(false)
+			last := d.machine.Step(d.now, ConnectionLost{Handle: d.handle})[0]
+			d.machine.Step(d.now, SetEndpoints{})
+			for range asked {
+				if _, ok := last.(Resolve); ok {
+					last = d.machine.Step(d.now.Add(row.after), row.event(d.handle))[0]
+				}
+				if _, ok := last.(Wait); ok {
+					last = d.machine.Step(d.now, Resume{Handle: d.handle})[0]
+				}
+			}
+			is.Equal(fmt.Sprintf("%T", last), row.want)
+		})
+	}
+}
+
 // TestGateOfUnsentCallIsEjected ends a call that was not sent because its caller had left: its gate
 // must get the next one.
 func TestGateOfUnsentCallIsEjected(t *testing.T) {
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/entry"
 	"jasminegate/internal/logging"
@@ -77,8 +79,9 @@
 }
 
 // noConnectionError reports that no connection was available for the start of a
-// call; limitReached is set if the pool's connection limit is the cause.
-type noConnectionError struct{ limitReached bool }
+// call; limitReached is set if the pool's connection limit is the cause, and silent if the gate
+// did not respond on an open one.
+type noConnectionError struct{ limitReached, silent bool }
 
 func (noConnectionError) Error() string { return "no connection to the gate" }
 
@@ -135,8 +138,10 @@
 
 func notSent(handle uint64, err error) entry.Event {
 	var failed noConnectionError
-	limitReached := errors.As(err, &failed) && failed.limitReached
-	return entry.NotSent{Handle: handle, ConnectionLimitReached: limitReached}
+	if !errors.As(err, &failed) {
+		return entry.NotSent{Handle: handle}
+	}
+	return entry.NotSent{Handle: handle, ConnectionLimitReached: failed.limitReached, Silent: failed.silent}
 }
 
 // open starts a stream to the gate. A call to this node's own gate needs no
@@ -166,7 +171,7 @@
 	}
 	conn, stream, err := a.dial(ctx, newConnection)
 	if err != nil {
-		return noConnectionError{limitReached: peer.IsBusy(err)}
+		return noConnectionError{limitReached: peer.IsBusy(err), silent: errorx.IsOfType(err, errSilent)}
 	}
 	a.stream = stream
 	a.releaseConn = func(reuse bool) {
@@ -380,9 +385,10 @@
 // after the deadline, or after a first frame without a valid start of a response. Unless the caller disconnected, it also closes the idle connections
 // to the gate, which are likely to have failed too.
 func (a *attempt) endLost() entry.Event {
+	silent := errorx.IsOfType(context.Cause(a.ctx), errSilent)
 	a.end(false)
 	a.noteLost()
-	return entry.ConnectionLost{Handle: a.handle, BodyConsumed: a.request.body.consumed.Load()}
+	return entry.ConnectionLost{Handle: a.handle, Silent: silent, BodyConsumed: a.request.body.consumed.Load()}
 }
 
 // noteLost counts a lost connection and closes the idle ones to the gate, unless the caller
--- a/internal/node/calls/connection.go
+++ b/internal/node/calls/connection.go
@@ -51,7 +51,7 @@
 }
 
 // checkConnection sends a health check to the gate, and closes the idle
-// connections to it if the check fails.
+// connections to it if the check fails. The error is errSilent if there was no response.
 func (a *attempt) checkConnection(ctx context.Context, conn *peer.Conn) error {
 	ctx, cancel := context.WithTimeout(ctx, a.runner.options.Settings.SilenceTimeout)
 	defer cancel()
@@ -62,5 +62,8 @@
 	a.runner.counters.connectionsLost.Add(1)
 	a.runner.options.Logger.Event(logging.PeerConnectionsDropped).Str("gate", a.endpoint.ID).Err(err).Send()
 	a.runner.options.Pool.DropIdle(a.endpoint.Address)
+	if ctx.Err() != nil {
+		return errSilent.Wrap(err, "gate %s did not respond to a health check within the silence timeout", a.endpoint.ID)
+	}
 	return err
 }
--- a/internal/node/calls/keptattempt_test.go
+++ b/internal/node/calls/keptattempt_test.go
@@ -179,3 +179,38 @@
 	f.is.Equal((<-result).status, http.StatusGatewayTimeout)
 	f.is.True(time.Since(died) < bound)
 }
+
+// TestOrderIsGivenUpWhileItsGateStandsStill stalls all that the gate of a call that is not idempotent sends,
+// for longer than the questions for its outcome took that ended it. The caller must get the response of
+// the one run, also if membership has taken the gate for dead.
+func TestOrderIsGivenUpWhileItsGateStandsStill(t *testing.T) {
+	const stall = 2 * time.Second
+	for _, dead := range []bool{false, true} {
+		t.Run(fmt.Sprintf("taken for dead %v", dead), func(t *testing.T) {
+			dialer := &faultDialer{}
+			running := make(chan string, 10)
+			proceed, until := make(chan struct{}), make(chan struct{})
+			end := sync.OnceFunc(func() { close(proceed); close(until) })
+			defer end()
+			f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, func(w http.ResponseWriter, r *http.Request) {
+				running <- r.URL.Path
+				<-proceed
+				_, _ = io.WriteString(w, "done")
+			})
+			result := make(chan callResult, 1)
+			go func() { result <- f.call(0, "POST", "/file/stalled", "one order") }()
+			<-running
+			dialer.standStill(until)
+			if dead {
+				f.removeMember(1)
+			}
+			time.Sleep(stall)
+			f.is.Equal(len(result), 0) // the call was given up
+			end()
+			got := <-result
+			f.is.Equal(got.status, http.StatusOK)
+			f.is.Equal(got.body, "done")
+			f.is.Equal(len(running), 0) // the call ran again
+		})
+	}
+}
