A node that started without the log refused all calls for up to 8 s after its return

Cause: a starting node needs the end of the log first, and asked for it again with the retry delay of nodes that read in others' place, up to 8 s.

Change: requests for the end of the log are repeated within 2 s. If 1,500 nodes start while the log refuses all, they make about 1,000 calls a second (by calculation, not run), of 2,000 that it allows.

--- a/internal/coordination/spread/options.go
+++ b/internal/coordination/spread/options.go
@@ -70,6 +70,9 @@
 	// maxReaderRetryDelay limits the retry delay of the first Options.Readers nodes of a domain, and
 	// once for each node of the domain that of the others.
 	maxReaderRetryDelay = 600 * time.Millisecond
+	// maxJoinRetryDelay limits the retry delay of requests for the join offset, without which a starting
+	// node serves nothing, whatever its peers have.
+	maxJoinRetryDelay = 2 * time.Second
 	// overdueDelay is how long a response may take beyond the wait of its read before other
 	// nodes are told that this one does not reach the log. A log that responds later is
 	// given twice its last delay, up to Options.ResponseLimit.
--- a/internal/coordination/spread/reading.go
+++ b/internal/coordination/spread/reading.go
@@ -257,7 +257,7 @@
 	switch r := e.Request.(type) {
 	case ReadBounds:
 		if r.Stream == StreamTickets {
-			m.join.offsetRequest.failed(now, limit, m.random)
+			m.join.offsetRequest.failed(now, maxJoinRetryDelay, m.random)
 			return
 		}
 		m.checkpoints.request.failed(now, m.options.CheckpointInterval/10+initialRetryDelay, m.random)
