A slow store got writes of starting nodes again and again

A store that took 1.5 s for each call executed the registration of a node, which took it for failed after 1 s and sent it again: 8 records of two starting nodes in 12 s in place of 2 (trial of a reviewer). At 1,500 nodes that is about 500 writes a second by ratio, where the platform allows 400.

Change: the response to a write may take as long to begin as that of a read, four request timeouts. It is sent once: a repeated write is another record.

--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -138,7 +138,7 @@
 			CheckpointInterval: options.Platform.CheckpointInterval,
 			ReadWait:           options.Platform.ReadWait,
 			RequestTimeout:     options.Platform.RequestTimeout,
-			ResponseLimit:      platformlog.ReadAttempts * options.Platform.RequestTimeout,
+			ResponseLimit:      platformlog.ResponseLimit(options.Platform.RequestTimeout),
 			Registered:         options.Registered,
 			AcceptedNumber:     options.AcceptedNumber,
 			Seed:               options.RandomSeed,
--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -55,7 +55,7 @@
 // ErrUnavailable it may have been added.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
 	var response appendResponse
-	err := c.do(ctx, Attempt{Limit: c.requestTimeout}, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
+	err := c.do(ctx, Attempt{Limit: ResponseLimit(c.requestTimeout)}, http.MethodPost, c.streamURL(stream)+"/records", data, &response)
 	if err != nil {
 		return 0, err
 	}
@@ -122,7 +122,7 @@
 func (c *Client) PutIf(ctx context.Context, stream, _ string, data []byte, next int64) error {
 	var response appendResponse
 	query := url.Values{"next": {strconv.FormatInt(next, 10)}}
-	if err := c.do(ctx, Attempt{Limit: c.requestTimeout}, http.MethodPost, c.streamURL(stream)+"/records?"+query.Encode(), data, &response); err != nil {
+	if err := c.do(ctx, Attempt{Limit: ResponseLimit(c.requestTimeout)}, http.MethodPost, c.streamURL(stream)+"/records?"+query.Encode(), data, &response); err != nil {
 		return err
 	}
 	_, err := response.offset()
--- a/internal/transport/platformlog/hedge.go
+++ b/internal/transport/platformlog/hedge.go
@@ -10,6 +10,10 @@
 // ReadAttempts is how many times a read is sent at most.
 const ReadAttempts = 4
 
+// ResponseLimit returns how long a response may take to begin, beyond the wait of a read, with the timeout
+// of one request. Writes have as long, and are sent once.
+func ResponseLimit(timeout time.Duration) time.Duration { return ReadAttempts * timeout }
+
 // Hedge sends a read again, on a new connection, while its response has not begun in time, and
 // goes on with the earlier attempts: a connection that has gone silent delivers no response any
 // more, one to a slow log delivers it late. The attempt whose response begins first wins (Dean,
--- a/internal/transport/platformlog/transfer.go
+++ b/internal/transport/platformlog/transfer.go
@@ -20,6 +20,7 @@
 type Transfer struct {
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	first   time.Duration
 	timeout time.Duration
 	stalled *time.Timer
 	limit   *time.Timer
@@ -29,7 +30,7 @@
 // Stop must be called when the exchange has ended.
 func NewTransfer(parent context.Context, first, timeout time.Duration) *Transfer {
 	ctx, cancel := context.WithCancelCause(parent)
-	t := &Transfer{ctx: ctx, cancel: cancel, timeout: timeout}
+	t := &Transfer{ctx: ctx, cancel: cancel, first: first, timeout: timeout}
 	t.stalled = time.AfterFunc(first, func() {
 		cancel(ErrStalled.New("no data within %v of the request, or %v of the last data: check the network path to the platform", first, timeout))
 	})
@@ -55,20 +56,23 @@
 	if len(body) == 0 {
 		return http.NewRequestWithContext(t.ctx, method, target, http.NoBody)
 	}
-	request, err := http.NewRequestWithContext(t.ctx, method, target, t.Reader(bytes.NewReader(body)))
+	request, err := http.NewRequestWithContext(t.ctx, method, target, t.reader(bytes.NewReader(body), t.first))
 	if err != nil {
 		return nil, err
 	}
 	request.ContentLength = int64(len(body))
-	request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(t.Reader(bytes.NewReader(body))), nil }
+	request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(t.reader(bytes.NewReader(body), t.first)), nil }
 	return request, nil
 }
 
 // Reader returns a reader of r whose reads count as progress. The body of a
 // response is to be read through it once the header has arrived.
-func (t *Transfer) Reader(r io.Reader) io.Reader {
-	t.stalled.Reset(t.timeout)
-	return &progressReader{transfer: t, reader: r}
+func (t *Transfer) Reader(r io.Reader) io.Reader { return t.reader(r, t.timeout) }
+
+// reader returns a reader of r after each read of which progress has to be made within limit.
+func (t *Transfer) reader(r io.Reader, limit time.Duration) io.Reader {
+	t.stalled.Reset(limit)
+	return &progressReader{transfer: t, reader: r, limit: limit}
 }
 
 // Err returns ErrStalled if err is a consequence of the transfer's limits, otherwise
@@ -86,13 +90,14 @@
 type progressReader struct {
 	transfer *Transfer
 	reader   io.Reader
+	limit    time.Duration
 }
 
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
 	if n > 0 {
-		r.transfer.stalled.Reset(r.transfer.timeout)
+		r.transfer.stalled.Reset(r.limit)
 	}
 	return n, err
 }
