--- a/internal/transport/platformlog/hedge.go
+++ b/internal/transport/platformlog/hedge.go
@@ -27,11 +27,11 @@
 	BeforeRetry func()
 }
 
-// Attempt is one attempt of a hedged read.
+// Attempt is one request: an attempt of a hedged read, or a write.
 type Attempt struct {
 	// Wait is how long the log may wait for a record. The response has to begin within Limit.
 	Wait, Limit time.Duration
-	// Began is to be called when a response has begun that is not a refusal.
+	// Began is to be called when a response has begun that is not a refusal. It is nil for a write.
 	Began func()
 }
 
--- a/internal/transport/platformlog/transfer.go
+++ b/internal/transport/platformlog/transfer.go
@@ -20,8 +20,8 @@
 type Transfer struct {
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	first   time.Duration
-	timeout time.Duration
+	first   time.Duration // until the response begins
+	timeout time.Duration // between two parts of it
 	stalled *time.Timer
 	limit   *time.Timer
 }
