Count what reaches a target more than once, and why

No metric told retries by entries, calls of repeated runs and requests that the HTTP client sends again apart, all of which the platform counts against one limit. Attempts carry whether the call may have reached a target before (CallStart.repeat), runs of nested calls inherit it from their parent, and the gate counts what it writes to its target by kind: jasminegate_target_arrivals_total and event 414. No decision changes. Calls of a contract without nested IDs are now tracked as running without tenants too, as their nested calls name the parent.

Tests of entry, gate, node, logging and explain pass.

--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -51,6 +51,37 @@
 	}
 }
 
+// Repeat says whether an attempt may be more than the first arrival of its call at a
+// target, and why. Its values are sent on the wire.
+type Repeat uint8
+
+// Kinds of attempts.
+const (
+	// First means that no attempt of the call can have reached a target before.
+	First Repeat = 0
+	// Retried means that an attempt before may have reached a target.
+	Retried Repeat = 1
+	// Inherited is the First of a call made by a run that is itself a repeat.
+	Inherited Repeat = 2
+	// Resent means that the gate itself sent the call once more. It is not sent on the
+	// wire.
+	Resent Repeat = 3
+)
+
+// String returns the kind as written in metrics.
+func (r Repeat) String() string {
+	switch r {
+	case First:
+		return "first"
+	case Inherited:
+		return "inherited"
+	case Resent:
+		return "resent"
+	default:
+		return "retried"
+	}
+}
+
 // Reason is why an attempt has no response. Its values are sent on the wire and
 // reported to callers.
 type Reason string
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -80,6 +80,7 @@
 		return m.noResponse(now, c, ep, e)
 	}
 	c.lastRefusal = e
+	c.rejected = c.rejected || e.Reason == call.ReasonTargetShed
 	if c.resolving {
 		// The gate is healthy, only the connection of the lost attempt failed: allow
 		// a further attempt at this gate, which send appended to excluded last.
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -54,6 +54,8 @@
 	SoftDeadline time.Time
 	Tenant       string
 	Nested       bool
+	// Repeated says that the run that made the call is a repeat, so that the call is one too.
+	Repeated bool
 	// MaxAttempts is the maximum number of attempts, not counting retries that take no
 	// token of the retry budget.
 	MaxAttempts int
@@ -171,6 +173,8 @@
 	// RequireSoftDeadline tells the gate to refuse the call unless it expects to meet
 	// the call's soft deadline.
 	RequireSoftDeadline bool
+	// Repeat says whether the call may have reached a target before.
+	Repeat call.Repeat
 	// RetriedIfLost says that the call will most likely be sent to another gate if the
 	// connection is lost, so that this gate need not continue the run.
 	RetriedIfLost bool
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -105,6 +105,8 @@
 	// outcomeUnknown is set once an attempt has run, or may have run, without a
 	// response.
 	outcomeUnknown bool
+	// rejected is set once a target rejected an attempt.
+	rejected bool
 }
 
 // lostAttempt is an attempt of an idempotent call whose connection broke or went silent.
@@ -251,11 +253,23 @@
 		Handle: c.Handle, ID: c.attemptID, Endpoint: chosen.Endpoint,
 		AttemptsLeft: max(0, c.MaxAttempts-c.sent+c.uncharged), NewConnection: chosen.suspectConnection,
 		RequireSoftDeadline: c.requiredInTime,
+		Repeat:              c.repeat(),
 		RetriedIfLost:       c.Idempotent && c.Key == "" && c.sent-c.uncharged < c.MaxAttempts && m.budgetOf(c.Service).ample(),
 		TargetReport:        m.reportFor(chosen),
 	}}
 }
 
+// repeat says what the next attempt is.
+func (c *request) repeat() call.Repeat {
+	switch {
+	case c.outcomeUnknown || c.rejected:
+		return call.Retried
+	case c.Repeated:
+		return call.Inherited
+	}
+	return call.First
+}
+
 func (m *Machine) attach(c *request, e *endpoint) {
 	c.endpoint = e
 	e.outstanding++
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -74,6 +74,7 @@
 	KeysConfirmed        = Event{411, log.InfoLevel, "requests with an API key are admitted again"}
 	PeerConnectionBroken = Event{412, log.InfoLevel, "connection from another node broke: the calls on it end"}
 	CallerUnconfirmed    = Event{413, log.InfoLevel, "call was written to the target long after its caller was last known to wait"}
+	RepeatsAtTarget      = Event{414, log.InfoLevel, "calls reach the local target more than once"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
 
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -302,6 +302,7 @@
 		Idempotent:    c.route.Idempotent,
 		Background:    c.route.Class == state.ClassBackground,
 		Nested:        r.nested(request),
+		Repeat:        uint32(r.inheritedRepeat(request)),
 		Priority:      uint32(c.priority),
 		Tenant:        c.tenant,
 		ContentLength: c.contentLength(request),
@@ -342,7 +343,7 @@
 		Headers: t.Headers, Key: t.Key, Fingerprint: t.Fingerprint,
 		Idempotent: t.Idempotent, Background: t.Background, Nested: t.Nested, Priority: t.Priority, InTime: action.RequireSoftDeadline && !c.softDeadline.IsZero(),
 		AttemptsLeft: uint32(action.AttemptsLeft), ContentLength: t.ContentLength, RetriedIfLost: action.RetriedIfLost,
-		Tenant: t.Tenant, Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
+		Repeat: uint32(action.Repeat), Tenant: t.Tenant, Content: t.Content, Crashes: uint32(max(c.crashes, r.quarantine.known(t.Content))),
 	}
 }
 
@@ -383,6 +384,7 @@
 		Handle: c.handle, Route: c.route.Name, Destinations: c.route.EffectiveDestinations(), Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, MaxAttempts: c.attempts, Key: c.key,
 		SoftDeadline: c.softDeadline, Tenant: c.template.Tenant, Nested: c.template.Nested,
+		Repeated: c.template.Repeat != 0,
 	}
 	action, accepted := r.entry.trySubmit(begin)
 	if !accepted {
--- a/internal/node/calls/metrics.go
+++ b/internal/node/calls/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/protocol/problem"
 	"jasminegate/internal/state"
 	"jasminegate/internal/transport/callerconn"
@@ -37,6 +38,7 @@
 	gateWait *metrics.PrometheusHistogram
 	target   *metrics.PrometheusHistogram
 	proofAge *metrics.PrometheusHistogram
+	arrivals map[call.Repeat]*metrics.Counter
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -60,6 +62,10 @@
 			m.requests[[2]string{class, outcome}] = set.NewPrometheusHistogramExt(name, latencyBounds)
 		}
 	}
+	m.arrivals = make(map[call.Repeat]*metrics.Counter)
+	for kind := call.First; kind <= call.Resent; kind++ {
+		m.arrivals[kind] = set.NewCounter(fmt.Sprintf("jasminegate_target_arrivals_total{kind=%q}", kind.String()))
+	}
 	for _, cause := range append(callerconn.Causes(), causeResponseAborted, causePanic, causeNone) {
 		m.cutOff[cause] = set.NewCounter(fmt.Sprintf("jasminegate_callers_cut_off_total{cause=%q}", string(cause)))
 	}
--- a/internal/node/calls/nested.go
+++ b/internal/node/calls/nested.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"strings"
 	"sync"
+
+	"jasminegate/internal/coordination/call"
 )
 
 // runningRequests counts, by the ID by which nested calls name their parent, the
@@ -14,15 +16,17 @@
 	ids map[string]runningRequest
 }
 
-// runningRequest is how often a request runs, and on behalf of which tenant.
+// runningRequest is how often a request runs, on behalf of which tenant, and whether a run of
+// it is a repeat.
 type runningRequest struct {
-	runs   int
-	tenant string
+	runs     int
+	tenant   string
+	repeated bool
 }
 
 // begin records that the target runs the request; the returned function records
 // its end.
-func (r *runningRequests) begin(id, tenant string) (end func()) {
+func (r *runningRequests) begin(id, tenant string, repeated bool) (end func()) {
 	if id == "" {
 		return func() {}
 	}
@@ -31,7 +35,7 @@
 	if r.ids == nil {
 		r.ids = make(map[string]runningRequest)
 	}
-	r.ids[id] = runningRequest{runs: r.ids[id].runs + 1, tenant: tenant}
+	r.ids[id] = runningRequest{runs: r.ids[id].runs + 1, tenant: tenant, repeated: repeated || r.ids[id].repeated}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -43,6 +47,22 @@
 	}
 }
 
+// markRepeated notes that a run of the request is a repeat.
+func (r *runningRequests) markRepeated(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if running, ok := r.ids[id]; ok {
+		running.repeated = true
+		r.ids[id] = running
+	}
+}
+
+func (r *runningRequests) repeated(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ids[id].repeated
+}
+
 func (r *runningRequests) has(id string) bool {
 	_, running := r.tenantOf(id)
 	return running
@@ -62,10 +82,15 @@
 	if r.options.Contract.NestedSeparator != "" {
 		return wireHeaderValue(c.start.Headers, r.options.Contract.RequestID)
 	}
-	if r.options.Snapshot().HasTenants() {
-		return formatID(c.id)
+	return formatID(c.id)
+}
+
+// inheritedRepeat returns call.Inherited if the run that made the call is a repeat.
+func (r *Runner) inheritedRepeat(request *http.Request) call.Repeat {
+	if parent := r.parentOf(request); parent != "" && r.runningRequests.repeated(parent) {
+		return call.Inherited
 	}
-	return ""
+	return call.First
 }
 
 // parentOf returns the ID of the request that made the call, as the call states it;
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -50,7 +50,7 @@
 		r.recordOutcome(c, call.NotRun, c.notSentReason())
 		return gate.NotSent
 	}
-	defer r.runningRequests.begin(r.runningID(c), c.start.Tenant)()
+	defer r.runningRequests.begin(r.runningID(c), c.start.Tenant, c.start.Repeat != 0)()
 	if refused := r.quarantineFrame(c.start); refused != nil {
 		_ = c.response.add(r.baseCtx, refused)
 		return gate.NotSent
@@ -65,7 +65,7 @@
 		return gate.NotSent
 	}
 	check := r.newWriteCheck(c, request.Header)
-	response, conn, err := t.roundTrip(request, c, check, func() { r.gate.notify(gate.Resent{ID: c.id}) })
+	response, conn, err := t.roundTrip(request, c, check, func() { r.noteResent(c) })
 	if err != nil {
 		return r.recordFailure(c, t, run, conn.sent(), err)
 	}
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -32,6 +32,7 @@
 
 // noteWritten records how old the newest proof was when the call had been written.
 func (r *Runner) noteWritten(c *gateCall) {
+	r.countArrival(call.Repeat(c.start.Repeat))
 	if !c.proof.answers {
 		return
 	}
