--- /dev/null
+++ b/internal/node/calls/resent_test.go
@@ -0,0 +1,55 @@
+package calls
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"jasminegate/internal/protocol/headers"
+)
+
+// TestLostResponseIsResentOverEachKeptConnection sends one idempotent call to a target that has
+// kept connections and then breaks one at each request, before the first byte of the response. The
+// target may get it once more: a connection that was kept may have been given up before.
+func TestLostResponseIsResentOverEachKeptConnection(t *testing.T) {
+	const kept = 8
+	for _, row := range []struct{ method, key string }{{"GET", ""}, {"HEAD", ""}, {"OPTIONS", ""}, {"TRACE", ""}, {"DELETE", ""}, {"GET", "k"}, {"POST", "k"}} {
+		t.Run(row.method+row.key, func(t *testing.T) {
+			t.Parallel()
+			var breaks atomic.Bool
+			var together sync.WaitGroup
+			together.Add(kept)
+			target := newRawTarget(t, func(conn net.Conn, request *http.Request) bool {
+				if breaks.Load() {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					return false
+				}
+				together.Done()
+				together.Wait()
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headers.CallID+": "+request.Header.Get(headers.CallID)+"\r\nContent-Length: 0\r\n\r\n")
+				return err == nil
+			})
+			f := newFleet(t, fleetOptions{nodes: 1, slots: hostileConnections}, echo)
+			target.useAsTarget(f.nodes[0], hostileConnections)
+			var group sync.WaitGroup
+			for range kept {
+				group.Go(func() { f.call(0, "GET", "/read", "") })
+			}
+			group.Wait()
+			breaks.Store(true)
+			before := target.requests.Load()
+			var more []string
+			if row.key != "" {
+				f.waitForKeyedCalls()
+				more = []string{headers.IdempotencyKey, row.key}
+			}
+			f.call(0, row.method, "/read", "", more...)
+			if got := target.requests.Load() - before; got < 1 || got > 2 {
+				t.Errorf("the target got the call %d times", got)
+			}
+		})
+	}
+}
