One call reached its target over each kept connection

Callers of a service whose targets lose responses saw targets work on the same call again and again: the HTTP client sends a request without a body again by itself when a kept connection breaks before the first byte of the response, as often as there are kept connections, and nothing counted or limited it.

Every request to a target now has a body that the client cannot rewind, an empty one if need be (TRACE, and requests with an idempotency key that would state their length, get a connection of their own). The gate itself sends an idempotent call once more, over a new connection, if a kept one broke without a byte: the target may have given that one up before the request came.

--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,20 +112,38 @@
 	c.runCtx, c.cancelRun = context.WithDeadline(base, c.deadline)
 }
 
-// targetBody returns the body for the target, or nil if it is empty. A body cannot
-// be rewound, which keeps the HTTP client from sending the request again by
-// itself; without a body, targetConns.singleUse does so for non-idempotent calls.
+// targetBody returns the body for the target. It cannot be rewound, which keeps the HTTP client
+// from sending the request again by itself. It is nil if it is empty and the client would state
+// its length otherwise.
 func (c *gateCall) targetBody() io.ReadCloser {
 	switch {
 	case c.streaming:
 		return streamedBody{io.MultiReader(bytes.NewReader(c.buffered), c.bodyReader), c.bodyReader}
-	case len(c.buffered) == 0:
-		return nil
+	case len(c.buffered) > 0:
+	case usuallyWithoutBody(c.start.Method):
+		return emptyBody{}
 	default:
-		return io.NopCloser(bytes.NewReader(c.buffered))
+		return nil
 	}
+	return io.NopCloser(bytes.NewReader(c.buffered))
+}
+
+// usuallyWithoutBody reports whether the HTTP client looks for the end of a body before it sends a
+// request of the method with one.
+func usuallyWithoutBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+		return true
+	}
+	return false
 }
 
+// emptyBody is an empty body that is not http.NoBody.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
 // streamedBody reads the buffered part and then the rest.
 type streamedBody struct {
 	io.Reader
--- a/internal/node/calls/repeats.go
+++ b/internal/node/calls/repeats.go
@@ -19,7 +19,7 @@
 	r.count(kind)
 }
 
-// noteResent handles a call that the HTTP client sends to the target once more.
+// noteResent handles a call that was written to the target once more.
 func (r *Runner) noteResent(c *gateCall) {
 	r.runningRequests.markRepeated(r.runningID(c))
 	r.count(call.Resent)
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -25,7 +25,7 @@
 	frameBytes = 32 << 10
 	// maxUnsentTries is how often a request is given to a connection while no
 	// byte of it has been written.
-	maxUnsentTries = 2
+	maxUnsentTries = 3
 )
 
 // runAtTarget runs a started call and reports its result to the gate machine.
@@ -65,7 +65,7 @@
 		return gate.NotSent
 	}
 	check := r.newWriteCheck(c, request.Header)
-	response, conn, err := t.roundTrip(request, c, check, func() { r.noteResent(c) })
+	response, conn, err := r.exchange(t, request, c, check)
 	if err != nil {
 		return r.recordFailure(c, t, run, conn.sent(), err)
 	}
@@ -143,22 +143,34 @@
 	return header
 }
 
-// roundTrip sends the request, and sends it once more, over a new connection, if no
-// byte of it was written, its body is not streamed and the call may still be written. used tracks
-// the connection of the last try. resent is called when the HTTP client sends the
-// request again by itself.
-func (t *target) roundTrip(request *http.Request, c *gateCall, check writeCheck, resent func()) (response *http.Response, used *writeTracker, err error) {
-	transport := t.conns.transportFor(c.start.Idempotent, c.streaming || len(c.buffered) > 0)
+// exchange sends the request to the target. If a kept connection breaks before the first byte of
+// the response, the target may have given it up before the request came: an idempotent call is
+// sent once more, over a new connection. The tracker is that of the last try.
+//
+// Load pattern: targets that give up idle connections without notice while the gate uses them.
+func (r *Runner) exchange(t *target, request *http.Request, c *gateCall, check writeCheck) (*http.Response, *writeTracker, error) {
+	response, used, err := t.roundTrip(request, c, check)
+	if err == nil || !c.start.Idempotent || c.streaming || !used.lostKeptConnection() || request.Context().Err() != nil {
+		return response, used, err
+	}
+	again := &writeTracker{check: check, sentBefore: true}
+	again.check.written = func() { r.noteResent(c) }
+	response, err = t.try(t.conns.singleUse, request, c, again)
+	return response, again, err
+}
+
+// roundTrip sends the request, and sends it again if no byte of it was written, its body is not
+// streamed and the call may still be written; the last time over a new connection. used tracks the
+// connection of the last try.
+func (t *target) roundTrip(request *http.Request, c *gateCall, check writeCheck) (response *http.Response, used *writeTracker, err error) {
+	transport := t.conns.transportFor(request, c.start.Idempotent, c.streaming || len(c.buffered) > 0)
 	for try := 0; try < maxUnsentTries; try++ {
 		if try == maxUnsentTries-1 {
 			// Other connections of the pool may have ended too.
 			transport = t.conns.singleUse
 		}
-		used = &writeTracker{check: check, resent: resent}
-		traced := request.WithContext(httptrace.WithClientTrace(request.Context(), used.trace()))
-		traced.Body = c.targetBody()
-		response, err = transport.RoundTrip(traced)
-		used.end()
+		used = &writeTracker{check: check}
+		response, err = t.try(transport, request, c, used)
 		if err == nil || used.sent() || used.refused.Load() || c.streaming || request.Context().Err() != nil {
 			break
 		}
@@ -166,6 +178,15 @@
 	return response, used, err
 }
 
+// try sends the request over one connection.
+func (t *target) try(transport *http.Transport, request *http.Request, c *gateCall, tracker *writeTracker) (*http.Response, error) {
+	traced := request.WithContext(httptrace.WithClientTrace(request.Context(), tracker.trace()))
+	traced.Body = c.targetBody()
+	response, err := transport.RoundTrip(traced)
+	tracker.end()
+	return response, err
+}
+
 // recordFailure records the outcome of a request that got no response.
 func (r *Runner) recordFailure(c *gateCall, t *target, run *targetRun, sent bool, err error) gate.Result {
 	if !sent {
--- a/internal/node/calls/targetconn.go
+++ b/internal/node/calls/targetconn.go
@@ -24,6 +24,8 @@
 	// matched is how many bytes of a response, up to statusEnd, have been read since the connection
 	// was taken for a request, and status the digits of its status among them.
 	matched, status atomic.Int32
+	// responded is set once bytes were read since the connection was taken for a request.
+	responded atomic.Bool
 	// mayRepeat is set once a response may have been a refusal, which the target could write once
 	// more in place of a later response.
 	mayRepeat atomic.Bool
@@ -39,6 +41,7 @@
 func (c *targetConn) take(user *writeTracker) {
 	c.matched.Store(0)
 	c.status.Store(0)
+	c.responded.Store(false)
 	if c.mayRepeat.Load() {
 		c.user.Store(discarded)
 		_ = c.Close()
@@ -61,6 +64,9 @@
 // of the line.
 func (c *targetConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.responded.Store(true)
+	}
 	if !c.scanHead(data[:n]) {
 		// With the bytes, since the HTTP client sends some requests again if it
 		// gets an error alone.
--- a/internal/node/calls/targetconns.go
+++ b/internal/node/calls/targetconns.go
@@ -70,9 +70,11 @@
 	}
 }
 
-// transportFor returns the transport for a request of the class.
-func (c *targetConns) transportFor(idempotent, hasBody bool) *http.Transport {
+// transportFor returns the transport for the request.
+func (c *targetConns) transportFor(request *http.Request, idempotent, hasBody bool) *http.Transport {
 	switch {
+	case !hasBody && !usuallyWithoutBody(request.Method) && resentByClient(request):
+		return c.singleUse
 	case idempotent:
 		return c.pooled.Load()
 	case hasBody:
@@ -82,6 +84,14 @@
 	}
 }
 
+// resentByClient reports whether the HTTP client sends the request again by itself if it has no body
+// and a reused connection breaks.
+func resentByClient(request *http.Request) bool {
+	_, key := request.Header["Idempotency-Key"]
+	_, otherKey := request.Header["X-Idempotency-Key"]
+	return key || otherKey || request.Method == http.MethodTrace
+}
+
 // closeIdle closes the idle connections.
 func (c *targetConns) closeIdle() {
 	c.pooled.Load().CloseIdleConnections()
--- a/internal/node/calls/writetracker.go
+++ b/internal/node/calls/writetracker.go
@@ -30,7 +30,7 @@
 type writeTracker struct {
 	conn   *targetConn
 	before int64
-	// sentBefore is set once bytes were written to a connection before conn.
+	// sentBefore is set if bytes were written to a connection before conn.
 	sentBefore bool
 	// check is asked before the first byte; its functions may be nil. refused is set once it
 	// has refused the request, and noted once bytes of it were written.
@@ -38,21 +38,17 @@
 	refused atomic.Bool
 	noted   atomic.Bool
 	state   atomic.Int32
-	// resent is called when the request gets another connection after bytes of it
-	// were written to the last one.
-	resent func()
+	// kept says that the connection had carried other requests before.
+	kept bool
 }
 
 func (w *writeTracker) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*targetConn); ok {
-			if w.sent() {
-				w.sentBefore = true
-				w.resent()
-			}
+			w.sentBefore = w.sentBefore || w.sent()
 			w.state.CompareAndSwap(writeBegun, writeOpen)
 			conn.take(w)
-			w.conn = conn
+			w.conn, w.kept = conn, info.Reused
 			w.before = conn.written.Load()
 		}
 		if w.check.connected != nil {
@@ -103,6 +99,12 @@
 	return w.sentBefore || w.conn != nil && w.conn.written.Load() > w.before
 }
 
+// lostKeptConnection reports whether the request was written to a connection that had carried others,
+// and no byte of a response came.
+func (w *writeTracker) lostKeptConnection() bool {
+	return w.kept && w.sent() && !w.refused.Load() && !w.conn.responded.Load()
+}
+
 // discard closes a connection on which bytes arrived that belong to no request. After a
 // response without a body it is in the pool again, and may have another user.
 func (w *writeTracker) discard() {
--- a/internal/node/calls/writetracker_test.go
+++ b/internal/node/calls/writetracker_test.go
@@ -7,19 +7,19 @@
 	"github.com/matryer/is"
 )
 
-// TestResentRequestIsSaidNotToHaveRun lets the HTTP client send a request again over a
-// second connection that fails before its first byte: the target may have run the
-// request that it got over the first one.
+// TestResentRequestIsSaidNotToHaveRun gives a request a second connection, which fails before its
+// first byte: the target may have run the request that it got over the first one. That one was
+// kept and broke without a response, the second one is new.
 func TestResentRequestIsSaidNotToHaveRun(t *testing.T) {
 	is := is.New(t)
-	resent := 0
-	tracker := &writeTracker{resent: func() { resent++ }}
+	tracker := &writeTracker{}
 	first, second := &targetConn{}, &targetConn{}
-	tracker.trace().GotConn(httptrace.GotConnInfo{Conn: first})
+	tracker.trace().GotConn(httptrace.GotConnInfo{Conn: first, Reused: true})
 	is.True(!tracker.sent())
 	first.written.Add(100)
 	is.True(tracker.sent())
+	is.True(tracker.lostKeptConnection())
 	tracker.trace().GotConn(httptrace.GotConnInfo{Conn: second})
-	is.Equal(resent, 1)
 	is.True(tracker.sent())
+	is.True(!tracker.lostKeptConnection())
 }
