Repeats of a whole fleet exceeded what its platform allows

Callers lost nothing by it, but targets that already failed got up to twice the repeats that the platform allows a service, and targets of services behind them as well.

Cause: the budget was one entry's, a bucket of ten tokens full at each start, and nothing bounded the sum over entries and restarts; calls made by runs that were repeats counted as first attempts; the gate's own resends counted nowhere. The bound is of the fleet and of a window.

The place where all arrivals pass is the gate. Each gate now counts what reaches its target over a sliding window and allows calls.retry_ratio of its first arrivals and an equal part of calls.retry_slack, for retries, calls of repeated runs and its own resends together (internal/coordination/repeats); what it does not allow it refuses at once as not run, and the entry tries two more gates. The sum over gates is the fleet's bound, whatever the number of entries; a restarted gate has no part of the slack in its first window, and gates behind a cut keep theirs. deployment.retry_slack and deployment.retry_window state the bound. With a stated window nine tenths of it are used in place of three quarters, since what that reserve was for is counted now.

--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -21,6 +21,10 @@
 	// retryShare is the part of deployment.retry_ratio that nodes use. The rest is for calls that
 	// arrive twice without a retry of theirs, and for the difference between windows.
 	retryShare = 0.75
+	// countedRetryShare is the part that they use of it, and of deployment.retry_slack, if gates count
+	// everything that arrives twice (calls.retry_window). The rest is for calls of runs that are
+	// repeats.
+	countedRetryShare = 0.9
 	// readReserve is what a change needs besides the wait of the read that is under way when
 	// the log recovers: the request timeout, and the distribution to the nodes.
 	readReserve = 2500 * time.Millisecond
@@ -64,9 +68,21 @@
 		return d.StopGrace > 0
 	}},
 	{"calls.retry_ratio", "deployment.retry_ratio", func(s *Settings, d Deployment) bool {
-		s.Calls.RetryRatio = min(1, math.Round(retryShare*d.RetryRatio*1000)/1000)
+		share := retryShare
+		if d.RetryWindow > 0 {
+			share = countedRetryShare
+		}
+		s.Calls.RetryRatio = min(1, math.Round(share*d.RetryRatio*1000)/1000)
 		return d.RetryRatio > 0
 	}},
+	{"calls.retry_window", "deployment.retry_window", func(s *Settings, d Deployment) bool {
+		s.Calls.RetryWindow = min(maxRetryWindow, max(minRetryWindow, d.RetryWindow))
+		return d.RetryWindow > 0
+	}},
+	{"calls.retry_slack", "deployment.retry_slack", func(s *Settings, d Deployment) bool {
+		s.Calls.RetrySlack = countedRetryShare * d.RetrySlack
+		return d.RetrySlack > 0
+	}},
 	{"tenants.revoke_bound", "deployment.revoke_bound", func(s *Settings, d Deployment) bool {
 		s.Tenants.RevokeBound = min(maxRevokeBound, max(minRevokeBound, d.RevokeBound))
 		return d.RevokeBound > 0
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -29,6 +29,9 @@
 	maxStatedTime   = 24 * time.Hour
 	minRevokeBound  = 100 * time.Millisecond
 	maxRevokeBound  = time.Hour
+	maxRetrySlack   = 1_000_000 // retries
+	minRetryWindow  = 100 * time.Millisecond
+	maxRetryWindow  = 10 * time.Minute
 	maxExposeSlack  = 1_000_000 // calls
 	// minRollbackBound is two intervals of the reports to a rollout's coordinator.
 	minRollbackBound = 500 * time.Millisecond
@@ -66,6 +69,8 @@
 	zeroOrBetween("deployment.change_bound", func(s *Settings) time.Duration { return s.Deployment.ChangeBound }, time.Millisecond, maxStatedTime),
 	zeroOrBetween("deployment.settle_time", func(s *Settings) time.Duration { return s.Deployment.SettleTime }, time.Millisecond, maxStatedTime),
 	between("deployment.retry_ratio", func(s *Settings) float64 { return s.Deployment.RetryRatio }, 0, 100),
+	between("deployment.retry_slack", func(s *Settings) float64 { return s.Deployment.RetrySlack }, 0, maxRetrySlack),
+	zeroOrBetween("deployment.retry_window", func(s *Settings) time.Duration { return s.Deployment.RetryWindow }, time.Millisecond, maxStatedTime),
 	zeroOrBetween("deployment.revoke_bound", func(s *Settings) time.Duration { return s.Deployment.RevokeBound }, time.Millisecond, maxStatedTime),
 	zeroOrBetween("deployment.heartbeat", func(s *Settings) time.Duration { return s.Deployment.Heartbeat }, time.Millisecond, maxStatedTime),
 	between("deployment.bandwidth_mbps", func(s *Settings) float64 { return s.Deployment.BandwidthMbps }, 0, 100_000_000),
@@ -91,6 +96,8 @@
 	sizeBetween("calls.max_body_bytes", func(s *Settings) int64 { return s.Calls.MaxBodyBytes }, 1<<10, 1<<30),
 	sizeBetween("calls.buffer_bytes", func(s *Settings) int64 { return s.Calls.BufferBytes }, 1<<10, 64<<20),
 	between("calls.retry_ratio", func(s *Settings) float64 { return s.Calls.RetryRatio }, 0, 1),
+	between("calls.retry_slack", func(s *Settings) float64 { return s.Calls.RetrySlack }, 0, maxRetrySlack),
+	zeroOrBetween("calls.retry_window", func(s *Settings) time.Duration { return s.Calls.RetryWindow }, minRetryWindow, maxRetryWindow),
 	between("calls.overload_tries", func(s *Settings) int { return s.Calls.OverloadTries }, 0, 16),
 	between("calls.spill_load", func(s *Settings) float64 { return s.Calls.SpillLoad }, 0, 10),
 	sizeBetween("calls.ledger_bytes", func(s *Settings) int64 { return s.Calls.LedgerBytes }, 64<<10, 1<<30),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -95,6 +95,11 @@
 	SettleTime time.Duration `yaml:"settle_time"`
 	// RetryRatio is the largest share of retries among the calls of a service.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// RetrySlack is the number of retries in addition to those of RetryRatio that the targets of a
+	// service may get in a RetryWindow, from all nodes together.
+	RetrySlack float64 `yaml:"retry_slack"`
+	// RetryWindow is the time over which retries are counted.
+	RetryWindow time.Duration `yaml:"retry_window"`
 	// RevokeBound is the time after which a removed API key has to be refused.
 	RevokeBound time.Duration `yaml:"revoke_bound"`
 	// RevokeStrict says that it has to be refused also by nodes without contact.
@@ -177,6 +182,12 @@
 	BufferBytes int64 `yaml:"buffer_bytes"`
 	// RetryRatio limits retries to this fraction of the calls.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// RetrySlack is the number of repeats that all gates of a service together allow in a
+	// RetryWindow, in addition to those of RetryRatio.
+	RetrySlack float64 `yaml:"retry_slack"`
+	// RetryWindow is the time over which gates count the calls that reach their targets, and
+	// those that do so once more. With 0 only entries limit retries.
+	RetryWindow time.Duration `yaml:"retry_window"`
 	// OverloadTries is the number of further gates to which a call that a gate
 	// refused as overloaded is sent without delay.
 	OverloadTries int `yaml:"overload_tries"`
--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -131,8 +131,9 @@
 	// while the gate's host was suspended.
 	ReasonDeadline   Reason = "deadline"
 	ReasonNoEndpoint Reason = "no-endpoint"
-	// ReasonRetryBudgetSpent is not used: a request whose retry budget is spent fails
-	// with the reason of its last refusal, or with ReasonConnectionLost.
+	// ReasonRetryBudgetSpent means that the gate allows no further repeat (Repeat) at its
+	// target for now. A request whose entry has no retry token fails with the reason of its last
+	// refusal, or with ReasonConnectionLost.
 	ReasonRetryBudgetSpent Reason = "retry-budget-spent"
 	ReasonAnswerTooLarge   Reason = "answer-too-large"
 	ReasonKeyReused        Reason = "key-reused"
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -19,6 +19,9 @@
 	// draining gate. Retries by retryOverloaded count towards it, but are bounded by
 	// Options.OverloadTries instead. Keyed calls are bounded by maxPrimaryWaits.
 	maxUnchargedRetries = 4
+	// maxBudgetTries is how many further gates a call is sent to, without delay, after one that
+	// allows no repeat.
+	maxBudgetTries = 2
 	// primaryWait is the longest single delay before a keyed call is sent to the
 	// primary of its key again, and maxPrimaryWaits is the number of such delays.
 	primaryWait     = 100 * time.Millisecond
@@ -86,9 +89,26 @@
 		// a further attempt at this gate, which send appended to excluded last.
 		c.excluded = c.excluded[:len(c.excluded)-1]
 	}
+	if e.Reason == call.ReasonRetryBudgetSpent {
+		return m.retryWithinBudget(now, c)
+	}
 	return m.retryOrFail(now, c, m.recordRefusal(now, c, ep, e))
 }
 
+// retryWithinBudget sends a repeat that a gate does not allow to another gate, which may have more
+// of its budget left. The token that the entry took for the repeat is not used yet.
+//
+// Load pattern: retries that concentrate on few gates of a service.
+func (m *Machine) retryWithinBudget(now time.Time, c *request) []Action {
+	c.resolving = false
+	if c.budgetTries >= maxBudgetTries || c.bodyConsumed || c.Key != "" || !now.Before(c.Deadline) {
+		return m.fetchLostOrFail(now, c, "")
+	}
+	c.budgetTries++
+	c.uncharged++
+	return m.send(now, c)
+}
+
 // rolloutOutcome returns what the outcome that a gate reported says about the target's version.
 func rolloutOutcome(e Refused) rollout.Outcome {
 	switch e.Reason {
@@ -413,7 +433,7 @@
 // ruled out that an earlier call with the same key and request ran.
 func keyChecked(reason call.Reason) bool {
 	switch reason {
-	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonRateLimited, call.ReasonTargetUnreachable, call.ReasonTargetShed, call.ReasonCancelled, call.ReasonMalformed, call.ReasonKeyReused:
+	case call.ReasonQueueFull, call.ReasonTooLate, call.ReasonRateLimited, call.ReasonRetryBudgetSpent, call.ReasonTargetUnreachable, call.ReasonTargetShed, call.ReasonCancelled, call.ReasonMalformed, call.ReasonKeyReused:
 		return true
 	default:
 		return false
--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -75,6 +75,8 @@
 	// set with Options.ExpectedTime only.
 	flow  string
 	usual float64
+	// budgetTries counts the retries after refusals for the retry budget of a gate.
+	budgetTries int
 	// uncharged counts the retries that took no token of the retry budget.
 	uncharged int
 	// excluded lists the IDs of the endpoints that must not get a further attempt, and
--- a/internal/coordination/entry/retrybudget_test.go
+++ b/internal/coordination/entry/retrybudget_test.go
@@ -11,6 +11,7 @@
 
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/entry"
+	"jasminegate/internal/coordination/repeats"
 )
 
 // The bound of the fleet: in any window, arrivals at a service beyond the first of each request are
@@ -19,7 +20,8 @@
 	allowedRatio  = 0.2
 	allowedSlack  = 198
 	allowedWindow = 10 * time.Second
-	usedRatio     = 0.75 * allowedRatio
+	usedRatio     = 0.9 * allowedRatio
+	usedSlack     = 0.9 * allowedSlack
 )
 
 const (
@@ -34,7 +36,7 @@
 
 var fleetStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// repeatFleet is a simulated fleet of entry machines whose targets lose responses. Runs at the
+// repeatFleet is a simulated fleet of entry machines and of the budgets of gates, whose targets lose responses. Runs at the
 // service "front" call the service "back", whose targets lose none, at the entry beside them.
 //
 // Load pattern: targets run calls and reset the connection in place of a part of the responses,
@@ -46,8 +48,13 @@
 	order   int
 	entries []*repeatEntry
 	list    []entry.Endpoint
+	budgets map[string]*repeats.Budget
 	handles uint64
 	loss    float64
+	// chainLoses says that the targets of back lose responses too, and fallAt when the load falls to
+	// a tenth, if it is not 0.
+	chainLoses bool
+	fallAt     time.Duration
 	// requests and repeats hold the times of the requests for each service and of the
 	// arrivals at it that count as repeats.
 	requests, repeats map[string][]time.Duration
@@ -71,7 +78,7 @@
 
 func newRepeatFleet(seed uint64, entries int, loss float64) *repeatFleet {
 	f := &repeatFleet{
-		random: rand.New(rand.NewPCG(seed, 1)), now: fleetStart, loss: loss,
+		random: rand.New(rand.NewPCG(seed, 1)), now: fleetStart, loss: loss, budgets: make(map[string]*repeats.Budget),
 		requests: make(map[string][]time.Duration), repeats: make(map[string][]time.Duration),
 	}
 	for _, service := range []string{"front", "back"} {
@@ -86,8 +93,13 @@
 	return f
 }
 
-// restart starts all entries anew.
+// restart starts all nodes anew.
 func (f *repeatFleet) restart() {
+	for _, gate := range f.list {
+		budget := repeats.New(f.now, gate.ID, repeats.Limits{Ratio: usedRatio, Slack: usedSlack, Window: allowedWindow})
+		budget.SetGates(f.now, len(f.list)/2)
+		f.budgets[gate.ID] = budget
+	}
 	for i, e := range f.entries {
 		e.incarnation++
 		e.machine = entry.New(entry.Options{
@@ -111,7 +123,11 @@
 	var arrive, again func()
 	arrive = func() {
 		f.begin(f.entries[f.random.IntN(len(f.entries))], "front", false, func() {})
-		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), arrive)
+		pause := f.random.ExpFloat64() / rate
+		if f.fallAt > 0 && f.elapsed() > f.fallAt {
+			pause *= 10
+		}
+		f.after(time.Duration(pause*float64(time.Second)), arrive)
 	}
 	again = func() { f.restart(); f.after(restarts, again) }
 	arrive()
@@ -159,11 +175,21 @@
 
 // arrive hands the attempt to the target.
 func (f *repeatFleet) arrive(c *repeatCall, send entry.Send) {
+	budget := f.budgets[send.Endpoint.ID]
+	if !budget.Take(f.now, send.Repeat) {
+		f.after(messageTime, func() {
+			f.step(c, entry.Refused{Handle: c.handle, Outcome: call.NotRun, Reason: call.ReasonRetryBudgetSpent})
+		})
+		return
+	}
+	if send.Repeat == call.First {
+		budget.CountFirst(f.now)
+	}
 	c.arrivals++
 	if c.arrivals > 1 || c.repeated {
 		f.repeats[c.service] = append(f.repeats[c.service], f.elapsed())
 	}
-	lossy := c.service == "front" && f.elapsed() > lossBegin && f.elapsed() < lossEnd
+	lossy := (c.service == "front" || f.chainLoses) && f.elapsed() > lossBegin && f.elapsed() < lossEnd
 	respond := func() {
 		f.after(messageTime, func() {
 			f.step(c, entry.ResponseReceived{Handle: c.handle})
@@ -209,20 +235,26 @@
 		rate     float64
 		loss     float64
 		restarts time.Duration
+		chain    bool
+		fallAt   time.Duration
 	}{
-		{12, 300, 0.5, 0},
-		{12, 300, 0.9, 0},
-		{79, 160, 0.5, 0},
-		{79, 160, 0.9, 5 * time.Second},
-		{79, 1550, 0.5, 0},
-		{79, 1550, 0.9, 2 * time.Second},
-		{1500, 3000, 0.5, 0},
-		{1500, 3000, 0.9, 0},
-		{1500, 3000, 0.9, 5 * time.Second},
+		{12, 300, 0.5, 0, false, 0},
+		{12, 300, 0.9, 0, false, 0},
+		{12, 300, 0.5, 0, true, 15 * time.Second},
+		{79, 160, 0.5, 0, false, 0},
+		{79, 160, 0.9, 5 * time.Second, false, 0},
+		{79, 1550, 0.5, 0, false, 0},
+		{79, 1550, 0.5, 0, true, 0},
+		{79, 1550, 0.9, 0, false, 15 * time.Second},
+		{79, 1550, 0.9, 2 * time.Second, false, 0},
+		{1500, 3000, 0.5, 0, true, 0},
+		{1500, 3000, 0.9, 0, false, 0},
+		{1500, 3000, 0.9, 5 * time.Second, true, 0},
 	} {
-		t.Run(fmt.Sprintf("%d entries, %.0f per second, %.1f lost, restarts %v", row.entries, row.rate, row.loss, row.restarts), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d entries, %.0f per second, %.1f lost, restarts %v, chain loses %v, load falls at %v", row.entries, row.rate, row.loss, row.restarts, row.chain, row.fallAt), func(t *testing.T) {
 			t.Parallel()
 			f := newRepeatFleet(64, row.entries, row.loss)
+			f.chainLoses, f.fallAt = row.chain, row.fallAt
 			f.play(row.rate, row.restarts)
 			for _, service := range []string{"front", "back"} {
 				if excess := f.excess(service); excess > 0 {
@@ -230,7 +262,7 @@
 				}
 			}
 			lossTime := (lossEnd - lossBegin).Seconds()
-			if used, least := float64(len(f.repeats["front"])), usedRatio*row.rate*lossTime/2; row.restarts == 0 && used < least {
+			if used, least := float64(len(f.repeats["front"])), usedRatio*row.rate*lossTime/2; row.restarts == 0 && row.fallAt == 0 && used < least {
 				t.Errorf("%.0f retries, want %.0f: the budget is not used", used, least)
 			}
 		})
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -245,6 +245,8 @@
 		return reason
 	case c.unclaimed, !r.mayTakeCall(c):
 		return call.ReasonLeaving
+	case c.start.Key == "" && !r.repeats.allows(r.options.Now(), repeatOf(c.start)):
+		return call.ReasonRetryBudgetSpent
 	case c.link.refused(), !r.options.Now().Before(c.deadline):
 		return call.ReasonTooLate
 	}
--- a/internal/node/calls/metrics.go
+++ b/internal/node/calls/metrics.go
@@ -39,6 +39,8 @@
 	target   *metrics.PrometheusHistogram
 	proofAge *metrics.PrometheusHistogram
 	arrivals map[call.Repeat]*metrics.Counter
+	// repeatsRefused counts the repeats that the retry budget did not allow.
+	repeatsRefused *metrics.Counter
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -62,6 +64,7 @@
 			m.requests[[2]string{class, outcome}] = set.NewPrometheusHistogramExt(name, latencyBounds)
 		}
 	}
+	m.repeatsRefused = set.NewCounter("jasminegate_target_repeats_refused_total")
 	m.arrivals = make(map[call.Repeat]*metrics.Counter)
 	for kind := call.First; kind <= call.Resent; kind++ {
 		m.arrivals[kind] = set.NewCounter(fmt.Sprintf("jasminegate_target_arrivals_total{kind=%q}", kind.String()))
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -103,7 +103,7 @@
 	metrics         *requestMetrics
 	runningRequests runningRequests
 	failedLog       failedRequestLog
-	repeatsLog      *sampledLog
+	repeats         *repeatBudget
 	signals         *targetSignals
 	link            *linkPacer
 	transit         transitDelays
@@ -148,7 +148,8 @@
 	if options.RefusesTarget == nil {
 		options.RefusesTarget = func(time.Time, Target) bool { return false }
 	}
-	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), repeatsLog: newSampledLog(options.Logger, repeatLinesPerSecond, 1), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
+	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
+	r.repeats = newRepeatBudget(options, r.metrics)
 	r.link = newLinkPacer(options.BandwidthMbps)
 	r.transit.self, r.transit.machine = options.Self, transit.New()
 	r.quarantine = newQuarantineKeeper(options)
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -64,8 +64,17 @@
 		r.recordOutcome(c, call.NotRun, call.ReasonMalformed)
 		return gate.NotSent
 	}
+	takenAt := r.options.Now()
+	if !r.repeats.take(takenAt, repeatOf(c.start)) {
+		run.end(false)
+		r.recordOutcome(c, call.NotRun, call.ReasonRetryBudgetSpent)
+		return gate.NotSent
+	}
 	check := r.newWriteCheck(c, request.Header)
 	response, conn, err := r.exchange(t, request, c, check)
+	if !conn.sent() {
+		r.repeats.giveBack(takenAt, repeatOf(c.start))
+	}
 	if err != nil {
 		return r.recordFailure(c, t, run, conn.sent(), err)
 	}
@@ -145,7 +154,7 @@
 
 // exchange sends the request to the target. If a kept connection breaks before the first byte of
 // the response, the target may have given it up before the request came: an idempotent call is
-// sent once more, over a new connection. The tracker is that of the last try.
+// sent once more, over a new connection, if the retry budget allows it. The tracker is that of the last try.
 //
 // Load pattern: targets that give up idle connections without notice while the gate uses them.
 func (r *Runner) exchange(t *target, request *http.Request, c *gateCall, check writeCheck) (*http.Response, *writeTracker, error) {
@@ -153,9 +162,16 @@
 	if err == nil || !c.start.Idempotent || c.streaming || !used.lostKeptConnection() || request.Context().Err() != nil {
 		return response, used, err
 	}
+	takenAt := r.options.Now()
+	if !r.repeats.take(takenAt, call.Resent) {
+		return response, used, err
+	}
 	again := &writeTracker{check: check, sentBefore: true}
 	again.check.written = func() { r.noteResent(c) }
 	response, err = t.try(t.conns.singleUse, request, c, again)
+	if !again.noted.Load() {
+		r.repeats.giveBack(takenAt, call.Resent)
+	}
 	return response, again, err
 }
 
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -32,7 +32,7 @@
 
 // noteWritten records how old the newest proof was when the call had been written.
 func (r *Runner) noteWritten(c *gateCall) {
-	r.countArrival(call.Repeat(c.start.Repeat))
+	r.repeats.written(r.options.Now(), repeatOf(c.start))
 	if !c.proof.answers {
 		return
 	}
