Calls were sent once more although their connection had just been used

The gate sends an idempotent call again when a kept connection breaks, for targets that give up idle connections. Only connections that were idle for recentUse count now; the others are left to the entry, which picks another target.

--- a/internal/node/calls/writetracker.go
+++ b/internal/node/calls/writetracker.go
@@ -38,7 +38,8 @@
 	refused atomic.Bool
 	noted   atomic.Bool
 	state   atomic.Int32
-	// kept says that the connection had carried other requests before.
+	// kept says that the connection had carried other requests before, and was idle for so long
+	// since that the target may have given it up.
 	kept bool
 }
 
@@ -48,7 +49,7 @@
 			w.sentBefore = w.sentBefore || w.sent()
 			w.state.CompareAndSwap(writeBegun, writeOpen)
 			conn.take(w)
-			w.conn, w.kept = conn, info.Reused
+			w.conn, w.kept = conn, info.Reused && info.IdleTime >= recentUse
 			w.before = conn.written.Load()
 		}
 		if w.check.connected != nil {
@@ -99,8 +100,8 @@
 	return w.sentBefore || w.conn != nil && w.conn.written.Load() > w.before
 }
 
-// lostKeptConnection reports whether the request was written to a connection that had carried others,
-// and no byte of a response came.
+// lostKeptConnection reports whether the request was written to a kept connection, and no byte of a
+// response came.
 func (w *writeTracker) lostKeptConnection() bool {
 	return w.kept && w.sent() && !w.refused.Load() && !w.conn.responded.Load()
 }
--- a/internal/node/calls/writetracker_test.go
+++ b/internal/node/calls/writetracker_test.go
@@ -14,7 +14,7 @@
 	is := is.New(t)
 	tracker := &writeTracker{}
 	first, second := &targetConn{}, &targetConn{}
-	tracker.trace().GotConn(httptrace.GotConnInfo{Conn: first, Reused: true})
+	tracker.trace().GotConn(httptrace.GotConnInfo{Conn: first, Reused: true, WasIdle: true, IdleTime: recentUse})
 	is.True(!tracker.sent())
 	first.written.Add(100)
 	is.True(tracker.sent())
