Targets that lost calls at once attracted calls and their retries

A call that may not be repeated fails there at once.

Gates report the part of the target's recent runs that ended without a whole response (AnswerStart.lost_percent), forgotten with the process of the target. Entries order gates by the expected time until a response, which a loss prolongs, and send retries to targets that lose few.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -56,6 +56,7 @@
 		m.observe(now, c, rollout.Succeeded)
 	}
 	m.recordLoad(now, ep, e.Load)
+	ep.recordLosses(now, e.LostShare)
 	m.recordService(now, c, ep, e.ServiceTime)
 	m.recordReport(ep, e.TargetReport)
 	if e.Failed {
@@ -73,6 +74,7 @@
 	}
 	ep := c.endpoint
 	m.recordLoad(now, ep, e.Load)
+	ep.recordLosses(now, e.LostShare)
 	m.recordService(now, c, ep, e.ServiceTime)
 	m.recordReport(ep, e.TargetReport)
 	ep.suspectConnection = false
--- a/internal/coordination/entry/endpoint.go
+++ b/internal/coordination/entry/endpoint.go
@@ -44,6 +44,7 @@
 type endpoint struct {
 	Endpoint
 	pace
+	losses
 	// slowStartFrom is when the slow start begins: when the endpoint joined, or at the
 	// end of its last ejection.
 	slowStartFrom time.Time
--- a/internal/coordination/entry/event.go
+++ b/internal/coordination/entry/event.go
@@ -77,6 +77,8 @@
 	// ServiceTime is the time that the target takes at present for calls of the route; 0 if it
 	// is not known.
 	ServiceTime time.Duration
+	// LostShare is the part of the target's recent runs that ended without a whole response.
+	LostShare float64
 	// ServerError marks a response with a status of 500 or above.
 	ServerError bool
 	Load        int
@@ -93,8 +95,9 @@
 	Reason     call.Reason
 	RetryAfter time.Duration
 	Load       int
-	// ServiceTime is as in ResponseReceived.
+	// ServiceTime and LostShare are as in ResponseReceived.
 	ServiceTime time.Duration
+	LostShare   float64
 	// TargetReport is as in ResponseReceived.
 	TargetReport *call.TargetReport
 	// BodyConsumed says that a part of the request body is consumed, so that the call
--- a/internal/coordination/entry/expected.go
+++ b/internal/coordination/entry/expected.go
@@ -122,10 +122,10 @@
 	return left <= 0 || m.expected(now, c, ep) <= left
 }
 
-// expectedScore orders endpoints by the expected time, relative to the usual one, and equal ones
-// by their load; lower is better.
+// expectedScore orders endpoints by the expected time until a response, relative to the usual one,
+// and equal ones by their load; lower is better.
 func (e *endpoint) expectedScore(now time.Time) float64 {
-	return e.slownessNow(now)*(1+e.queueing(now)) + e.score(now)
+	return e.lossFactor(now) * (e.slownessNow(now)*(1+e.queueing(now)) + e.score(now))
 }
 
 // retryCanEnd reports whether a retry that is sent now is expected to end before the
@@ -162,7 +162,7 @@
 }
 
 // bestExpected returns the better of two random usable endpoints of the local or of the other
-// domains. If some are expected to respond in time, it chooses between those.
+// domains, for a retry one whose target loses few calls. If some are expected to respond in time, it chooses between those.
 func (m *Machine) bestExpected(now time.Time, g *group, c *request, local bool) *endpoint {
 	eligible := m.pickBuffer[:0]
 	inTime := 0
@@ -181,6 +181,9 @@
 	if inTime > 0 {
 		eligible = eligible[:inTime]
 	}
+	if c.repeat() == call.Retried {
+		eligible = withoutLosses(now, eligible)
+	}
 	switch len(eligible) {
 	case 0:
 		return nil
--- a/internal/coordination/entry/pick.go
+++ b/internal/coordination/entry/pick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/keyed"
 )
 
@@ -79,6 +80,9 @@
 		}
 	}
 	m.pickBuffer = eligible
+	if c.repeat() == call.Retried {
+		eligible = withoutLosses(now, eligible)
+	}
 	switch len(eligible) {
 	case 0:
 		return nil
@@ -90,7 +94,7 @@
 	if second >= first {
 		second++
 	}
-	if eligible[second].score(now) < eligible[first].score(now) {
+	if eligible[second].lossScore(now) < eligible[first].lossScore(now) {
 		return eligible[second]
 	}
 	return eligible[first]
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -418,11 +418,15 @@
 		RetryAfter:   time.Duration(start.RetryAfterMs) * time.Millisecond,
 		Load:         int(start.Load),
 		ServiceTime:  time.Duration(start.ServiceMs) * time.Millisecond,
+		LostShare:    lostShare(start),
 		TargetReport: fromWireReport(a.runner.options.Now(), start.TargetReport),
 		BodyConsumed: a.request.body.consumed.Load(),
 	}
 }
 
+// lostShare returns the part of the target's recent runs that ended without a whole response.
+func lostShare(start *wire.AnswerStart) float64 { return float64(min(start.LostPercent, 100)) / 100 }
+
 // end closes the stream; further calls do nothing. The connection is reused only if complete reports that
 // the gate's whole response was received.
 func (a *attempt) end(complete bool) {
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -446,6 +446,7 @@
 func (r *Runner) noteResponse(c *callerRequest, got *gateResponse) {
 	r.entry.notify(entry.ResponseReceived{
 		ServiceTime: time.Duration(got.start.ServiceMs) * time.Millisecond,
+		LostShare:   lostShare(got.start),
 		Handle:      c.handle, From: got.attempt.endpoint.ID, Failed: got.failed(), ServerError: got.start.Status >= http.StatusInternalServerError, Load: int(got.start.Load),
 		TargetReport: fromWireReport(r.options.Now(), got.start.TargetReport),
 	})
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -478,6 +478,7 @@
 			RetryAfterMs: uint32(retryAfter.Milliseconds()),
 			Load:         r.Load(),
 			TargetReport: r.targetReport(),
+			LostPercent:  r.targetLosses.percent(),
 		},
 		Last: true,
 	}
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -104,6 +104,7 @@
 	runningRequests runningRequests
 	failedLog       failedRequestLog
 	repeats         *repeatBudget
+	targetLosses    targetLosses
 	signals         *targetSignals
 	link            *linkPacer
 	transit         transitDelays
--- a/internal/node/calls/target.go
+++ b/internal/node/calls/target.go
@@ -56,6 +56,7 @@
 		next := newTarget(announced)
 		next.conns.targetRefuses = r.options.Contract.NotRun != ""
 		r.target.Store(next)
+		r.targetLosses.reset()
 		if current != nil {
 			current.conns.closeIdle()
 		}
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -37,6 +37,7 @@
 	startedAt := time.Now()
 	result := r.callTarget(ctx, c)
 	r.metrics.target.UpdateDuration(startedAt)
+	r.targetLosses.observe(result)
 	if result != gate.NotSent && result != gate.RejectedByTarget {
 		now := r.options.Now()
 		r.callsBeforeStop.observe(now, c.start.Route, now.Sub(c.arrivedAt))
@@ -253,6 +254,7 @@
 		Load:          r.Load(),
 		ContentLength: response.ContentLength,
 		TargetReport:  r.targetReport(),
+		LostPercent:   r.targetLosses.percent(),
 	}
 }
 
