The HTTP client looked for the body of requests without one

The client then reads it in a goroutine, with a timer of 200 ms, to find out whether there is a body, for each request; a process that stands still just then would send the empty body in chunks. With the transfer encoding identity it writes neither a length nor chunks and does not look. TRACE needs no connection of its own any more.

--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -112,27 +112,25 @@
 	c.runCtx, c.cancelRun = context.WithDeadline(base, c.deadline)
 }
 
-// targetBody returns the body for the target. It cannot be rewound, which keeps the HTTP client
-// from sending the request again by itself. It is nil if it is empty and the client would state
-// its length otherwise.
-func (c *gateCall) targetBody() io.ReadCloser {
+// setTargetBody gives the request its body. It cannot be rewound, which keeps the HTTP client from
+// sending the request again by itself. The client states the length of an empty body only for
+// methods that usually have one.
+func (c *gateCall) setTargetBody(request *http.Request) {
 	switch {
 	case c.streaming:
-		return streamedBody{io.MultiReader(bytes.NewReader(c.buffered), c.bodyReader), c.bodyReader}
+		request.Body = streamedBody{io.MultiReader(bytes.NewReader(c.buffered), c.bodyReader), c.bodyReader}
 	case len(c.buffered) > 0:
-	case usuallyWithoutBody(c.start.Method):
-		return emptyBody{}
-	default:
-		return nil
+		request.Body = io.NopCloser(bytes.NewReader(c.buffered))
+	case usuallyWithoutBody(request.Method):
+		request.Body = emptyBody{}
+		request.TransferEncoding = []string{"identity"} // the client would look for a body first
 	}
-	return io.NopCloser(bytes.NewReader(c.buffered))
 }
 
-// usuallyWithoutBody reports whether the HTTP client looks for the end of a body before it sends a
-// request of the method with one.
+// usuallyWithoutBody reports whether requests of the method have no length if they have no body.
 func usuallyWithoutBody(method string) bool {
 	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete, http.MethodTrace:
 		return true
 	}
 	return false
--- a/internal/node/calls/resent_test.go
+++ b/internal/node/calls/resent_test.go
@@ -23,6 +23,9 @@
 			var together sync.WaitGroup
 			together.Add(kept)
 			target := newRawTarget(t, func(conn net.Conn, request *http.Request) bool {
+				if request.ContentLength != 0 || len(request.TransferEncoding) > 0 {
+					t.Errorf("length %d, transfer encoding %v", request.ContentLength, request.TransferEncoding)
+				}
 				if breaks.Load() {
 					_ = conn.(*net.TCPConn).SetLinger(0)
 					return false
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -198,7 +198,7 @@
 // try sends the request over one connection.
 func (t *target) try(transport *http.Transport, request *http.Request, c *gateCall, tracker *writeTracker) (*http.Response, error) {
 	traced := request.WithContext(httptrace.WithClientTrace(request.Context(), tracker.trace()))
-	traced.Body = c.targetBody()
+	c.setTargetBody(traced)
 	response, err := transport.RoundTrip(traced)
 	tracker.end()
 	return response, err
--- a/internal/node/calls/targetconns.go
+++ b/internal/node/calls/targetconns.go
@@ -89,7 +89,7 @@
 func resentByClient(request *http.Request) bool {
 	_, key := request.Header["Idempotency-Key"]
 	_, otherKey := request.Header["X-Idempotency-Key"]
-	return key || otherKey || request.Method == http.MethodTrace
+	return key || otherKey
 }
 
 // closeIdle closes the idle connections.
