A call that was sent once more was said not to have run

If the target refuses a call that the gate sent again after a kept connection broke, the refusal is of the second arrival; the first may have run. The caller got 503, which promises that it has not. The outcome is unknown now, and the entry may retry.

TestResentCallIsSaidNotToHaveRun: 503 before, 504 now.

--- a/internal/coordination/entry/expected.go
+++ b/internal/coordination/entry/expected.go
@@ -162,7 +162,8 @@
 }
 
 // bestExpected returns the better of two random usable endpoints of the local or of the other
-// domains, for a retry one whose target loses few calls. If some are expected to respond in time, it chooses between those.
+// domains, for a retry one whose target loses few calls. If some are expected to respond in time, it
+// chooses between those.
 func (m *Machine) bestExpected(now time.Time, g *group, c *request, local bool) *endpoint {
 	eligible := m.pickBuffer[:0]
 	inTime := 0
--- a/internal/node/calls/resent_test.go
+++ b/internal/node/calls/resent_test.go
@@ -7,6 +7,9 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"jasminegate/internal/protocol/headers"
 )
@@ -56,3 +59,28 @@
 		})
 	}
 }
+
+// TestResentCallIsSaidNotToHaveRun runs a call over a kept connection that breaks without a response;
+// the target refuses it when it comes again. The call may have run.
+func TestResentCallIsSaidNotToHaveRun(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	target := newRawTarget(t, func(conn net.Conn, request *http.Request) bool {
+		head := "HTTP/1.1 200 OK\r\nX-Seal: 1\r\n"
+		switch requests.Add(1) {
+		case 2:
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		case 3:
+			head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
+		}
+		_, err := io.WriteString(conn, head+"Content-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	f := newFleet(t, fleetOptions{nodes: 1, slots: hostileConnections, contract: headers.Contract{NotRun: "X-Not-Run", ResponseSeal: "X-Seal"}}, echo)
+	target.useAsTarget(f.nodes[0], hostileConnections)
+	is.Equal(f.call(0, "GET", "/read", "").status, http.StatusOK)
+	time.Sleep(2 * recentUse) // the connection counts as idle
+	is.Equal(f.call(0, "GET", "/read", "").status, http.StatusGatewayTimeout)
+	is.Equal(requests.Load(), int64(3))
+}
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -87,6 +87,10 @@
 	case notRunResponse:
 		run.end(false)
 		conn.discard() // the target may write the refusal once more
+		if conn.sentBefore {
+			r.recordOutcome(c, call.Unknown, call.ReasonTargetConnectionLost)
+			return gate.Failed
+		}
 		delay := targetRetryAfter(r.options.Now(), response.Header)
 		_ = c.response.add(r.baseCtx, r.refusalFrame(call.NotRun, call.ReasonTargetShed, delay))
 		return gate.RejectedByTarget
@@ -155,7 +159,8 @@
 
 // exchange sends the request to the target. If a kept connection breaks before the first byte of
 // the response, the target may have given it up before the request came: an idempotent call is
-// sent once more, over a new connection, if the retry budget allows it. The tracker is that of the last try.
+// sent once more, over a new connection, if the retry budget allows it. The tracker is that of the
+// last try.
 //
 // Load pattern: targets that give up idle connections without notice while the gate uses them.
 func (r *Runner) exchange(t *target, request *http.Request, c *gateCall, check writeCheck) (*http.Response, *writeTracker, error) {
