Test of the retry budget depended on the time of day

Its gates had a retry ratio of 0.1: a part of 0.1 of a repeat is rounded up at one gate in ten, by turns, so that one repeat was allowed, as it should be.

--- a/internal/node/calls/repeats_test.go
+++ b/internal/node/calls/repeats_test.go
@@ -52,7 +52,7 @@
 func TestRepeatBeyondBudgetReachesTarget(t *testing.T) {
 	is := is.New(t)
 	var requests atomic.Int64
-	settings := func(s *config.Calls) { s.RetryWindow = time.Minute }
+	settings := func(s *config.Calls) { s.RetryRatio, s.RetryWindow = 0, time.Minute }
 	f := newFleet(t, fleetOptions{nodes: 4, settings: settings}, func(http.ResponseWriter, *http.Request) {
 		requests.Add(1)
 		panic(http.ErrAbortHandler)
