A step of the wall clock emptied the window of a retry budget

Slots were numbered by the wall clock: a step forward drops the repeats of the window, and a gate may then use its part of the slack again; a step back keeps old counts for as long. They are numbered by the time since the budget's start, which has a monotonic reading. By reading; package tests pass (their clock is virtual).

--- a/internal/coordination/repeats/budget.go
+++ b/internal/coordination/repeats/budget.go
@@ -149,7 +149,10 @@
 	return first, repeats
 }
 
-func (b *Budget) number(at time.Time) int64 { return at.UnixNano() / int64(b.limits.Window/slots) }
+// number returns the slot of a time, counted from the start: a step of the wall clock moves none.
+func (b *Budget) number(at time.Time) int64 {
+	return int64(at.Sub(b.started) / (b.limits.Window / slots))
+}
 
 func (b *Budget) index(number int64) int { return int(number % (slots + 1)) }
 
