--- a/internal/coordination/entry/machine.go
+++ b/internal/coordination/entry/machine.go
@@ -261,7 +261,7 @@
 	}}
 }
 
-// repeat says what the next attempt is.
+// repeat returns the kind of the next attempt.
 func (c *request) repeat() call.Repeat {
 	switch {
 	case c.outcomeUnknown || c.rejected:
--- a/internal/coordination/repeats/budget.go
+++ b/internal/coordination/repeats/budget.go
@@ -50,8 +50,9 @@
 	// rounding is the gate's place in the order in which gates round up, from 0 to 1.
 	rounding float64
 	counts   [slots + 1]count
-	gates    int
-	gatesAt  time.Time
+	// gates is the largest number of gates within gatesMemory, and gatesAt when it was reported.
+	gates   int
+	gatesAt time.Time
 }
 
 // count is what reached the target in one slot of time.
--- a/internal/node/calls/repeats.go
+++ b/internal/node/calls/repeats.go
@@ -20,11 +20,12 @@
 
 // repeatBudget holds the retry budget of this node's gate, and counts what reaches its target.
 type repeatBudget struct {
-	mu       sync.Mutex
-	budget   *repeats.Budget
-	service  string
-	members  func() *membership.View
-	view     *membership.View
+	mu      sync.Mutex
+	budget  *repeats.Budget
+	service string
+	members func() *membership.View
+	// counted is the member table whose gates were counted last.
+	counted  *membership.View
 	arrivals map[call.Repeat]*metrics.Counter
 	refused  *metrics.Counter
 	log      *sampledLog
@@ -94,10 +95,10 @@
 // countGates tells the budget how many gates the service has.
 func (b *repeatBudget) countGates(now time.Time) {
 	view := b.members()
-	if view == b.view {
+	if view == b.counted {
 		return
 	}
-	b.view = view
+	b.counted = view
 	gates := 0
 	for _, member := range view.Members {
 		if member.Service == b.service {
