Crowds of clients that do not behave, as tests

What was seen: such clients ended a process for lack of memory in a trial of the users.

They run one at a time, in a step of their own after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, demo, test, lint, measure, generate.
+# Targets: build, demo, test, crowd-test, lint, measure, generate.
 STATICCHECK := go run honnef.co/go/tools/cmd/staticcheck
 DRPC_GENERATED := internal/protocol/wire
 
-.PHONY: build demo test format-check vet lint generate measure
+.PHONY: build demo test crowd-test format-check vet lint generate measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -13,9 +13,16 @@
 # Tests that are listed in KNOWN-RED.txt are passed over and printed.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
+# Crowd tests measure the memory of processes. They run one at a time, after the others.
+CROWD_TESTS := ^TestCrowd
+
 test: format-check vet lint
 	$(if $(KNOWN_RED),@cat KNOWN-RED.txt)
-	go test -race -timeout 600s $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	go test -race -timeout 600s -skip '$(CROWD_TESTS)$(if $(KNOWN_RED),|^($(KNOWN_RED))$$)' ./...
+	$(MAKE) --no-print-directory crowd-test
+
+crowd-test:
+	go test -count 1 -timeout 900s -run '$(CROWD_TESTS)' $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./internal/processtest
 
 format-check:
 	@unformatted="$$(gofmt -l cmd internal platform)"; \
