One account for what callers make the process hold

Cause: every limit was that of one request or one connection, and memory is the process's. The parser of callers' heads read 1 MiB whatever the configured limit, and a parsed line of four bytes takes about twenty times its size. Connections were not counted at all. The configured limit was checked afterwards, by a size that counts more than was sent: a legal head of short lines got 431.

Change: connections, heads (by what is sent, before they are parsed), buffered bodies and responses, requests in work before their turn and calls at gates take room in one account of the process before they are held. What finds none is refused at once as not run (503, no-room, Retry-After); a quarter of the account is left to small requests; requests that have been arriving for long, connections that say nothing or are idle, and responses that nobody reads give way first. A request that was passed on is never broken off for room. Sizes follow from what the deployment states (node.memory_bytes, node.descriptors). The garbage collector gets a limit below the machine's memory.

--- a/internal/config/derive.go
+++ b/internal/config/derive.go
@@ -110,6 +110,14 @@
 		s.Node.BandwidthMbps = min(maxBandwidth, d.BandwidthMbps)
 		return d.BandwidthMbps > 0
 	}},
+	{"node.memory_bytes", "deployment.memory_bytes", func(s *Settings, d Deployment) bool {
+		s.Node.MemoryBytes = min(maxMemory, max(minMemory, d.MemoryBytes))
+		return d.MemoryBytes > 0
+	}},
+	{"node.descriptors", "deployment.descriptors", func(s *Settings, d Deployment) bool {
+		s.Node.Descriptors = min(maxDescriptors, max(minDescriptors, d.Descriptors))
+		return d.Descriptors > 0
+	}},
 	{"rollout.expose_share", "deployment.expose_share", func(s *Settings, d Deployment) bool {
 		s.Rollout.ExposeShare = d.ExposeShare
 		return d.ExposeShare > 0
--- a/internal/config/derive_test.go
+++ b/internal/config/derive_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+func TestLimitsOfProcessFollowFromDeployment(t *testing.T) {
+	for deployment, want := range map[string]Node{
+		"":                                       {MemoryBytes: 1 << 30, Descriptors: 16384},
+		"memory_bytes: 0B, descriptors: 0":       {MemoryBytes: 1 << 30, Descriptors: 16384},
+		"memory_bytes: 184000000B":               {MemoryBytes: 184_000_000, Descriptors: 16384},
+		"descriptors: 4100":                      {MemoryBytes: 1 << 30, Descriptors: 4100},
+		"memory_bytes: 1MiB, descriptors: 20":    {MemoryBytes: 32 << 20, Descriptors: 512},
+		"memory_bytes: -1B, descriptors: many":   {MemoryBytes: 1 << 30, Descriptors: 16384},
+		"memory_bytes: 9000000GiB, descriptors:": {MemoryBytes: 1 << 30, Descriptors: 16384},
+	} {
+		is := is.New(t)
+		loaded, err := parse("node.yaml", withDeployment(deployment), nil)
+		is.NoErr(err)
+		is.Equal(loaded.Settings.Node.MemoryBytes, want.MemoryBytes)
+		is.Equal(loaded.Settings.Node.Descriptors, want.Descriptors)
+	}
+}
+
 func TestOverrideGoesBeforeDerivedSetting(t *testing.T) {
 	is := is.New(t)
 	loaded, err := parse("node.yaml", withDeployment("stop_grace: 6s"), []Override{{Key: "calls.drain_timeout", Value: "3s"}})
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -26,6 +26,10 @@
 	minHeartbeat    = 10 * time.Millisecond
 	maxHeartbeat    = time.Minute
 	maxBandwidth    = 100_000.0 // Mbit/s
+	minMemory       = 32 << 20  // bytes
+	maxMemory       = 1 << 40   // bytes
+	minDescriptors  = 512
+	maxDescriptors  = 1 << 20
 	maxStatedTime   = 24 * time.Hour
 	minRevokeBound  = 100 * time.Millisecond
 	maxRevokeBound  = time.Hour
@@ -65,6 +69,10 @@
 	optionalName("node.service", func(s *Settings) string { return s.Node.Service }),
 	optionalName("platform.adapter", func(s *Settings) string { return s.Platform.Adapter }),
 	between("node.bandwidth_mbps", func(s *Settings) float64 { return s.Node.BandwidthMbps }, 0, maxBandwidth),
+	sizeBetween("node.memory_bytes", func(s *Settings) int64 { return s.Node.MemoryBytes }, minMemory, maxMemory),
+	between("node.descriptors", func(s *Settings) int { return s.Node.Descriptors }, minDescriptors, maxDescriptors),
+	sizeBetween("deployment.memory_bytes", func(s *Settings) int64 { return s.Deployment.MemoryBytes }, 0, 1<<50),
+	between("deployment.descriptors", func(s *Settings) int { return s.Deployment.Descriptors }, 0, 1<<40),
 	zeroOrBetween("deployment.stop_grace", func(s *Settings) time.Duration { return s.Deployment.StopGrace }, time.Millisecond, maxStatedTime),
 	zeroOrBetween("deployment.change_bound", func(s *Settings) time.Duration { return s.Deployment.ChangeBound }, time.Millisecond, maxStatedTime),
 	zeroOrBetween("deployment.settle_time", func(s *Settings) time.Duration { return s.Deployment.SettleTime }, time.Millisecond, maxStatedTime),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -58,6 +58,11 @@
 	// BandwidthMbps is the bandwidth of the instance's link in Mbit/s, 0 if unknown.
 	// The nodes of a domain with the most bandwidth read the platform's log.
 	BandwidthMbps float64 `yaml:"bandwidth_mbps"`
+	// MemoryBytes is the memory that the process may use, and Descriptors the number of files and
+	// connections that it may have open. What callers and other nodes may make it hold is a part of
+	// them.
+	MemoryBytes int64 `yaml:"memory_bytes"`
+	Descriptors int   `yaml:"descriptors"`
 	// Seeds lists nodes to join through while the platform is unreachable.
 	Seeds []Seed `yaml:"seeds"`
 	// RandomSeed seeds the node's random number generators. If 0, the seed is drawn
@@ -108,6 +113,10 @@
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	// BandwidthMbps is the bandwidth of the instance's link in Mbit/s.
 	BandwidthMbps float64 `yaml:"bandwidth_mbps"`
+	// MemoryBytes is the memory of the instance for this process, and Descriptors the number of
+	// files and connections that it may have open.
+	MemoryBytes int64 `yaml:"memory_bytes"`
+	Descriptors int   `yaml:"descriptors"`
 	// ExposeShare is the largest share of a service's calls that a bad new version may get,
 	// and ExposeSlack the number of calls in addition.
 	ExposeShare float64 `yaml:"expose_share"`
@@ -264,6 +273,7 @@
 // Defaults returns the default settings. Required settings are empty.
 func Defaults() Settings {
 	return Settings{
+		Node: Node{MemoryBytes: 1 << 30, Descriptors: 16384},
 		Platform: Platform{
 			Heartbeat:          time.Second,
 			RequestTimeout:     2 * time.Second,
--- a/internal/node/admin_metrics.go
+++ b/internal/node/admin_metrics.go
@@ -72,6 +72,10 @@
 	set.NewGauge(`jasminegate_quarantine_requests{state="suspected"}`, func() float64 {
 		return float64(n.calls.QuarantineStats().Suspected)
 	})
+	set.NewGauge("jasminegate_held_bytes", func() float64 { return float64(n.account.Usage().Bytes) })
+	set.NewGauge("jasminegate_caller_connections", func() float64 { return float64(n.account.Usage().Connections) })
+	set.NewGauge("jasminegate_room_refused_total", func() float64 { return float64(n.account.Usage().Refused) })
+	set.NewGauge("jasminegate_room_shed_total", func() float64 { return float64(n.account.Usage().Shed) })
 	n.addCallMetrics(set)
 	n.addConfigurationMetrics(set)
 	return set
--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -16,6 +16,13 @@
 // may hold a response of up to calls.buffer_bytes until the requests before it are answered.
 const maxAheadRequests = 256
 
+const (
+	// aheadBytes is what a request that was started before its turn takes besides its headers, and
+	// headerCost what each byte of these takes.
+	aheadBytes = 16 << 10
+	headerCost = 16
+)
+
 // aheadRequest is a caller's request that is in work although requests before it on its
 // connection are not answered yet. Its response waits for its turn. It has no body.
 type aheadRequest struct {
@@ -85,6 +92,14 @@
 		c.end()
 		return nil
 	}
+	room, err := r.options.Account.Open(int64(aheadBytes + headerCost*headerBytes(request)))
+	if err != nil {
+		r.aheadSlots.Release(1)
+		span.End()
+		c.end()
+		return nil
+	}
+	c.room = room
 	c.overQuota = r.charge(c)
 	r.counters.requests.Add(1)
 	a = &aheadRequest{runner: r, startedAt: arrivedAt, callerRequest: c, span: span, done: make(chan struct{})}
@@ -149,6 +164,7 @@
 		got.attempt.end(false)
 	}
 	a.runner.endRequest(a.callerRequest)
+	a.room.Close()
 	a.runner.aheadSlots.Release(1)
 	a.runner.metrics.observeRequest(string(a.route.Class), a.outcome, a.startedAt)
 	a.span.End()
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -301,11 +301,11 @@
 	return start.Outcome != uint32(call.Answered) || start.Status >= minStatus && start.Status <= maxStatus
 }
 
-// readBuffered reads the response until it is complete or exceeds the buffer
-// limit.
+// readBuffered reads the response until it is complete, exceeds the buffer limit or finds no room.
 func (a *attempt) readBuffered(first *wire.AnswerFrame) readResult {
 	got := &gateResponse{attempt: a, start: first.Start, data: first.Data, complete: first.Last}
-	for !got.complete && int64(len(got.data)) <= a.runner.options.Settings.BufferBytes {
+	room := a.request.room.TryGrow(responseCost * int64(len(first.Data)))
+	for room && !got.complete && int64(len(got.data)) <= a.runner.options.Settings.BufferBytes {
 		frame, err := a.recv()
 		if err != nil {
 			return readResult{end: a.endLost}
@@ -315,12 +315,16 @@
 				return a.endRefused(abortOutcome(frame.Aborted), frame.Aborted, &wire.AnswerStart{Load: first.Start.Load, TargetReport: first.Start.TargetReport})
 			}}
 		}
+		room = a.request.room.TryGrow(responseCost * int64(len(frame.Data)))
 		got.data = append(got.data, frame.Data...)
 		got.complete = frame.Last
 	}
 	return readResult{got: got}
 }
 
+// responseCost is what each byte of a response takes that is buffered: its buffer grows by copying.
+const responseCost = 2
+
 func abortOutcome(reason string) call.Outcome {
 	if call.Reason(reason) == call.ReasonAnswerTooLarge {
 		return call.Ran
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -22,6 +22,7 @@
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
 	"jasminegate/internal/transport/callerconn"
+	"jasminegate/internal/transport/reservation"
 )
 
 // callerRequest is one caller's request while it is served.
@@ -60,9 +61,11 @@
 	callerDeadline time.Time
 	attempts       int
 	// gates are the gates to which the request was sent, in order.
-	gates    []string
-	key      string
-	body     *requestBody
+	gates []string
+	key   string
+	body  *requestBody
+	// room is what the request holds; nil has room for everything.
+	room     *reservation.Reservation
 	template *wire.CallStart
 	// outcome is the result of the request as counted in metrics: caller-left
 	// until another one is known.
@@ -175,11 +178,17 @@
 	c.controller = http.NewResponseController(w)
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
 	ignoreStop := context.AfterFunc(r.requestsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
-	body, err := readBody(request, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
+	c.room = conn.Reservation()
+	body, err := readBody(request, c.room, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
 	if stopped := !ignoreStop(); stopped {
 		r.refund(c)
 		return nil, shuttingDown()
 	}
+	if errorx.IsOfType(err, reservation.ErrFull) || !conn.BeginWork() {
+		r.refund(c)
+		c.room.ShrinkTo(refusedBytes)
+		return nil, noRoom(c.limitRetryAfter(now, noRoomRetryAfter))
+	}
 	if err != nil {
 		r.refund(c)
 		return nil, badBody(err)
@@ -197,6 +206,9 @@
 	return c, nil
 }
 
+// refusedBytes is what a refused request keeps until its connection is idle or closed.
+const refusedBytes = 32 << 10
+
 // admitAt returns the routes in force, or the problem to refuse every request with.
 func (r *Runner) admitAt(now time.Time) (*routeIndex, *problem.Problem) {
 	index := r.currentRoutes()
@@ -454,6 +466,7 @@
 
 // respond writes the result of dispatch to the caller.
 func (r *Runner) respond(w http.ResponseWriter, request *http.Request, c *callerRequest, result dispatchResult) {
+	callerconn.FromContext(request.Context()).BeginResponse()
 	switch {
 	case result.overloaded:
 		c.outcome = string(problem.NotRun)
@@ -490,9 +503,10 @@
 }
 
 // announceClose makes the response ask the caller to close the connection if the node is
-// about to stop, unless requests behind it are in work.
+// about to stop or has no room for it, unless requests behind it are in work.
 func (r *Runner) announceClose(w http.ResponseWriter, request *http.Request) {
-	if r.keepAlivesDisabled.Load() && callerconn.FromContext(request.Context()).AnnounceClose() {
+	conn := callerconn.FromContext(request.Context())
+	if (r.keepAlivesDisabled.Load() || conn.GivesWay()) && conn.AnnounceClose() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -12,6 +12,7 @@
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/transport/reservation"
 )
 
 // heartbeatsPerSilence is how many heartbeats a gate sends per silence timeout.
@@ -19,9 +20,11 @@
 
 // gateCall is a call at this node's gate.
 type gateCall struct {
-	start    *wire.CallStart
-	id       call.ID
-	deadline time.Time
+	start *wire.CallStart
+	id    call.ID
+	// requestID is the caller's, as in the headers.
+	requestID string
+	deadline  time.Time
 	// bootDeadline is the deadline on BootTime, the clock that also advances
 	// while the host is suspended.
 	bootDeadline time.Time
@@ -64,6 +67,10 @@
 	abandoned atomic.Bool
 	// writeRefused is why the call was not written to the target; nil if nothing kept it.
 	writeRefused atomic.Pointer[call.Reason]
+	// room is what the call holds here. users are those that use it: the stream of the entry, and
+	// the run at the target.
+	room  *reservation.Reservation
+	users atomic.Int32
 	// checkedAt is when the call was last found fit to be written, by BootTime. Only the goroutine
 	// that writes uses it.
 	checkedAt time.Time
@@ -77,6 +84,7 @@
 	c := &gateCall{
 		start:        start,
 		id:           fromWireID(start.Id),
+		requestID:    wireHeaderValue(start.Headers, r.options.Contract.RequestID),
 		deadline:     r.options.Now().Add(timeout),
 		arrivedAt:    r.options.Now(),
 		bootDeadline: r.options.BootTime().Add(timeout),
@@ -183,7 +191,13 @@
 func (r *Runner) serveCall(stream serverStream, frame *wire.CallFrame) error {
 	ctx, span := r.startGateSpan(stream.Context(), frame.Start)
 	defer span.End()
+	room, err := r.options.Account.Open(gateCallCost(stream, frame))
+	if err != nil {
+		return stream.Send(r.refusalFrame(call.NotRun, call.ReasonQueueFull, noRoomRetryAfter))
+	}
 	c := r.newGateCall(frame, func() { _ = stream.Send(&wire.AnswerFrame{Confirm: true}) })
+	c.use(room)
+	defer c.release()
 	go r.receiveFrames(stream, c)
 	r.adoptReport(frame.Start.TargetReport)
 	if !r.awaitReference(c) {
@@ -209,6 +223,46 @@
 	return r.awaitDecision(ctx, stream, c)
 }
 
+const (
+	// gateCallBytes is what a call takes at its gate besides its headers and body, and
+	// gateHeaderCost what each of its header values takes.
+	gateCallBytes  = 16 << 10
+	gateHeaderCost = 384
+)
+
+// gateCallCost returns what a call takes at its gate. The body of a call of the own entry is the
+// entry's.
+func gateCallCost(stream serverStream, frame *wire.CallFrame) int64 {
+	cost := int64(gateCallBytes)
+	for _, field := range frame.Start.Headers {
+		cost += int64(len(field.Name) + gateHeaderCost)
+		for _, value := range field.Values {
+			cost += int64(len(value) + len(field.Name))
+		}
+	}
+	if _, local := stream.(localServer); !local {
+		cost += bodyCost * int64(len(frame.Data))
+	}
+	if !frame.Last {
+		cost += uploadBytes
+	}
+	return cost
+}
+
+// use makes the call and its response take the room.
+func (c *gateCall) use(room *reservation.Reservation) {
+	c.room, c.response.room = room, room
+	c.users.Store(1)
+}
+
+// release gives back the room once nobody uses it.
+func (c *gateCall) release() {
+	if c.users.Add(-1) > 0 {
+		return
+	}
+	c.response.releaseRoom()
+}
+
 // fullRingRetryAfter is the Retry-After of a call refused because the event
 // queue (ring) of the gate loop or of the keyed loop was full.
 const fullRingRetryAfter = 100 * time.Millisecond
@@ -387,6 +441,7 @@
 	r.counters.started.Add(1)
 	r.metrics.gateWait.UpdateDuration(c.arrivedAt)
 	r.targetCalls.Add(1)
+	c.users.Add(1)
 	go r.runOrAbort(ctx, c)
 	if c.streaming || c.start.ReportStart {
 		if err := stream.Send(&wire.AnswerFrame{Started: true}); err != nil {
--- a/internal/node/calls/keyed.go
+++ b/internal/node/calls/keyed.go
@@ -280,7 +280,7 @@
 	case keyed.Refused:
 		r.counters.refused.Add(1)
 		if len(v.Candidates) > 0 {
-			r.failedLog.event(logging.KeyHistoryIncomplete, wireHeaderValue(c.start.Headers, r.options.Contract.RequestID)).Str("candidates", candidatesText(v.Candidates)).Send()
+			r.failedLog.event(logging.KeyHistoryIncomplete, c.requestID).Str("candidates", candidatesText(v.Candidates)).Send()
 		}
 		return r.refusalFrame(v.Outcome, v.Reason, keyRetryAfter)
 	}
--- a/internal/node/calls/nested.go
+++ b/internal/node/calls/nested.go
@@ -80,7 +80,7 @@
 // request ID, or the call ID in a contract in which request IDs do not show nesting.
 func (r *Runner) runningID(c *gateCall) string {
 	if r.options.Contract.NestedSeparator != "" {
-		return wireHeaderValue(c.start.Headers, r.options.Contract.RequestID)
+		return c.requestID
 	}
 	return formatID(c.id)
 }
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -60,6 +60,17 @@
 		"Send the call to another node, or again after the given time.", fencedOrOverloadedRetryAfter)
 }
 
+// noRoomRetryAfter is the Retry-After of a call refused for lack of memory or connections.
+const noRoomRetryAfter = time.Second
+
+// noRoom refuses a request for which this node has no memory or connection left.
+func noRoom(retryAfter time.Duration) *problem.Problem {
+	return notRun(noRoomKind, "This node has no room for the call", http.StatusServiceUnavailable,
+		"Send the call to another node, or again after the given time.", retryAfter)
+}
+
+const noRoomKind = "no-room"
+
 // callerClosed is the response to a caller that closed its sending side before its call
 // was answered.
 func callerClosed() *problem.Problem {
--- a/internal/node/calls/responsebuffer.go
+++ b/internal/node/calls/responsebuffer.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/transport/reservation"
 )
 
 // minFrameBytes is what a frame with data counts at least: a short one takes more memory
@@ -18,6 +19,10 @@
 // receives.
 type responseBuffer struct {
 	limit int64
+	// room is where the frames take room, and reserved what they have there. Without any left, the
+	// response is streamed. A whole response that is retained has none: calls.ledger_bytes limits it.
+	room     *reservation.Reservation
+	reserved int64
 
 	mu sync.Mutex
 	// changed is closed and replaced at each change.
@@ -66,6 +71,12 @@
 	if r.streaming && !r.abandoned && r.buffered > 0 && r.buffered+size > r.limit {
 		return false
 	}
+	if !r.abandoned && !r.reserve(size) {
+		r.streaming = r.streaming || !frame.Last
+		if r.streaming && r.buffered > 0 {
+			return false
+		}
+	}
 	r.total += size
 	r.ended = r.ended || frame.Last || frame.Aborted != ""
 	if !r.abandoned {
@@ -112,6 +123,7 @@
 	}
 	for r.firstIndex < index {
 		r.buffered -= frameSize(r.frames[0])
+		r.giveBack(frameSize(r.frames[0]))
 		r.frames[0] = nil
 		r.frames = r.frames[1:]
 		r.firstIndex++
@@ -127,10 +139,35 @@
 	if r.streaming && !r.abandoned {
 		r.abandoned = true
 		r.frames = nil
+		r.giveBack(r.reserved)
 		r.notify()
 	}
 }
 
+// reserve takes room for a frame. It returns false if there is none.
+func (r *responseBuffer) reserve(size int64) bool {
+	if !r.room.TryGrow(size) {
+		return false
+	}
+	r.reserved += size
+	return true
+}
+
+// giveBack gives back room, as far as the frames have any.
+func (r *responseBuffer) giveBack(size int64) {
+	size = min(size, r.reserved)
+	r.reserved -= size
+	r.room.Shrink(size)
+}
+
+// releaseRoom gives back all the room of the call.
+func (r *responseBuffer) releaseRoom() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.room.Close()
+	r.room, r.reserved = nil, 0
+}
+
 // retainedBytes returns the size of a response that can be fetched again, or
 // -1.
 func (r *responseBuffer) retainedBytes() int64 {
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -27,6 +27,7 @@
 	"jasminegate/internal/protocol/wire"
 	"jasminegate/internal/state"
 	"jasminegate/internal/transport/peer"
+	"jasminegate/internal/transport/reservation"
 )
 
 // maxRecords limits the call records of finished non-idempotent calls.
@@ -68,6 +69,8 @@
 	// does nothing.
 	ShareQuarantine   func([]quarantine.Record)
 	PersistQuarantine func(quarantine.Record)
+	// Account gives requests and calls room in the process's memory; nil has room for everything.
+	Account *reservation.Account
 	// Quotas charges requests to their tenants' quotas; nil limits none.
 	Quotas Quotas
 	Logger *logging.Logger
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -31,6 +31,7 @@
 // runAtTarget runs a started call and reports its result to the gate machine.
 func (r *Runner) runAtTarget(ctx context.Context, c *gateCall) {
 	defer r.targetCalls.Done()
+	defer c.release()
 	defer c.cancelRun()
 	ctx, span := r.startTargetSpan(ctx, c)
 	defer span.End()
@@ -57,7 +58,7 @@
 		return gate.NotSent
 	}
 	t := r.target.Load()
-	run := r.quarantine.start(c.start, wireHeaderValue(c.start.Headers, r.options.Contract.CallerService), wireHeaderValue(c.start.Headers, r.options.Contract.RequestID))
+	run := r.quarantine.start(c.start, wireHeaderValue(c.start.Headers, r.options.Contract.CallerService), c.requestID)
 	defer run.endAfterPanic()
 	request, err := r.targetRequest(ctx, c, t)
 	if err != nil {
@@ -275,7 +276,7 @@
 		frame = &wire.AnswerFrame{}
 	}
 	remaining := r.options.Settings.MaxBodyBytes
-	part := make([]byte, partBytes(response.ContentLength))
+	part := make([]byte, c.partBytes(response.ContentLength))
 	for {
 		data, err := readPart(response.Body, response.ContentLength, part)
 		remaining -= int64(len(data))
@@ -298,11 +299,24 @@
 	}
 }
 
+const (
+	// streamBytes is what a long body takes on its way, besides what is buffered: the part that is
+	// read, those between gate and entry, and the one that is written.
+	streamBytes = (localPipeFrames + 2) * frameBytes
+	// smallPartBytes is the size of its parts if there is no room for that.
+	smallPartBytes = 4 << 10
+)
+
 // partBytes returns the size of the buffer that readPart needs for a body of the
 // length, which is negative if unknown.
-func partBytes(length int64) int64 {
-	if length >= 0 && length < frameBytes {
+func (c *gateCall) partBytes(length int64) int64 {
+	switch {
+	case length >= 0 && length < frameBytes:
 		return length + 1
+	case length < 0 || length > frameBytes:
+		if !c.room.TryGrow(streamBytes) {
+			return smallPartBytes
+		}
 	}
 	return frameBytes
 }
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -160,10 +160,11 @@
 }
 
 // refuseUnread is refuse for a request whose body may not have been read. A request that is
-// refused for its credentials or its tenant's quota gets its response at once: net/http would read
-// up to 256 KiB of the body first. The rest of the body is read for up to lingerTimeout.
+// refused for its credentials, its tenant's quota or lack of room gets its response at once:
+// net/http would read up to 256 KiB of the body first. The rest of the body is read for up to lingerTimeout.
 func (r *Runner) refuseUnread(w http.ResponseWriter, request *http.Request, refused *problem.Problem) {
-	atOnce := refused.Status == http.StatusTooManyRequests || identityProblem(call.Reason(strings.TrimPrefix(refused.Type, problemBase))) != nil
+	kind := strings.TrimPrefix(refused.Type, problemBase)
+	atOnce := refused.Status == http.StatusTooManyRequests || kind == noRoomKind || identityProblem(call.Reason(kind)) != nil
 	// After a refusal of a body that is only announced (Expect), net/http closes the connection.
 	if !atOnce || request.ContentLength == 0 || request.Header.Get("Expect") != "" {
 		r.refuse(w, request, refused)
@@ -174,10 +175,15 @@
 	r.refuse(w, request, refused)
 	_ = controller.Flush()
 	_ = controller.SetReadDeadline(time.Now().Add(lingerTimeout))
+	conn := callerconn.FromContext(request.Context())
+	if conn.GivesWay() {
+		conn.EndAfterResponse()
+		panic(http.ErrAbortHandler)
+	}
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		panic(http.ErrAbortHandler) // the rest of the body would be taken for the next request
 	}
-	callerconn.FromContext(request.Context()).RequestRead()
+	conn.RequestRead()
 	_ = controller.SetReadDeadline(time.Time{})
 }
 
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -42,7 +42,7 @@
 	if age <= unconfirmedAfter {
 		return
 	}
-	r.failedLog.event(logging.CallerUnconfirmed, wireHeaderValue(c.start.Headers, r.options.Contract.RequestID)).
+	r.failedLog.event(logging.CallerUnconfirmed, c.requestID).
 		Str("entry", c.id.Entry).Int("proof_ms", age.Milliseconds()).Int("write_ms", now.Sub(c.checkedAt).Milliseconds()).Send()
 }
 
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -23,6 +23,7 @@
 	"jasminegate/internal/state"
 	"jasminegate/internal/transport/callerconn"
 	"jasminegate/internal/transport/peer"
+	"jasminegate/internal/transport/reservation"
 )
 
 // Bounds of the connection pools.
@@ -70,6 +71,9 @@
 	// stopDeadline is when a planned stop has to be over; set when it begins.
 	stopDeadline time.Time
 
+	// account has what callers and other nodes make this process hold.
+	account *reservation.Account
+
 	callersServer *http.Server
 	callerConns   *callerconn.Tracker
 	// callersServed is closed when the server for callers accepts no more connections.
@@ -81,7 +85,9 @@
 }
 
 func compose(settings config.Settings, listeners *listeners, telemetry *telemetry, newAdapter AdapterFactory, logger *logging.Logger) *node {
+	parts := splitDescriptors(usableDescriptors(settings.Node))
 	n := &node{
+		account:         reservation.NewAccount(heldLimits(settings.Node, parts)),
 		settings:        settings,
 		logger:          logger,
 		listeners:       listeners,
@@ -218,6 +224,7 @@
 		OnTargetLeaving:   func(target calls.Target) { n.targets.markLeaving(target) },
 		ShareQuarantine:   n.quarantine.share,
 		PersistQuarantine: n.quarantine.persist,
+		Account:           n.account,
 		Quotas:            n.usage,
 		Logger:            n.logger,
 		Tracer:            n.telemetry.tracer,
@@ -253,6 +260,7 @@
 	n.callersServer = newServer(n.calls.CallersHandler())
 	n.callersServer.MaxHeaderBytes = state.MaxHeaderBytes
 	n.callerConns = callerconn.NewTracker(n.callerLimits)
+	n.callerConns.LimitResources(n.account, n.calls.RespondUnparsed)
 	n.callerConns.Configure(n.callersServer)
 	n.adminServer = newServer(n.adminHandler())
 	if adapter.NewAnnouncementHandler != nil {
@@ -263,10 +271,10 @@
 	}
 }
 
-// callerLimits returns the configured time limits for callers. The node's defaults stand in
+// callerLimits returns the configured limits for callers. The node's defaults stand in
 // for those that are not configured, and before there is a configuration.
 func (n *node) callerLimits() callerconn.Limits {
-	limits := callerconn.Limits{Header: headerTimeout, Idle: idleTimeout}
+	limits := callerconn.Limits{Header: headerTimeout, Idle: idleTimeout, HeadBytes: calls.DefaultHeaderBytes}
 	snapshot := n.configuration.Snapshot()
 	if snapshot == nil {
 		return limits
@@ -274,6 +282,7 @@
 	configured := snapshot.CallerLimits()
 	limits.Header = cmp.Or(time.Duration(configured.HeaderTimeout), limits.Header)
 	limits.Idle = cmp.Or(time.Duration(configured.IdleTimeout), limits.Idle)
+	limits.HeadBytes = cmp.Or(configured.HeaderBytes, limits.HeadBytes)
 	return limits
 }
 
--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -57,6 +57,7 @@
 	settings.Node = config.Node{
 		ID: "n-1", Domain: "d",
 		CallersAddress: ip + ":8304", AdminAddress: ip + ":7635", ControlAddress: ip + ":7620", CallsAddress: ip + ":8300",
+		MemoryBytes: settings.Node.MemoryBytes, Descriptors: settings.Node.Descriptors,
 	}
 	settings.Platform.URL = "http://" + ip + ":9" // nothing listens here
 	settings.Calls.LeaveDelay = 10 * time.Millisecond
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -27,6 +27,7 @@
 	settings.Node = config.Node{
 		ID: "n-1", Domain: "d",
 		CallersAddress: ip + ":8304", AdminAddress: ip + ":7635", ControlAddress: ip + ":7620", CallsAddress: ip + ":8300",
+		MemoryBytes: settings.Node.MemoryBytes, Descriptors: settings.Node.Descriptors,
 	}
 	settings.Platform.URL = "http://" + ip + ":9" // nothing listens here
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -77,6 +77,7 @@
 		return err
 	}
 	defer telemetry.close()
+	limitHeap(settings.Node)
 	node := compose(settings, listeners, telemetry, newAdapter, logger)
 	logger.Event(logging.NodeStarted).
 		Str("callers", listeners.callers.Addr().String()).
--- a/internal/transport/callerconn/ahead.go
+++ b/internal/transport/callerconn/ahead.go
@@ -59,7 +59,9 @@
 	arrivals []arrival
 	// scanner and headEnded follow the head of the awaited or present request. headArrivedAt
 	// is when its last byte arrived; zero if it came while the server waited for it.
+	// headBytes counts the bytes of the head that the server got.
 	scanner       headScanner
+	headBytes     int
 	headEnded     bool
 	headArrivedAt time.Time
 	// bodyLength is the length of the present request's body, -1 if unknown, and bodyGiven
@@ -181,7 +183,7 @@
 	if in.bodyGiven != in.bodyLength {
 		in.unframed = true
 	}
-	in.scanner, in.headEnded, in.headArrivedAt = headScanner{}, false, time.Time{}
+	in.scanner, in.headBytes, in.headEnded, in.headArrivedAt = headScanner{}, 0, false, time.Time{}
 	in.current, in.start, in.onBehind = nil, nil, nil
 }
 
@@ -365,7 +367,7 @@
 	data := make([]byte, aheadReadBytes)
 	for {
 		c.startPending()
-		if c.pendingBytes() >= maxPendingBytes {
+		if c.pendingBytes() >= maxPendingBytes || !c.reservation.TryGrow(aheadReadBytes) {
 			return c.hold(false)
 		}
 		n, err := c.Conn.Read(data)
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"jasminegate/internal/transport/reservation"
 )
 
 // Conn is a caller's connection. The HTTP server that reads it reports its state by the
@@ -58,6 +60,13 @@
 	// cause is the first cause of the connection's end that became known; empty before.
 	cause Cause
 	input input
+	// reservation is what the connection and its present request hold; nil without an account.
+	reservation *reservation.Reservation
+	// sending is set while the response is written. givesWay is set once the connection has to
+	// end for lack of room.
+	sending, givesWay bool
+	// lingers is set if the caller may still send after the last response.
+	lingers bool
 
 	// startMu serialises the start of requests before their turn. It is taken before mu.
 	startMu sync.Mutex
@@ -83,6 +92,9 @@
 // arrived before it gives up the connection.
 func (c *Conn) readRequest(data []byte) (int, error) {
 	if n := c.takeHead(data); n > 0 {
+		if refusal := c.reserveHead(data[:n]); refusal != "" {
+			return 0, c.refuse(refusal)
+		}
 		return n, nil
 	}
 	for {
@@ -101,6 +113,10 @@
 		if n > 0 {
 			n = c.splitHead(data[:n])
 		}
+		if refusal := c.refusalOf(data[:n], err); refusal != "" {
+			c.noteCause(NodeClosed)
+			return 0, c.refuse(refusal)
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.noteCause(RequestTimeout)
 		}
@@ -109,6 +125,19 @@
 	}
 }
 
+// refusalOf returns the refusal of the awaited request after a read, or an empty one.
+func (c *Conn) refusalOf(head []byte, err error) Refusal {
+	if refusal := c.reserveHead(head); refusal != "" {
+		return refusal
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.givesWay && !c.firstByteAt.IsZero() {
+		return NoRoom
+	}
+	return ""
+}
+
 // readArrived reads without waiting, once in each wait. A read whose deadline has expired
 // returns nothing, even if bytes arrived before, as they do while the process has no
 // processor time.
@@ -159,6 +188,9 @@
 // still open for a request that a caller sends at the end of its idle time. The caller
 // holds mu.
 func (c *Conn) waitDeadline() time.Time {
+	if c.givesWay {
+		return aLongTimeAgo
+	}
 	limits := c.tracker.limits()
 	since, wait := c.waitingSince, limits.Header
 	switch {
@@ -407,9 +439,26 @@
 		c.releaseHeld()
 		c.closeRequestRead()
 	}
+	if c.givesWay && !c.sending {
+		deadline = aLongTimeAgo
+	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// SetWriteDeadline implements net.Conn. A connection that gives way while it sends keeps the deadline
+// that ends it.
+func (c *Conn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.givesWay && c.sending {
+		deadline = aLongTimeAgo
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// aLongTimeAgo is a deadline that has passed.
+var aLongTimeAgo = time.Unix(1, 0)
+
 // releaseHeld ends the read that found the end of the input. The caller holds mu.
 func (c *Conn) releaseHeld() {
 	if c.held != nil {
@@ -421,6 +470,9 @@
 // Write implements net.Conn. It counts the bytes written.
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
+	if n > 0 {
+		c.noteProgress()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written += int64(n)
@@ -438,16 +490,22 @@
 
 // Close implements net.Conn. Closing a connection with unread bytes resets it, and the caller
 // may lose a response that it has not read yet. A connection whose caller sent requests behind
-// the last one that is answered is therefore closed once the caller has closed it, or after
-// lingerTimeout.
+// the last one that is answered, or was refused before its request was read, is therefore closed
+// once the caller has closed it, or after lingerTimeout.
 func (c *Conn) Close() error {
 	c.noteCause(NodeClosed)
 	c.mu.Lock()
+	refused := !c.closed && c.lingers
 	linger := !c.closed && c.input.pipelined && c.input.closeAnnounced
 	c.closed = true
 	c.releaseHeld()
 	c.mu.Unlock()
 	c.cancelAhead()
+	c.reservation.ShrinkTo(connectionBytes)
+	if refused {
+		c.closeRefused()
+		return nil
+	}
 	if linger && c.CloseWrite() == nil {
 		go c.linger()
 		return nil
@@ -468,6 +526,13 @@
 }
 
 func (c *Conn) onStateChange(state http.ConnState) {
+	c.changeState(state)
+	if state == http.StateIdle {
+		c.releaseRequest()
+	}
+}
+
+func (c *Conn) changeState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
--- a/internal/transport/callerconn/conn_test.go
+++ b/internal/transport/callerconn/conn_test.go
@@ -36,9 +36,14 @@
 }
 
 func startServer(t *testing.T, limits func() Limits, handler http.HandlerFunc) *testServer {
+	t.Helper()
+	return startTracked(t, NewTracker(limits), handler)
+}
+
+// startTracked starts a server whose connections belong to the tracker.
+func startTracked(t *testing.T, tracker *Tracker, handler http.HandlerFunc) *testServer {
 	t.Helper()
 	server := httptest.NewUnstartedServer(handler)
-	tracker := NewTracker(limits)
 	tracker.Configure(server.Config)
 	server.Listener = tracker.Listen(server.Listener)
 	server.Start()
--- a/internal/transport/callerconn/tracker.go
+++ b/internal/transport/callerconn/tracker.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"jasminegate/internal/transport/reservation"
 )
 
 // Limits are the time limits for callers.
@@ -16,6 +19,24 @@
 	Header time.Duration
 	// Idle is how long a connection may stay idle.
 	Idle time.Duration
+	// HeadBytes limits the head of a request as it is sent, with its line ends and the empty line
+	// after it; 0 does not.
+	HeadBytes int
+}
+
+// serverBufferBytes is the size of the buffer into which net/http reads.
+const serverBufferBytes = 4 << 10
+
+// headLimit returns how many bytes the server may get of a head. Without framing these may include
+// bytes of the body.
+func (l Limits) headLimit(unframed bool) int {
+	switch {
+	case l.HeadBytes == 0:
+		return math.MaxInt
+	case unframed:
+		return l.HeadBytes + serverBufferBytes
+	}
+	return l.HeadBytes
 }
 
 // drainGrace is how long a connection without a whole request header is kept open at a
@@ -28,6 +49,12 @@
 	// peerOf reads the state that the kernel keeps, and ages says whether that has ages.
 	peerOf func(syscall.Conn) (Peer, bool)
 	ages   atomic.Int32
+	// account gives connections and their requests room, and respond writes the response to those
+	// that get none; nil does nothing.
+	account *reservation.Account
+	respond Respond
+	// refusing counts the connections beyond the limit that get a refusal.
+	refusing atomic.Int32
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -43,6 +70,12 @@
 	return &Tracker{limits: limits, peerOf: peerOf, conns: make(map[*Conn]struct{}), emptied: make(chan struct{})}
 }
 
+// LimitResources makes connections and their requests take room in the account. It is called before
+// the first connection is accepted.
+func (t *Tracker) LimitResources(account *reservation.Account, respond Respond) {
+	t.account, t.respond = account, respond
+}
+
 // Configure sets the server's hooks. The server must serve a listener of Listen.
 func (t *Tracker) Configure(server *http.Server) {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -73,17 +106,27 @@
 	tracker *Tracker
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It refuses connections for which there is no room.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.tracker.add(conn); c != nil {
+			return c, nil
+		}
+		l.tracker.refuseConnection(conn)
 	}
-	return l.tracker.add(conn), nil
 }
 
+// add returns the connection as one of the tracker, or nil if there is no room for it.
 func (t *Tracker) add(conn net.Conn) *Conn {
 	c := newConn(conn, t)
+	var err error
+	if c.reservation, err = t.account.Connect(connectionBytes, c.giveWay); err != nil {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[c] = struct{}{}
@@ -91,6 +134,7 @@
 }
 
 func (t *Tracker) remove(c *Conn) {
+	c.reservation.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.conns[c]; !ok {
