Records of calls that must not run again kept the body and the headers

Cause: the record of a call without idempotence is kept for calls.ledger_retention, up to 32,768 of them, so that a retry of it is not run again. It holds the call with its request. Only the bytes of the response were limited (calls.ledger_bytes).

Change: the body and the headers are dropped once neither the run nor the entry's stream uses them.

--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -255,11 +255,14 @@
 	c.users.Store(1)
 }
 
-// release gives back the room once nobody uses it.
+// release gives back the room and the body once nobody uses them. The records of calls that must
+// not run again are kept for longer.
 func (c *gateCall) release() {
 	if c.users.Add(-1) > 0 {
 		return
 	}
+	c.buffered = nil
+	c.start.Headers = nil
 	c.response.releaseRoom()
 }
 
