Crowds at a node's other addresses took its memory and descriptors

Cause: these servers limited a head to 64 KiB and a connection's time, but not the number of connections; connections to other nodes' gates were limited for each address only.

Change: each address has its own part of the descriptors. Beyond it the connection that carried nothing for longest, at least 2 s, is closed for the new one, otherwise the new one is closed. All connections to other nodes' gates together have a part too, and an idle one gives way. A head at these addresses has at most 16 KiB.

--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -86,6 +86,7 @@
 
 func compose(settings config.Settings, listeners *listeners, telemetry *telemetry, newAdapter AdapterFactory, logger *logging.Logger) *node {
 	parts := splitDescriptors(usableDescriptors(settings.Node))
+	listeners.limit(parts)
 	n := &node{
 		account:         reservation.NewAccount(heldLimits(settings.Node, parts)),
 		settings:        settings,
@@ -113,6 +114,7 @@
 	n.callsPool = peer.NewPool(peer.PoolOptions{
 		Dial:          dial,
 		MaxPerAddress: callsConnectionsPerPeer,
+		MaxOpen:       parts.outgoing,
 		DialTimeout:   callsDialTimeout,
 		IdleTimeout:   settings.Calls.IdleTimeout,
 	})
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -11,6 +11,7 @@
 
 	"jasminegate/internal/config"
 	"jasminegate/internal/logging"
+	"jasminegate/internal/transport/accept"
 )
 
 const (
@@ -91,6 +92,19 @@
 	}
 }
 
+// inactiveTimeout is how long a connection must have carried nothing to be closed for a new one.
+// Between nodes, heartbeats and health checks are more frequent.
+const inactiveTimeout = 2 * time.Second
+
+// limit limits the connections at the addresses that are not for callers.
+func (l *listeners) limit(parts descriptorParts) {
+	l.calls = accept.Limit(l.calls, parts.calls, inactiveTimeout)
+	l.control = accept.Limit(l.control, parts.control, inactiveTimeout)
+	for _, other := range []*net.Listener{&l.admin, &l.announce, &l.ready} {
+		*other = accept.Limit(*other, parts.other, inactiveTimeout)
+	}
+}
+
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.callers, l.admin, l.control, l.calls, l.announce, l.ready} {
 		if listener != nil {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -26,7 +26,7 @@
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 16 << 10
 	leaveTimeout   = time.Second // for notifying the other nodes at the end of a shutdown
 	closeTimeout   = 5 * time.Second
 	// lastResponseTimeout bounds the wait for the responses of the admin, announcement
--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -39,6 +39,9 @@
 type PoolOptions struct {
 	// MaxPerAddress is the maximum number of open connections to one address.
 	MaxPerAddress int
+	// MaxOpen is the maximum number of open connections to all addresses; 0 is no limit. Idle
+	// ones are closed for new ones.
+	MaxOpen int
 	// DialTimeout bounds opening a connection.
 	DialTimeout time.Duration
 	// IdleTimeout is the idle time after which a connection is not used again.
@@ -112,7 +115,7 @@
 // connection.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	if !p.reserve(address) {
-		return nil, ErrBusy.New("%d connections to %s are open already: raise the limit or send less", p.options.MaxPerAddress, address)
+		return nil, ErrBusy.New("%d connections to %s, or %d to all nodes, are open already: raise the limit or send less", p.options.MaxPerAddress, address, p.options.MaxOpen)
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
@@ -251,13 +254,40 @@
 		conns = &addressConns{}
 		p.byAddress[address] = conns
 	}
-	if conns.open >= p.options.MaxPerAddress {
+	if conns.open >= p.options.MaxPerAddress || !p.roomForOne() {
 		return false
 	}
 	conns.open++
 	return true
 }
 
+// roomForOne reports whether one more connection may be open, if need be in the place of an idle
+// one. The caller holds mu.
+func (p *Pool) roomForOne() bool {
+	if p.options.MaxOpen == 0 {
+		return true
+	}
+	open := 0
+	var idle *addressConns
+	for _, conns := range p.byAddress {
+		open += conns.open
+		if len(conns.idle) > 0 {
+			idle = conns
+		}
+	}
+	if open < p.options.MaxOpen {
+		return true
+	}
+	if idle == nil {
+		return false
+	}
+	oldest := idle.idle[0]
+	idle.idle = idle.idle[1:]
+	idle.open--
+	go oldest.Conn.Close()
+	return true
+}
+
 func (p *Pool) release(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
