A response that was cut by a reset during its upload looked complete

Cause: the kernel reports a reset once. If the goroutine that writes the request gets it, the one that reads finds an ordinary end of file, which ends a body without a length.

Change: the end of file on a connection to the target is the end of a response only if the HTTP client has written the whole request without an error; otherwise the read fails, and the response is aborted. A response that ends with its connection after the whole request is complete as before (TestResponseThatEndsWithItsConnection).

Why it works: a writer that has finished took no error, so a reset after that is left to the reader. Ruled out: the state of the connection in the kernel, which not every platform reports.

--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -21,6 +21,8 @@
 	errConnectionLimit = errorx.NewType(Errors, "connections")
 	// errNoResponse means that what a target sends cannot become a response.
 	errNoResponse = errorx.NewType(Errors, "no-response")
+	// errBrokenOff means that a target closed a connection before it had the whole request.
+	errBrokenOff = errorx.NewType(Errors, "broken-off")
 	// errWriteRefused means that a call ended before it was written to the target.
 	errWriteRefused = errorx.NewType(Errors, "write-refused")
 	// errSignal means that a target states something about itself that is malformed.
--- a/internal/node/calls/targetconn.go
+++ b/internal/node/calls/targetconn.go
@@ -1,6 +1,8 @@
 package calls
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -59,7 +61,11 @@
 	}
 }
 
-// Read fails once it is certain that the target does not respond to the request: its
+// Read fails at the end of the input if the request was not written whole: a connection that is
+// reset says so once, to the reader or to the writer, and the other one finds it closed. The end of
+// a response without a length would look like that of a whole one.
+//
+// Read also fails once it is certain that the target does not respond to the request: its
 // first bytes are none of a response. Otherwise the HTTP client would wait for the end
 // of the line.
 func (c *targetConn) Read(data []byte) (int, error) {
@@ -67,6 +73,9 @@
 	if n > 0 {
 		c.responded.Store(true)
 	}
+	if errors.Is(err, io.EOF) && c.responded.Load() && !c.user.Load().wroteRequest() {
+		err = errBrokenOff.New("the target closed the connection before it had the whole request: the end of its response is not known")
+	}
 	if !c.scanHead(data[:n]) {
 		// With the bytes, since the HTTP client sends some requests again if it
 		// gets an error alone.
--- a/internal/node/calls/writetracker.go
+++ b/internal/node/calls/writetracker.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // writeCheck decides whether a request may still be written to the target.
@@ -41,13 +43,53 @@
 	// kept says that the connection had carried other requests before, and was idle for so long
 	// since that the target may have given it up.
 	kept bool
+	// write is the result of writing the request on conn; nil before.
+	write atomic.Pointer[writeResult]
+}
+
+// writeResult is what became of writing a request.
+type writeResult struct {
+	done chan struct{}
+	once sync.Once
+	// err is set before done is closed.
+	err error
+}
+
+// wroteWait bounds the wait for the writer of a request whose response has ended: it may not have
+// noted yet that it is done.
+const wroteWait = 100 * time.Millisecond
+
+// wroteRequest reports whether the request was written whole.
+func (w *writeTracker) wroteRequest() bool {
+	var write *writeResult
+	if w != nil {
+		write = w.write.Load()
+	}
+	if write == nil {
+		return true
+	}
+	timer := time.NewTimer(wroteWait)
+	defer timer.Stop()
+	select {
+	case <-write.done:
+		return write.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+func (w *writeTracker) noteWrote(info httptrace.WroteRequestInfo) {
+	if write := w.write.Load(); write != nil {
+		write.once.Do(func() { write.err = info.Err; close(write.done) })
+	}
 }
 
 func (w *writeTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	return &httptrace.ClientTrace{WroteRequest: w.noteWrote, GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*targetConn); ok {
 			w.sentBefore = w.sentBefore || w.sent()
 			w.state.CompareAndSwap(writeBegun, writeOpen)
+			w.write.Store(&writeResult{done: make(chan struct{})})
 			conn.take(w)
 			w.conn, w.kept = conn, info.Reused && info.IdleTime >= recentUse
 			w.before = conn.written.Load()
