Responses with malformed heads were passed on

Cause: net/http accepts such heads; it keeps a name with a blank as another field.

Change: a response of another major version than 1, with a status outside of 100 to 599 or with a name that is no token (RFC 9110, 5.6.2) is none: the connection is closed and the outcome is unknown. A body with such a trailer is incomplete. The same check stands where the platform's log, an adapter's store and health checks are read. Folded lines (RFC 9112, 5.2: replaced by blanks) and a length beside chunks (6.3: the chunks decide) stay accepted.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -285,12 +285,11 @@
 	return frame, nil
 }
 
-// Statuses of a target's response. net/http panics if a handler writes one outside of
-// its range, which closes the caller's connection, and takes one below 200 for an
-// interim response.
+// Statuses of a target's response. net/http takes one below 200 for an interim response, and
+// writes some that HTTP does not have.
 const (
 	minStatus = 200
-	maxStatus = 999
+	maxStatus = 599
 )
 
 // validStart reports whether a gate can have sent the start.
--- a/internal/node/calls/classify.go
+++ b/internal/node/calls/classify.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"jasminegate/internal/protocol/headers"
+	"jasminegate/internal/transport/responsehead"
 )
 
 // responseClass is what the status and headers of a response say about the call.
@@ -22,7 +23,7 @@
 // classifyResponse classifies a response by its status and the headers of the
 // contract.
 func classifyResponse(contract headers.Contract, request *http.Request, response *http.Response) responseClass {
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+	if response.StatusCode < minStatus || responsehead.Check(response) != nil {
 		// Includes 101: no request asks for another protocol, and what follows has no end.
 		return mismatchedResponse
 	}
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -18,6 +18,7 @@
 	"jasminegate/internal/logging"
 	"jasminegate/internal/protocol/headers"
 	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/transport/responsehead"
 )
 
 const (
@@ -288,6 +289,9 @@
 		if err != nil && !frame.Last {
 			return r.abort(c, abortReason(c), runResult(c))
 		}
+		if frame.Last && responsehead.CheckNames(response.Trailer) != nil {
+			return r.abort(c, call.ReasonTargetConnectionLost, gate.Failed)
+		}
 		if frame.Last {
 			_ = c.response.add(r.baseCtx, frame)
 			return gate.Completed
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -24,6 +24,7 @@
 	"jasminegate/internal/transport/callerconn"
 	"jasminegate/internal/transport/peer"
 	"jasminegate/internal/transport/reservation"
+	"jasminegate/internal/transport/responsehead"
 )
 
 // Bounds of the connection pools.
@@ -323,5 +324,5 @@
 			return n.platformTraffic.Conn(conn), nil
 		},
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: responsehead.Checked(transport)}
 }
--- a/internal/node/rediscovery.go
+++ b/internal/node/rediscovery.go
@@ -11,6 +11,7 @@
 	"jasminegate/internal/logging"
 	"jasminegate/internal/node/calls"
 	"jasminegate/internal/state"
+	"jasminegate/internal/transport/responsehead"
 )
 
 const (
@@ -107,7 +108,7 @@
 func newHealthClient() *http.Client {
 	return &http.Client{
 		Timeout:       healthCheckTimeout,
-		Transport:     &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: calls.MaxResponseHeadBytes},
+		Transport:     responsehead.Checked(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: calls.MaxResponseHeadBytes}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
