A response that was broken off looked complete to callers of HTTP/1.0

What callers saw: such a caller gets a response without a length.

Cause: an aborted handler makes net/http close the connection, which is the end of such a response.

Change: the connection is reset instead.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -557,6 +557,9 @@
 	c.outcome = outcomeAborted
 	r.counters.aborted.Add(1)
 	r.noteCutOff(request, c, causeResponseAborted)
+	if !request.ProtoAtLeast(1, 1) {
+		callerconn.FromContext(request.Context()).ResetOnClose()
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -67,6 +67,8 @@
 	sending, givesWay bool
 	// lingers is set if the caller may still send after the last response.
 	lingers bool
+	// resets is set if the connection is to be reset when it is closed.
+	resets bool
 
 	// startMu serialises the start of requests before their turn. It is taken before mu.
 	startMu sync.Mutex
@@ -496,6 +498,9 @@
 	c.noteCause(NodeClosed)
 	c.mu.Lock()
 	refused := !c.closed && c.lingers
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && c.resets {
+		_ = conn.SetLinger(0)
+	}
 	linger := !c.closed && c.input.pipelined && c.input.closeAnnounced
 	c.closed = true
 	c.releaseHeld()
@@ -514,6 +519,17 @@
 	return c.Conn.Close()
 }
 
+// ResetOnClose makes the end of the connection a reset. The end of a response without a length is
+// that of its connection, and a response that was broken off must not look whole.
+func (c *Conn) ResetOnClose() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = true
+}
+
 // lingerTimeout bounds the wait for a caller to read its last response.
 const lingerTimeout = 500 * time.Millisecond
 
