A pipelined request in work held its connection like one that arrives

What was seen: while a request that was started before its turn ran for over a second, a caller that found no room ended its connection after the response (TestRequestInWorkIsNotBrokenOffForRoom, pipelined: unexpected EOF instead of the next response). Found by reading the account's use.

Cause: the connection entered the phase Receiving with the head of the request, and nobody reported that the request was in work.

Result: the test passes, with -race; it fails without the change.

--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -178,7 +178,9 @@
 	}
 	defer func() { r.recoverRequest(recover(), w, request, a.callerRequest) }()
 	defer a.end()
-	callerconn.FromContext(request.Context()).RequestRead()
+	conn := callerconn.FromContext(request.Context())
+	conn.BeginWork() // the request is in work already: it is served also if the connection must give way
+	conn.RequestRead()
 	defer context.AfterFunc(request.Context(), a.callerRequest.end)()
 	defer r.watchInput(a.callerRequest)()
 	defer r.watchBehind(a.callerRequest)()
