--- a/internal/transport/callerconn/ahead.go
+++ b/internal/transport/callerconn/ahead.go
@@ -364,14 +364,16 @@
 // the requests in it. It returns when the server ends the read, with its error, or when the
 // connection has ended.
 func (c *Conn) readAhead() (int, error) {
+	room := c.reservation.TryGrow(aheadReadBytes)
 	data := make([]byte, aheadReadBytes)
 	for {
 		c.startPending()
-		if c.pendingBytes() >= maxPendingBytes || !c.reservation.TryGrow(aheadReadBytes) {
+		if !room || c.pendingBytes() >= maxPendingBytes {
 			return c.hold(false)
 		}
 		n, err := c.Conn.Read(data)
 		if n > 0 {
+			room = c.reservation.TryGrow(int64(n))
 			c.keep(data[:n])
 			continue
 		}
--- a/internal/transport/reservation/account.go
+++ b/internal/transport/reservation/account.go
@@ -29,7 +29,7 @@
 type Account struct {
 	mu        sync.Mutex
 	decisions *resources.Account
-	// released is closed and replaced whenever a holder gives something back.
+	// released is closed whenever a holder gives something back, and nil while nobody waits for that.
 	released chan struct{}
 	shed     uint64
 	refused  uint64
@@ -37,7 +37,7 @@
 
 // NewAccount returns an account of nothing.
 func NewAccount(limits resources.Limits) *Account {
-	return &Account{decisions: resources.New(limits), released: make(chan struct{})}
+	return &Account{decisions: resources.New(limits)}
 }
 
 // Usage is what the account holds, and what it did since the start of the process.
@@ -153,6 +153,9 @@
 	if len(decision.Shed) > 0 {
 		a.wake() // those that wait themselves must give way
 	}
+	if decision.Wait && a.released == nil {
+		a.released = make(chan struct{})
+	}
 	return decision, a.released
 }
 
@@ -165,8 +168,10 @@
 
 // wake makes those that wait ask again. The caller holds mu.
 func (a *Account) wake() {
-	close(a.released)
-	a.released = make(chan struct{})
+	if a.released != nil {
+		close(a.released)
+		a.released = nil
+	}
 }
 
 // Enter changes the holder's phase. It returns false if the holder must give way.
