--- a/internal/node/calls/body.go
+++ b/internal/node/calls/body.go
@@ -22,9 +22,10 @@
 }
 
 const (
-	// firstBodyBytes is the size of the first buffer for a body of unknown length, and the largest
-	// that is taken before the body arrives.
-	firstBodyBytes = 32 << 10
+	// firstBodyBytes is the size of the first buffer for a long body, or one of unknown length.
+	// Beyond wholeBodyBytes a body is long.
+	firstBodyBytes = 4 << 10
+	wholeBodyBytes = 32 << 10
 	// bodyCost is what a buffered byte takes: it is copied to be sent to a gate.
 	bodyCost = 2
 	// uploadBytes is what the rest of a body takes while it is sent on.
@@ -68,10 +69,7 @@
 	var data []byte
 	for {
 		if len(data) == cap(data) {
-			size := max(firstBodyBytes, 2*cap(data))
-			if most := int(expected) + bytes.MinRead; cap(data) < most {
-				size = min(size, most)
-			}
+			size := nextBuffer(cap(data), int(expected)+bytes.MinRead)
 			if err := growRoom(room, int64(bodyCost*(size-cap(data)))); err != nil {
 				return nil, err
 			}
@@ -88,6 +86,17 @@
 	}
 }
 
+// nextBuffer returns the size of the buffer after a full one of the size.
+func nextBuffer(size, expected int) int {
+	switch {
+	case size >= expected:
+		return 2 * size
+	case expected <= wholeBodyBytes:
+		return expected
+	}
+	return min(max(firstBodyBytes, 2*size), expected)
+}
+
 // growRoom takes room for a part of a body.
 func growRoom(room *reservation.Reservation, bytes int64) error {
 	err := room.Grow(bytes)
