--- a/internal/transport/callerconn/refuse.go
+++ b/internal/transport/callerconn/refuse.go
@@ -37,8 +37,8 @@
 // an error of the connection.
 var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the request was refused")}
 
-// refuse writes the response that says why, if no part of another one was written, and returns the
-// error that makes the server close the connection.
+// refuse writes the response that says why, and returns the error that makes the server close the
+// connection. The server waits for a request then, so no other response is being written.
 func (c *Conn) refuse(refusal Refusal) error {
 	c.mu.Lock()
 	c.lingers = true
