Settings that were not loaded from a file have no limits of the process

Cause: they compose settings by hand, with 0 for node.memory_bytes and node.descriptors, and the account took 0 for a limit. A settings file cannot have it.

Change: 0 is no limit of memory, and the default number of descriptors.

--- a/internal/coordination/resources/account.go
+++ b/internal/coordination/resources/account.go
@@ -7,13 +7,16 @@
 package resources
 
 import (
+	"cmp"
 	"container/list"
+	"math"
 	"time"
 )
 
 // Limits are those of the process.
 type Limits struct {
-	// Bytes limits the memory of all holders, and Connections their number of connections.
+	// Bytes limits the memory of all holders, and Connections their number of connections; 0 does
+	// not.
 	Bytes       int64
 	Connections int
 }
@@ -41,6 +44,8 @@
 const (
 	// smallBytes is what a holder may have without the share of large ones applying to it.
 	smallBytes = 64 << 10
+	// unlimitedBytes is more than any process has.
+	unlimitedBytes = 1 << 60
 	// largeNumerator and largeDenominator give the share of Limits.Bytes beyond which a large
 	// holder gets nothing more. The rest is for ordinary requests.
 	largeNumerator, largeDenominator = 3, 4
@@ -104,6 +109,8 @@
 
 // New returns an account of nothing.
 func New(limits Limits) *Account {
+	limits.Bytes = cmp.Or(limits.Bytes, unlimitedBytes)
+	limits.Connections = cmp.Or(limits.Connections, math.MaxInt)
 	a := &Account{limits: limits}
 	for phase := range a.byPhase {
 		a.byPhase[phase] = list.New()
--- a/internal/coordination/resources/account_test.go
+++ b/internal/coordination/resources/account_test.go
@@ -35,6 +35,14 @@
 	is.True(a.Connect(at(time.Minute), asking, 400<<10).Granted)
 }
 
+func TestAccountWithoutLimits(t *testing.T) {
+	is := is.New(t)
+	a := New(Limits{})
+	for range 1000 {
+		is.True(a.Connect(at(0), &Holder{}, 1<<40).Granted)
+	}
+}
+
 // TestSmallRequestsFindRoomBesideLargeOnes fills the share of large requests.
 func TestSmallRequestsFindRoomBesideLargeOnes(t *testing.T) {
 	is := is.New(t)
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"math"
 	"runtime/debug"
 	"syscall"
@@ -39,11 +40,13 @@
 	}
 }
 
-// usableDescriptors returns node.descriptors, or the process's own limit if that is lower.
+// usableDescriptors returns node.descriptors, or the process's own limit if that is lower. Settings
+// that were not loaded from a file may have none.
 func usableDescriptors(settings config.Node) int {
+	descriptors := cmp.Or(settings.Descriptors, config.Defaults().Node.Descriptors)
 	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur >= uint64(settings.Descriptors) {
-		return settings.Descriptors
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur >= uint64(descriptors) {
+		return descriptors
 	}
 	return int(limit.Cur)
 }
@@ -57,7 +60,7 @@
 // environment sets a limit.
 func limitHeap(settings config.Node) {
 	const unlimited, onlyRead = math.MaxInt64, -1
-	if debug.SetMemoryLimit(onlyRead) == unlimited {
+	if settings.MemoryBytes > 0 && debug.SetMemoryLimit(onlyRead) == unlimited {
 		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
 	}
 }
--- a/internal/node/resources_test.go
+++ b/internal/node/resources_test.go
@@ -23,5 +23,6 @@
 func TestDescriptorsOfProcess(t *testing.T) {
 	is := is.New(t)
 	is.Equal(usableDescriptors(config.Node{Descriptors: 256}), 256)
+	is.True(usableDescriptors(config.Node{}) > 0)
 	is.True(usableDescriptors(config.Node{Descriptors: 1 << 40}) < 1<<40)
 }
