Event 406 says why a response broke off, and is not left out for refused requests

An operator could not tell a response that broke off because its target ended it from one that the entry gave up: both had the cause response-aborted. No decision changes.

--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -493,7 +493,7 @@
 		r.fail(w, request, c, c.stopFailure())
 		return
 	}
-	r.noteCutOff(request, c, c.cutOffCause())
+	r.noteCutOff(request, c, c.cutOffCause(), "")
 	if c.cutOffCause() == callerconn.CallerClosed {
 		r.announceClose(w, request)
 		problem.Write(w, *callerClosed()) // for a caller that has closed only its sending side
@@ -549,14 +549,15 @@
 
 func (r *Runner) deliver(w http.ResponseWriter, request *http.Request, c *callerRequest, got *gateResponse) {
 	r.announceClose(w, request)
-	if got.deliver(w, request.Method) {
+	incomplete := got.deliver(w, request.Method)
+	if incomplete == "" {
 		c.outcome = outcomeAnswered
 		r.counters.answered.Add(1)
 		return
 	}
 	c.outcome = outcomeAborted
 	r.counters.aborted.Add(1)
-	r.noteCutOff(request, c, causeResponseAborted)
+	r.noteCutOff(request, c, causeResponseAborted, incomplete)
 	if !request.ProtoAtLeast(1, 1) {
 		callerconn.FromContext(request.Context()).ResetOnClose()
 	}
--- a/internal/node/calls/cutoff.go
+++ b/internal/node/calls/cutoff.go
@@ -23,14 +23,15 @@
 )
 
 // noteCutOff counts and logs that the caller gets no response, or only a part of one. An
-// empty cause stands for the one that its connection recorded.
-func (r *Runner) noteCutOff(request *http.Request, c *callerRequest, cause callerconn.Cause) {
+// empty cause stands for the one that its connection recorded. incomplete says why a response that
+// broke off stayed incomplete.
+func (r *Runner) noteCutOff(request *http.Request, c *callerRequest, cause callerconn.Cause, incomplete string) {
 	conn := callerconn.FromContext(request.Context()).Describe()
 	cause = cmp.Or(cause, conn.Cause, causeNone)
 	r.metrics.cutOff[cause].Inc()
 	limits := r.currentRoutes().snapshot.CallerLimits()
-	r.failedLog.event(logging.CallerCutOff, r.requestID(request)).
-		Str("cause", string(cause)).Str("route", c.route.Name).Str("gates", strings.Join(c.gates, ",")).
+	r.cutOffLog.event(logging.CallerCutOff, r.requestID(request)).
+		Str("cause", string(cause)).Str("incomplete", incomplete).Str("route", c.route.Name).Str("gates", strings.Join(c.gates, ",")).
 		Int("request_ms", r.options.Now().Sub(c.receivedAt).Milliseconds()).
 		Int("connection_ms", conn.Age.Milliseconds()).Int("waited_ms", conn.Waited.Milliseconds()).Int("written", conn.Written).
 		Int("closed_ms", conn.Closed.Milliseconds()).Int("close_read_ms", conn.CloseRead.Milliseconds()).
--- a/internal/node/calls/cutoff_test.go
+++ b/internal/node/calls/cutoff_test.go
@@ -64,7 +64,7 @@
 	})
 	var log syncBuffer
 	runner := f.nodes[0].runner
-	runner.failedLog = newFailedRequestLog(logging.New(&log, "info", "n-1"))
+	runner.cutOffLog = newFailedRequestLog(logging.New(&log, "info", "n-1"))
 	f.serveCallers(0)
 
 	conn, err := net.Dial("tcp", f.nodes[0].callers.Listener.Addr().String())
--- a/internal/node/calls/recover.go
+++ b/internal/node/calls/recover.go
@@ -58,7 +58,7 @@
 		c.attempt.end(false)
 	}
 	if c.responseStarted {
-		r.noteCutOff(request, c, causePanic)
+		r.noteCutOff(request, c, causePanic, "")
 		panic(http.ErrAbortHandler)
 	}
 	outcome := problem.Unknown
--- a/internal/node/calls/response.go
+++ b/internal/node/calls/response.go
@@ -1,10 +1,15 @@
 package calls
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/protocol/wire"
 )
 
@@ -47,21 +52,30 @@
 	}
 }
 
-// deliver writes the response to the caller. It returns false if the response
-// could not be written completely; the caller's connection must then be
-// aborted.
-func (g *gateResponse) deliver(w http.ResponseWriter, method string) bool {
+// Reasons why a response stayed incomplete, beside those that a gate states (call.Reason).
+const (
+	// incompleteSilent means that the gate sent no frame within the silence timeout.
+	incompleteSilent = "gate-silent"
+	// incompleteConnection means that the connection to the gate was lost.
+	incompleteConnection = "gate-connection-lost"
+	// incompleteWrite means that the caller's connection took no more bytes.
+	incompleteWrite = "caller-write-failed"
+)
+
+// deliver writes the response to the caller. It returns why the response could not be written
+// completely, and an empty reason if it was; the caller's connection must be aborted otherwise.
+func (g *gateResponse) deliver(w http.ResponseWriter, method string) (incomplete string) {
 	controller := http.NewResponseController(w)
 	defer controller.SetWriteDeadline(time.Time{})
 	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	g.writeHeader(w, method)
 	if _, err := w.Write(g.data); err != nil && bodyAllowed(method, int(g.start.Status)) {
 		g.attempt.end(g.complete)
-		return false
+		return incompleteWrite
 	}
 	if g.complete {
 		g.attempt.end(true)
-		return true
+		return ""
 	}
 	return g.streamRest(w, controller)
 }
@@ -94,14 +108,19 @@
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// streamRest forwards the remaining frames of a response that exceeds the
-// buffer limit.
-func (g *gateResponse) streamRest(w http.ResponseWriter, controller *http.ResponseController) bool {
+// streamRest forwards the remaining frames of a response that exceeds the buffer limit. It returns
+// what deliver returns.
+func (g *gateResponse) streamRest(w http.ResponseWriter, controller *http.ResponseController) (incomplete string) {
 	for {
 		frame, err := g.attempt.recv()
-		if err != nil || frame.Aborted != "" {
+		if err != nil {
+			incomplete = g.attempt.lossReason()
 			g.attempt.end(false)
-			return false
+			return incomplete
+		}
+		if frame.Aborted != "" {
+			g.attempt.end(false)
+			return frame.Aborted
 		}
 		// A caller that reads slowly delays the next recv: that is not silence of
 		// the gate.
@@ -110,13 +129,26 @@
 		if _, err := w.Write(frame.Data); err != nil {
 			g.attempt.cancelByCaller()
 			g.attempt.end(false)
-			return false
+			return incompleteWrite
 		}
 		if frame.Last {
 			g.attempt.end(true)
-			return true
+			return ""
 		}
 		_ = controller.Flush()
 		g.attempt.silenceTimer.reset()
 	}
 }
+
+// lossReason returns why no further frame of the attempt can be received.
+func (a *attempt) lossReason() string {
+	switch cause := context.Cause(a.ctx); {
+	case errorx.IsOfType(cause, errSilent):
+		return incompleteSilent
+	case errors.Is(cause, context.DeadlineExceeded):
+		return string(call.ReasonDeadline)
+	case cause != nil:
+		return string(call.ReasonCancelled)
+	}
+	return incompleteConnection
+}
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -106,12 +106,15 @@
 	metrics         *requestMetrics
 	runningRequests runningRequests
 	failedLog       failedRequestLog
-	repeats         *repeatBudget
-	targetLosses    targetLosses
-	signals         *targetSignals
-	link            *linkPacer
-	transit         transitDelays
-	quarantine      *quarantineKeeper
+	// cutOffLog has a rate limit of its own: its lines must not be left out for those of requests that
+	// are refused.
+	cutOffLog    failedRequestLog
+	repeats      *repeatBudget
+	targetLosses targetLosses
+	signals      *targetSignals
+	link         *linkPacer
+	transit      transitDelays
+	quarantine   *quarantineKeeper
 	// keysRefused is set while API keys may have been removed unnoticed; see keysConfirmed.
 	keysRefused atomic.Bool
 	// aheadSlots has a slot for each request that may be in work before its turn.
@@ -152,7 +155,7 @@
 	if options.RefusesTarget == nil {
 		options.RefusesTarget = func(time.Time, Target) bool { return false }
 	}
-	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
+	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), cutOffLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.repeats = newRepeatBudget(options, r.metrics)
 	r.link = newLinkPacer(options.BandwidthMbps)
 	r.transit.self, r.transit.machine = options.Self, transit.New()
