Failing test: a stalled gate's response is cut at the caller

A response that exceeds calls.buffer_bytes is passed on while it arrives. If its gate then sends no frame within calls.silence_timeout, the entry gives it up and aborts the caller's connection, although the gate may only be slow and the request's time is far from over. Before the first byte is passed on, the same silence keeps the attempt (keptattempt.go).

--- /dev/null
+++ b/internal/node/calls/stalledresponse_test.go
@@ -0,0 +1,111 @@
+package calls
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// longResponse is a response that the entry passes on before it has all of it. Its target writes the
+// first half at once and the rest when proceed is closed.
+type longResponse struct {
+	whole   []byte
+	proceed chan struct{}
+}
+
+func newLongResponse() *longResponse {
+	return &longResponse{whole: bytes.Repeat([]byte("0123456789abcdef"), 32<<10), proceed: make(chan struct{})}
+}
+
+func (l *longResponse) serve(w http.ResponseWriter, r *http.Request) {
+	half := len(l.whole) / 2
+	w.Header().Set("Content-Length", strconv.Itoa(len(l.whole)))
+	_, _ = w.Write(l.whole[:half])
+	w.(http.Flusher).Flush()
+	select {
+	case <-l.proceed:
+		_, _ = w.Write(l.whole[half:])
+	case <-r.Context().Done():
+	}
+}
+
+// responseRead is what a caller got of a body.
+type responseRead struct {
+	body []byte
+	err  error
+	at   time.Time
+}
+
+// begin sends a request for the response, and returns once the caller has got a part of it. The rest is
+// read in the background.
+func (l *longResponse) begin(f *fleet) <-chan responseRead {
+	response, err := http.Get(f.nodes[0].callers.URL + "/read/long")
+	f.is.NoErr(err)
+	first := make([]byte, 1)
+	_, err = io.ReadFull(response.Body, first)
+	f.is.NoErr(err)
+	read := make(chan responseRead, 1)
+	go func() {
+		defer response.Body.Close()
+		rest, err := io.ReadAll(response.Body)
+		read <- responseRead{body: append(first, rest...), err: err, at: time.Now()}
+	}()
+	return read
+}
+
+// TestResponseOfStalledGateIsCut stalls all that a gate sends, over new connections too, for longer than
+// the silence timeout while a part of its response is at the caller. The caller must get the whole response.
+func TestResponseOfStalledGateIsCut(t *testing.T) {
+	const stall = 2 * time.Second
+	dialer := &faultDialer{}
+	long := newLongResponse()
+	until := make(chan struct{})
+	end := sync.OnceFunc(func() { close(until); close(long.proceed) })
+	defer end()
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, long.serve)
+	read := long.begin(f)
+	dialer.standStill(until)
+	time.Sleep(stall)
+	end()
+	got := <-read
+	f.is.NoErr(got.err)
+	f.is.True(bytes.Equal(got.body, long.whole))
+}
+
+// TestResponseOfDeadGateIsAwaited stalls a gate for good while a part of its response is at the caller.
+// Once membership takes the gate for dead the caller's connection must end.
+func TestResponseOfDeadGateIsAwaited(t *testing.T) {
+	const bound = time.Second
+	dialer := &faultDialer{}
+	long := newLongResponse()
+	until := make(chan struct{})
+	defer close(until)
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, long.serve)
+	read := long.begin(f)
+	dialer.standStill(until)
+	f.removeMember(1)
+	died := time.Now()
+	got := <-read
+	f.is.True(got.err != nil)
+	f.is.True(got.at.Sub(died) < bound)
+}
+
+// TestResponseOnSilentConnectionIsAwaited lets the connection go silent for good that carries a response,
+// while the gate responds on new ones. The caller's connection must end within a few silence timeouts.
+func TestResponseOnSilentConnectionIsAwaited(t *testing.T) {
+	const bound = 3 * time.Second
+	dialer := &faultDialer{}
+	long := newLongResponse()
+	defer close(long.proceed)
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dialer.dial, settings: shortSilenceTimeout}, long.serve)
+	read := long.begin(f)
+	dialer.each((*faultConn).goSilent)
+	silent := time.Now()
+	got := <-read
+	f.is.True(got.err != nil)
+	f.is.True(got.at.Sub(silent) < bound)
+}
