A stalled gate's response was cut at the caller

Callers saw: a response of more than calls.buffer_bytes ended in the middle, 0.5 s after its gate had stalled, with most of the request's time left. Cause: once a part of a response was passed on, a gate without a frame for calls.silence_timeout was taken for dead at once. Change: the entry then asks the gate over a new connection. A gate that stalls responds over neither, and is awaited until it is dead or the deadline has passed; a connection that went silent for good is given up after a second silence timeout.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -57,6 +57,9 @@
 	// silenceReported.
 	onSilence atomic.Int32
 	silent    chan struct{}
+	// received counts the frames. silentSince is its value, plus one, when the gate last responded over
+	// a new connection while none came here.
+	received, silentSince atomic.Int64
 	// results gets what the reading of the response led to.
 	results chan readResult
 }
@@ -69,6 +72,9 @@
 	silenceReported
 	// silenceIgnored is that of an attempt that is kept beside another one.
 	silenceIgnored
+	// silenceChecked asks the gate over a new connection. It is that of an attempt whose response is
+	// passed on already, and cannot be had elsewhere.
+	silenceChecked
 )
 
 // readResult is the response, or the function that ends the attempt without one and returns
@@ -223,7 +229,7 @@
 	if result.end != nil {
 		return nil, result.end()
 	}
-	if a.onSilence.Swap(silenceCancels) != silenceCancels && !result.got.complete {
+	if before := a.onSilence.Swap(silenceChecked); before != silenceCancels && !result.got.complete {
 		a.silenceTimer.reset() // it may have ended without effect
 	}
 	return result.got, nil
@@ -246,6 +252,7 @@
 		if err != nil {
 			return nil, err
 		}
+		a.received.Add(1)
 		a.silenceTimer.reset()
 		if frame.Started {
 			a.noteStarted()
--- a/internal/node/calls/keptattempt.go
+++ b/internal/node/calls/keptattempt.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -27,9 +28,45 @@
 		case a.silent <- struct{}{}:
 		default:
 		}
+	case silenceChecked:
+		a.checkSilentGate()
 	}
 }
 
+// checkSilentGate ends the attempt if its gate is dead, or responds over a new connection while nothing
+// comes over the attempt's own. A gate that only stalls responds over neither.
+//
+// Load pattern: gates that have no processor time for longer than the silence timeout, and connections
+// that go silent for good.
+func (a *attempt) checkSilentGate() {
+	received := a.received.Load() + 1
+	if a.silentSince.Load() == received || !a.runner.isLive(a.endpoint) {
+		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: its response stays incomplete", a.endpoint.ID))
+		return
+	}
+	if a.gateResponds() {
+		a.silentSince.Store(received)
+	}
+	a.silenceTimer.restart()
+}
+
+// gateResponds reports whether the gate responds over a new connection within the silence timeout.
+func (a *attempt) gateResponds() bool {
+	ctx, cancel := context.WithTimeout(a.ctx, a.runner.options.Settings.SilenceTimeout)
+	defer cancel()
+	conn, err := a.runner.options.Pool.Dial(ctx, a.endpoint.Address)
+	if err != nil {
+		return false
+	}
+	_, err = wire.NewDRPCCallsClient(conn).Resolve(ctx, &wire.ResolveRequest{})
+	if err != nil {
+		conn.Discard()
+		return false
+	}
+	conn.Release()
+	return true
+}
+
 // readInBackground reads the response for await.
 func (a *attempt) readInBackground() {
 	result := readResult{end: a.endLost}
@@ -136,10 +173,8 @@
 
 // dropDeadKept ends the kept attempts whose gates are not live members any more.
 func (r *Runner) dropDeadKept(c *callerRequest) {
-	members := r.options.View().Members
 	c.kept = slices.DeleteFunc(c.kept, func(a *attempt) bool {
-		at := slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == a.endpoint.ID })
-		dead := at < 0 || members[at].Incarnation != a.endpoint.Incarnation || members[at].State != membership.Alive && members[at].State != membership.Suspect
+		dead := !r.isLive(a.endpoint)
 		if dead {
 			a.cancelAndEnd()
 		}
@@ -147,6 +182,13 @@
 	})
 }
 
+// isLive reports whether the gate is a live member.
+func (r *Runner) isLive(gate entry.Endpoint) bool {
+	return slices.ContainsFunc(r.options.View().Members, func(m membership.Member) bool {
+		return m.ID == gate.ID && m.Incarnation == gate.Incarnation && (m.State == membership.Alive || m.State == membership.Suspect)
+	})
+}
+
 // endKept ends the kept attempts, and their runs.
 func (c *callerRequest) endKept() {
 	for _, a := range c.kept {
--- a/internal/node/calls/silence.go
+++ b/internal/node/calls/silence.go
@@ -18,9 +18,10 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// due is when the running step ends; zero if the timer is stopped.
-	due    time.Time
-	atLast bool
+	// due is when the running step ends; zero if none runs. stopped is set until reset if the timer was
+	// stopped.
+	due             time.Time
+	atLast, stopped bool
 }
 
 // newSilenceTimer returns a running timer.
@@ -38,6 +39,21 @@
 func (t *silenceTimer) reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.stopped = false
+	t.begin()
+}
+
+// restart starts the timeout again if it is over, and was not stopped since.
+func (t *silenceTimer) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped && t.due.IsZero() {
+		t.begin()
+	}
+}
+
+// begin starts the first step. The lock must be held.
+func (t *silenceTimer) begin() {
 	t.atLast = false
 	t.run(t.first)
 }
@@ -46,7 +62,7 @@
 func (t *silenceTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.due = time.Time{}
+	t.due, t.stopped = time.Time{}, true
 	t.timer.Stop()
 }
 
--- a/internal/node/calls/silence_test.go
+++ b/internal/node/calls/silence_test.go
@@ -31,3 +31,19 @@
 		timer.stop()
 	}
 }
+
+// TestStoppedSilenceTimerRunsOn restarts a timer that is over, and one that was stopped after it was over:
+// only the first one may be over again.
+func TestStoppedSilenceTimerRunsOn(t *testing.T) {
+	is := is.New(t)
+	const timeout = 50 * time.Millisecond
+	over := make(chan struct{}, 2)
+	timer := newSilenceTimer(timeout, func() { over <- struct{}{} })
+	<-over
+	timer.restart()
+	<-over
+	timer.stop()
+	timer.restart()
+	time.Sleep(4 * timeout)
+	is.Equal(len(over), 0)
+}
