A node without processor time took its own gate for dead

Callers saw: 503, or a response that ended in the middle, from a node that had no processor time for calls.silence_timeout while it ran the call itself. Cause: the silence timeout also watched the stream between the entry and the gate of one node. Such a gate can neither die nor be cut off alone; it is silent only while the process has no time for it, and then it must not be given up, nor the call be sent elsewhere. Change: the timeout starts again for the own gate. The callback of the timer says so by its result, as the attempt has no timer yet if the process stalls while it is created.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -169,8 +169,11 @@
 	return a, nil
 }
 
+// isLocal reports whether the gate is that of this node.
+func (a *attempt) isLocal() bool { return a.endpoint.ID == a.runner.options.Self.ID }
+
 func (a *attempt) connect(ctx context.Context, newConnection bool) error {
-	if a.endpoint.ID == a.runner.options.Self.ID {
+	if a.isLocal() {
 		a.stream = a.runner.openLocal(ctx)
 		a.releaseConn = func(bool) {}
 		return nil
--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -67,6 +67,8 @@
 	overload bool
 	// incarnation is that of the added nodes; 0 means 7.
 	incarnation uint64
+	// refusesTarget is that of the gates; nil refuses none.
+	refusesTarget func(time.Time, Target) bool
 }
 
 func testSettings() config.Calls {
@@ -138,9 +140,10 @@
 	n.pool = peer.NewPool(peer.PoolOptions{MaxPerAddress: 64, DialTimeout: time.Second, IdleTimeout: time.Minute, Dial: options.dial})
 	n.runner = New(Options{
 		Self: n.member, Settings: settings, Overload: config.Overload{Enabled: options.overload}, Contract: options.contract, Pool: n.pool, View: f.view.Load, Snapshot: f.snapshot.Load,
-		Serving:  func(time.Time) bool { return f.serving.Load() },
-		PeerLoad: func(string) (uint32, time.Time, bool) { return 0, time.Time{}, false },
-		Logger:   options.logger, RandomSeed: uint64(i) + 1, Now: time.Now, BootTime: options.boot,
+		Serving:       func(time.Time) bool { return f.serving.Load() },
+		PeerLoad:      func(string) (uint32, time.Time, bool) { return 0, time.Time{}, false },
+		RefusesTarget: options.refusesTarget,
+		Logger:        options.logger, RandomSeed: uint64(i) + 1, Now: time.Now, BootTime: options.boot,
 	})
 	n.target = httptest.NewServer(target)
 	if i == 0 && options.remoteOnly {
--- a/internal/node/calls/keptattempt.go
+++ b/internal/node/calls/keptattempt.go
@@ -18,8 +18,12 @@
 // mayKeepAttempts reports whether attempts of the request may be kept: two of them may run.
 func (c *callerRequest) mayKeepAttempts() bool { return c.startableAhead() && c.body.rest == nil }
 
-// endSilence is called when no frame has arrived within the silence timeout.
-func (a *attempt) endSilence() {
+// endSilence is called when no frame has arrived within the silence timeout. It returns whether the
+// timeout starts again. The own gate is silent only while this process has no time for it.
+func (a *attempt) endSilence() (again bool) {
+	if a.isLocal() {
+		return true
+	}
 	switch a.onSilence.Load() {
 	case silenceCancels:
 		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: the attempt is treated as lost", a.endpoint.ID))
@@ -29,25 +33,26 @@
 		default:
 		}
 	case silenceChecked:
-		a.checkSilentGate()
+		return a.checkSilentGate()
 	}
+	return false
 }
 
 // checkSilentGate ends the attempt if its gate is dead, or responds over a new connection while nothing
-// comes over the attempt's own. A gate that only stalls responds over neither.
+// comes over the attempt's own. A gate that only stalls responds over neither, and gets more time.
 //
 // Load pattern: gates that have no processor time for longer than the silence timeout, and connections
 // that go silent for good.
-func (a *attempt) checkSilentGate() {
+func (a *attempt) checkSilentGate() (again bool) {
 	received := a.received.Load() + 1
 	if a.silentSince.Load() == received || !a.runner.isLive(a.endpoint) {
 		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: its response stays incomplete", a.endpoint.ID))
-		return
+		return false
 	}
 	if a.gateResponds() {
 		a.silentSince.Store(received)
 	}
-	a.silenceTimer.restart()
+	return true
 }
 
 // gateResponds reports whether the gate responds over a new connection within the silence timeout.
--- a/internal/node/calls/silence.go
+++ b/internal/node/calls/silence.go
@@ -14,7 +14,8 @@
 // come late, gives the reader the time of the second.
 type silenceTimer struct {
 	first, last time.Duration
-	silent      func()
+	// silent is called at the end of the timeout, and returns whether it starts again.
+	silent func() (again bool)
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -25,7 +26,7 @@
 }
 
 // newSilenceTimer returns a running timer.
-func newSilenceTimer(timeout time.Duration, silent func()) *silenceTimer {
+func newSilenceTimer(timeout time.Duration, silent func() (again bool)) *silenceTimer {
 	last := time.Duration(float64(timeout) * lastShare)
 	t := &silenceTimer{first: timeout - last, last: last, silent: silent}
 	t.mu.Lock()
@@ -74,8 +75,8 @@
 
 // fire ends a step. A call that reset or stop has overtaken does nothing.
 func (t *silenceTimer) fire() {
-	if t.endStep() {
-		t.silent()
+	if t.endStep() && t.silent() {
+		t.restart()
 	}
 }
 
--- a/internal/node/calls/silence_test.go
+++ b/internal/node/calls/silence_test.go
@@ -14,7 +14,7 @@
 	const timeout = 50 * time.Millisecond
 	for resets := range 12 {
 		over := make(chan time.Time, 2)
-		timer := newSilenceTimer(timeout, func() { over <- time.Now() })
+		timer := newSilenceTimer(timeout, func() bool { over <- time.Now(); return false })
 		last := time.Now()
 		for range resets {
 			time.Sleep(timeout * 9 / 10)
@@ -32,18 +32,24 @@
 	}
 }
 
-// TestStoppedSilenceTimerRunsOn restarts a timer that is over, and one that was stopped after it was over:
-// only the first one may be over again.
+// TestStoppedSilenceTimerRunsOn lets a timer start again when it is over, and stops it while that is
+// decided: it may not be over again then.
 func TestStoppedSilenceTimerRunsOn(t *testing.T) {
 	is := is.New(t)
 	const timeout = 50 * time.Millisecond
-	over := make(chan struct{}, 2)
-	timer := newSilenceTimer(timeout, func() { over <- struct{}{} })
+	over, decided := make(chan struct{}), make(chan bool)
+	timer := newSilenceTimer(timeout, func() bool {
+		over <- struct{}{}
+		return <-decided
+	})
 	<-over
-	timer.restart()
+	decided <- true
 	<-over
 	timer.stop()
-	timer.restart()
-	time.Sleep(4 * timeout)
-	is.Equal(len(over), 0)
+	decided <- true
+	select {
+	case <-over:
+		is.Fail() // the stopped timer was over again
+	case <-time.After(4 * timeout):
+	}
 }
