Panics in callbacks and timers of a request ended the process

What callers saw: all connections of the node closed without a response, if one of these panicked: the callbacks that tell a gate that a caller left or that attempts end, the silence timer, the end of a kept attempt and of a request before its turn, a gate's question to an entry, and the timers that end a request early. No such panic is known; they are injected here.

Cause: context.AfterFunc, time.AfterFunc and bare goroutines run outside the recover of the handler and of recoverCall.

A panic in a callback of an attempt ends that attempt as lost; one in a timer of a request leaves the request to its own end; a question that cannot be asked leaves the call not run.

The silence timer and the callbacks of EndRequests have the same wrapper and no test of their own.

--- a/internal/logging/panic.go
+++ b/internal/logging/panic.go
@@ -74,6 +74,17 @@
 	return run()
 }
 
+// Contained returns run for a timer, a callback or a goroutine, which nothing else guards. A panic
+// is logged, and end is called unless it is nil.
+func (l *Logger) Contained(place string, run, end func()) func() {
+	return func() {
+		err := l.Guard(place, func() error { run(); return nil })
+		if err != nil && end != nil {
+			end()
+		}
+	}
+}
+
 // Panics returns the number of recovered panics.
 func (l *Logger) Panics() uint64 {
 	if l == nil {
--- a/internal/node/calls/ahead.go
+++ b/internal/node/calls/ahead.go
@@ -123,7 +123,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.inputTimer == nil && !a.taken {
-		a.inputTimer = time.AfterFunc(graceLeft(callerconn.FromContext(a.ctx)), a.endAfterInputClosed)
+		a.inputTimer = time.AfterFunc(graceLeft(callerconn.FromContext(a.ctx)), a.contained(a.endAfterInputClosed))
 	}
 }
 
@@ -133,13 +133,13 @@
 		return
 	}
 	a.callerRequest.end()
-	go func() {
+	go a.contained(func() {
 		<-a.done
 		if a.panicked != nil {
 			a.runner.options.Logger.Panicked("caller's request", a.panicked)
 		}
 		a.end()
-	}()
+	})()
 }
 
 // take returns false if the request was taken before.
@@ -181,7 +181,7 @@
 	conn := callerconn.FromContext(request.Context())
 	conn.BeginWork() // the request is in work already: it is served also if the connection must give way
 	conn.RequestRead()
-	defer context.AfterFunc(request.Context(), a.callerRequest.end)()
+	defer context.AfterFunc(request.Context(), a.contained(a.callerRequest.end))()
 	defer r.watchInput(a.callerRequest)()
 	defer r.watchBehind(a.callerRequest)()
 	r.serveBehind(a.callerRequest)
--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -157,8 +157,8 @@
 		a.cancel(nil)
 		return nil, err
 	}
-	a.silenceTimer = newSilenceTimer(r.options.Settings.SilenceTimeout, a.endSilence)
-	a.stopCallerWatch = context.AfterFunc(c.ctx, a.cancelByCaller)
+	a.silenceTimer = newSilenceTimer(r.options.Settings.SilenceTimeout, a.contained(a.endSilence))
+	a.stopCallerWatch = context.AfterFunc(c.ctx, a.contained(a.cancelByCaller))
 	c.attempt = a
 	return a, nil
 }
@@ -206,7 +206,7 @@
 	if err := a.stream.Send(first); err != nil {
 		return nil, a.endLost()
 	}
-	a.stopAttemptsWatch = context.AfterFunc(a.request.attemptsCtx, a.cancelIfQueued)
+	a.stopAttemptsWatch = context.AfterFunc(a.request.attemptsCtx, a.contained(a.cancelIfQueued))
 	if !first.Last {
 		a.request.uploads.Add(1)
 		go a.upload()
--- a/internal/node/calls/callerinput.go
+++ b/internal/node/calls/callerinput.go
@@ -28,7 +28,7 @@
 	conn.OnInputClosed(func() {
 		mu.Lock()
 		defer mu.Unlock()
-		timer = time.AfterFunc(graceLeft(conn), c.endAfterInputClosed)
+		timer = time.AfterFunc(graceLeft(conn), c.contained(c.endAfterInputClosed))
 	})
 	return func() {
 		conn.OnInputClosed(nil)
@@ -57,7 +57,7 @@
 	}
 	end := func() { c.cancel(errInputClosed.New("caller closed its sending side: the call is cancelled")) }
 	if c.recallFirst {
-		time.AfterFunc(c.recallTime(), end)
+		time.AfterFunc(c.recallTime(), c.contained(end))
 		return
 	}
 	end()
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -27,6 +27,7 @@
 
 // callerRequest is one caller's request while it is served.
 type callerRequest struct {
+	logger *logging.Logger
 	// ctx ends when the caller has left; cancel ends it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -177,7 +178,7 @@
 	}
 	c.controller = http.NewResponseController(w)
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.deadline.Sub(now)))
-	ignoreStop := context.AfterFunc(r.requestsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
+	ignoreStop := context.AfterFunc(r.requestsCtx, c.contained(func() { _ = c.controller.SetReadDeadline(time.Now()) }))
 	c.room = conn.Reservation()
 	body, err := readBody(request, c.room, r.options.Settings.BufferBytes, r.bodyLimit(index.snapshot.CallerLimits()))
 	if stopped := !ignoreStop(); stopped {
@@ -233,7 +234,7 @@
 	if !ok {
 		return nil, noRoute()
 	}
-	c := &callerRequest{receivedAt: receivedAt, route: route}
+	c := &callerRequest{logger: r.options.Logger, receivedAt: receivedAt, route: route}
 	if refused := r.authenticate(c, index.snapshot, request); refused != nil {
 		return nil, refused
 	}
@@ -252,7 +253,7 @@
 func (r *Runner) prepare(ctx context.Context, c *callerRequest, request *http.Request, body *requestBody) {
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	c.attemptsCtx, c.stopAttempts = context.WithCancel(r.attemptsCtx)
-	c.ignoreStop = context.AfterFunc(r.requestsCtx, c.endForStop)
+	c.ignoreStop = context.AfterFunc(r.requestsCtx, c.contained(c.endForStop))
 	c.body = body
 	c.recallFirst = r.options.Overload.Enabled
 	c.wake = make(chan struct{}, 1)
--- a/internal/node/calls/errors.go
+++ b/internal/node/calls/errors.go
@@ -11,6 +11,7 @@
 	errSilent           = errorx.NewType(Errors, "silent")
 	errCallerLeft       = errorx.NewType(Errors, "caller-left")
 	errUploadFailed     = errorx.NewType(Errors, "upload")
+	errCallbackFailed   = errorx.NewType(Errors, "callback")
 	// errInputClosed means that the caller of an idempotent call closed its sending side.
 	errInputClosed = errorx.NewType(Errors, "input-closed")
 	// errYielded means that a request was ended for responses behind it on its connection.
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -195,7 +195,8 @@
 	if err != nil {
 		return stream.Send(r.refusalFrame(call.NotRun, call.ReasonQueueFull, noRoomRetryAfter))
 	}
-	c := r.newGateCall(frame, func() { _ = stream.Send(&wire.AnswerFrame{Confirm: true}) })
+	ask := func() { _ = stream.Send(&wire.AnswerFrame{Confirm: true}) }
+	c := r.newGateCall(frame, r.options.Logger.Contained("question to an entry", ask, nil))
 	c.use(room)
 	defer c.release()
 	go r.receiveFrames(stream, c)
--- a/internal/node/calls/keptattempt.go
+++ b/internal/node/calls/keptattempt.go
@@ -158,8 +158,8 @@
 // cancelAndEnd ends an attempt whose response is not needed any more. It does not wait for its
 // connection, which may be stalled.
 func (a *attempt) cancelAndEnd() {
-	go func() {
+	go a.contained(func() {
 		defer a.end(false)
 		_ = a.stream.Send(&wire.CallFrame{Cancel: true})
-	}()
+	})()
 }
--- a/internal/node/calls/panic_test.go
+++ b/internal/node/calls/panic_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +19,7 @@
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/protocol/headers"
+	"jasminegate/internal/protocol/wire"
 )
 
 // panickingTracer panics where a span of the name starts, or ends.
@@ -147,3 +153,177 @@
 		})
 	}
 }
+
+// panicIn lets a clock or a connection panic while the function is on the stack.
+type panicIn struct {
+	function string
+	armed    atomic.Bool
+}
+
+func (p *panicIn) check() {
+	if !p.armed.Load() {
+		return
+	}
+	callers := make([]uintptr, 64)
+	frames := runtime.CallersFrames(callers[:runtime.Callers(2, callers)])
+	for more := true; more; {
+		var frame runtime.Frame
+		if frame, more = frames.Next(); strings.HasSuffix(frame.Function, "."+p.function) {
+			panic("on purpose, in " + p.function)
+		}
+	}
+}
+
+// panickingConn is a connection whose writes may panic.
+type panickingConn struct {
+	net.Conn
+	in *panicIn
+}
+
+func (c panickingConn) Write(data []byte) (int, error) {
+	c.in.check()
+	return c.Conn.Write(data)
+}
+
+// TestPanicInCallbackOfAttemptEndsProcess lets the entry panic where it tells a gate that a
+// caller has left, and that a queued call must not start any more.
+func TestPanicInCallbackOfAttemptEndsProcess(t *testing.T) {
+	for _, row := range []struct {
+		function string
+		trigger  func(f *fleet, leave func())
+	}{
+		{"cancelByCaller", func(_ *fleet, leave func()) { leave() }},
+		{"cancelIfQueued", func(f *fleet, _ func()) { f.nodes[0].runner.CancelQueued() }},
+	} {
+		t.Run(row.function, func(t *testing.T) {
+			is := is.New(t)
+			in := &panicIn{function: row.function}
+			dial := func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				return panickingConn{conn, in}, err
+			}
+			arrived, proceed := make(chan struct{}, 2), make(chan struct{})
+			f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, dial: dial}, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				arrived <- struct{}{}
+				<-proceed
+			})
+			logger := f.nodes[0].runner.options.Logger
+			bystander, left := make(chan callResult, 1), make(chan callResult, 1)
+			go func() { bystander <- f.call(0, "POST", "/file", "") }()
+			<-arrived
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			go func() { left <- f.callWithContext(ctx, 0, "POST", "/file", "") }()
+			<-arrived
+			in.armed.Store(true)
+			row.trigger(f, leave)
+			f.waitFor("the panic is counted", func() bool { return logger.Panics() > 0 })
+			in.armed.Store(false)
+			close(proceed)
+			got := <-bystander
+			is.NoErr(got.err)
+			is.True(got.header.Get(headers.Outcome) != "not-run")
+			<-left
+		})
+	}
+}
+
+// panickingStream is a stream whose frames cannot be sent.
+type panickingStream struct{ clientStream }
+
+func (panickingStream) Send(*wire.CallFrame) error { panic("on purpose, in Send") }
+
+// TestPanicAtEndOfKeptAttemptEndsProcess lets the entry panic while it ends an attempt whose
+// response it does not need any more.
+func TestPanicAtEndOfKeptAttemptEndsProcess(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 1}, func(http.ResponseWriter, *http.Request) {})
+	runner := f.nodes[0].runner
+	a := &attempt{runner: runner, stream: panickingStream{}, cancel: func(error) {}}
+	a.ended.Store(true)
+	a.cancelAndEnd()
+	f.waitFor("the panic is counted", func() bool { return runner.options.Logger.Panics() == 1 })
+}
+
+// TestPanicInTimerOfRequestEndsProcess lets the timer panic that ends a request for those behind it.
+func TestPanicInTimerOfRequestEndsProcess(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 1}, func(http.ResponseWriter, *http.Request) {})
+	runner := f.nodes[0].runner
+	request := httptest.NewRequest("GET", "/read", nil)
+	c, refused := runner.newCallerRequest(runner.currentRoutes(), time.Now(), request)
+	f.is.Equal(refused, nil)
+	c.yieldAt(time.Now(), 0, func() bool { panic("on purpose, in a timer") })
+	f.waitFor("the panic is counted", func() bool { return runner.options.Logger.Panics() == 1 })
+}
+
+// askedStream is the stream of an entry that panics where it is asked about its caller.
+type askedStream struct {
+	ctx   context.Context
+	first chan *wire.CallFrame
+	sent  chan *wire.AnswerFrame
+}
+
+func (s askedStream) Context() context.Context { return s.ctx }
+
+func (s askedStream) Recv() (*wire.CallFrame, error) {
+	select {
+	case frame := <-s.first:
+		return frame, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+func (s askedStream) Send(frame *wire.AnswerFrame) error {
+	if frame.Confirm {
+		panic("on purpose, in a question")
+	}
+	s.sent <- frame
+	return nil
+}
+
+// TestPanicInQuestionToEntryEndsProcess lets a gate panic while it asks whether a caller still
+// waits. The call is not run, and the entry is told so.
+func TestPanicInQuestionToEntryEndsProcess(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetOptions{nodes: 1, settings: shortSilenceTimeout}, func(http.ResponseWriter, *http.Request) {})
+	runner := f.nodes[0].runner
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stream := askedStream{ctx, make(chan *wire.CallFrame, 1), make(chan *wire.AnswerFrame, 1)}
+	stream.first <- &wire.CallFrame{Last: true, Start: &wire.CallStart{
+		Id: &wire.CallID{Entry: "another", EntryIncarnation: 1, Counter: 1}, Service: "depot", Route: "read", Method: "GET", Uri: "/read",
+		TimeoutMs: uint32(testTimeout.Milliseconds()), SentMs: 1, ConfirmAfterMs: 1,
+	}}
+	is.NoErr(runner.serveStream(stream))
+	is.Equal((<-stream.sent).GetStart().GetOutcome(), uint32(call.NotRun))
+	is.Equal(runner.options.Logger.Panics(), uint64(1))
+}
+
+// TestPanicAtEndOfRequestBeforeItsTurnEndsProcess lets the entry panic while it releases a request
+// whose turn does not come, since its caller has left.
+func TestPanicAtEndOfRequestBeforeItsTurnEndsProcess(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{}, 2)
+	f := newFleet(t, fleetOptions{nodes: 1}, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})
+	runner := f.nodes[0].runner
+	tracer := newPanickingTracer("entry", true)
+	runner.options.Tracer = tracer
+	f.serveCallers(0)
+	conn, err := net.Dial("tcp", f.nodes[0].callers.Listener.Addr().String())
+	is.NoErr(err)
+	const request = "GET /read HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	<-arrived
+	tracer.armed.Store(true)
+	_, err = io.WriteString(conn, request)
+	is.NoErr(err)
+	<-arrived
+	is.NoErr(conn.(*net.TCPConn).SetLinger(0))
+	is.NoErr(conn.Close()) // resets the connection
+	f.waitFor("the panic is counted", func() bool { return runner.options.Logger.Panics() == 1 })
+}
--- a/internal/node/calls/recover.go
+++ b/internal/node/calls/recover.go
@@ -29,6 +29,19 @@
 	r.runAtTarget(ctx, c)
 }
 
+// contained returns a callback of the attempt: a panic of it ends the attempt as lost.
+func (a *attempt) contained(callback func()) func() {
+	return a.runner.options.Logger.Contained("callback of an attempt", callback, func() {
+		a.cancel(errCallbackFailed.New("a callback of the attempt at gate %s failed: the attempt is treated as lost", a.endpoint.ID))
+	})
+}
+
+// contained returns a callback of the request: after a panic of it the request goes on to its own
+// end.
+func (c *callerRequest) contained(callback func()) func() {
+	return c.logger.Contained("callback of a caller's request", callback, nil)
+}
+
 // loseEntry treats a call as one whose entry's connection was lost.
 func (r *Runner) loseEntry(c *gateCall) {
 	c.abandon()
--- a/internal/node/calls/yield.go
+++ b/internal/node/calls/yield.go
@@ -91,11 +91,11 @@
 	if y.timer != nil {
 		y.timer.Stop()
 	}
-	y.timer = time.AfterFunc(in, func() {
+	y.timer = time.AfterFunc(in, c.contained(func() {
 		if !stopping() {
 			c.yieldNow()
 		}
-	})
+	}))
 }
 
 func (c *callerRequest) yieldNow() {
@@ -109,9 +109,9 @@
 	// is cancelled after recallTime.
 	y.finished, y.yielded = true, true
 	c.stopAttempts()
-	y.timer = time.AfterFunc(c.recallTime(), func() {
+	y.timer = time.AfterFunc(c.recallTime(), c.contained(func() {
 		c.cancel(errYielded.New("the caller is about to give up a request on the connection: the call is cancelled"))
-	})
+	}))
 }
 
 func (c *callerRequest) stopYield() {
