A panic while a call is written to its target ended the process

What callers saw: all connections of the node closed without a response. No such panic is known; it is injected here.

Cause: the check before the first byte of a call, and what notes that it was written, run in the goroutine of the HTTP client that writes, which recovers nothing.

A call whose check fails is not written, and is not run; a failed note changes nothing for its call.

--- a/internal/node/calls/panic_test.go
+++ b/internal/node/calls/panic_test.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"jasminegate/internal/clock"
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/gate"
 	"jasminegate/internal/protocol/headers"
@@ -327,3 +328,29 @@
 	is.NoErr(conn.Close()) // resets the connection
 	f.waitFor("the panic is counted", func() bool { return runner.options.Logger.Panics() == 1 })
 }
+
+// TestPanicWhileTargetIsWrittenToEndsProcess lets the gate panic in the check before the first byte
+// of a call, and where it notes that the call was written. The HTTP client calls both in its own
+// goroutine. A call of which nothing was written is not run; the other one is answered.
+func TestPanicWhileTargetIsWrittenToEndsProcess(t *testing.T) {
+	for _, row := range []struct{ function, outcome string }{{"beginWrite", "not-run"}, {"endWrite", ""}} {
+		t.Run(row.function, func(t *testing.T) {
+			is := is.New(t)
+			in := &panicIn{function: "(*writeTracker)." + row.function}
+			boot := func() time.Time {
+				in.check()
+				return clock.BootTime()
+			}
+			f := newFleet(t, fleetOptions{nodes: 1, boot: boot}, echo)
+			in.armed.Store(true)
+			got := f.call(0, "POST", "/file", "b")
+			is.NoErr(got.err)
+			is.Equal(got.header.Get(headers.Outcome), row.outcome)
+			is.True(f.nodes[0].runner.options.Logger.Panics() > 0)
+			in.armed.Store(false)
+			got = f.call(0, "POST", "/file", "b")
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusCreated)
+		})
+	}
+}
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -175,7 +175,7 @@
 		return response, used, err
 	}
 	again := &writeTracker{check: check, sentBefore: true}
-	again.check.written = func() { r.noteResent(c) }
+	again.check.written = r.options.Logger.Contained("note of a write", func() { r.noteResent(c) }, nil)
 	response, err = t.try(t.conns.singleUse, request, c, again)
 	if !again.noted.Load() {
 		r.repeats.giveBack(takenAt, call.Resent)
--- a/internal/node/calls/writecheck.go
+++ b/internal/node/calls/writecheck.go
@@ -17,12 +17,13 @@
 func (r *Runner) newWriteCheck(c *gateCall, header http.Header) writeCheck {
 	return writeCheck{
 		connected: func() { setIfPresent(header, r.options.Contract.Timeout, c.remainingMs(r.options.Now())) },
-		mayWrite: func() error {
-			err := r.mayWrite(c)
+		mayWrite: func() (err error) {
+			defer r.recoverCall("check before a write", func() { err = c.refuseWrite(call.ReasonTargetUnreachable) })
+			err = r.mayWrite(c)
 			c.checkedAt = r.options.BootTime()
 			return err
 		},
-		written: func() { r.noteWritten(c) },
+		written: r.options.Logger.Contained("note of a write", func() { r.noteWritten(c) }, nil),
 	}
 }
 
