A panic in a read of the platform's log ended the process

What callers saw: all connections of the node closed without a response.

Cause: each attempt of a hedged read runs in its own goroutine, outside the recover of the worker that asks for it.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -56,6 +56,7 @@
 // contract. Targets announce themselves on the admin address.
 func defaultAdapter(o AdapterOptions) Adapter {
 	log := platformlog.New(o.Settings.Platform.URL, o.Settings.Platform.RequestTimeout, o.Client)
+	log.Logger = o.Logger
 	return Adapter{
 		Log:        log,
 		RolloutLog: log,
--- a/internal/transport/platformlog/client.go
+++ b/internal/transport/platformlog/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"jasminegate/internal/logging"
 	"jasminegate/internal/state"
 )
 
@@ -32,6 +33,8 @@
 	base           string
 	requestTimeout time.Duration
 	http           *http.Client
+	// Logger gets the panics of reads; nil drops them.
+	Logger *logging.Logger
 }
 
 var (
@@ -139,7 +142,7 @@
 // get performs a read, which may wait for a record, and decodes the body of a 200 response. target
 // returns the URL for a wait.
 func get[T any](ctx context.Context, c *Client, wait time.Duration, target func(wait time.Duration) string) (T, error) {
-	hedge := Hedge{Timeout: c.requestTimeout, Wait: wait, BeforeRetry: c.http.CloseIdleConnections}
+	hedge := Hedge{Timeout: c.requestTimeout, Wait: wait, BeforeRetry: c.http.CloseIdleConnections, Logger: c.Logger}
 	return ReadHedged(ctx, hedge, func(ctx context.Context, attempt Attempt) (response T, err error) {
 		err = c.do(ctx, attempt, http.MethodGet, target(attempt.Wait), nil, &response)
 		return response, err
--- a/internal/transport/platformlog/hedge.go
+++ b/internal/transport/platformlog/hedge.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"jasminegate/internal/logging"
 )
 
 // ReadAttempts is how many times a read is sent at most.
@@ -25,6 +27,8 @@
 	Wait time.Duration
 	// BeforeRetry is called before each further attempt.
 	BeforeRetry func()
+	// Logger gets the panics of attempts, which fail with ErrUnavailable.
+	Logger *logging.Logger
 }
 
 // Attempt is one request: an attempt of a hedged read, or a write.
@@ -55,7 +59,7 @@
 	var attempts []*attempt[T]
 	start := func(wait time.Duration) {
 		limit := wait + time.Duration(ReadAttempts-len(attempts))*hedge.Timeout
-		attempts = append(attempts, startAttempt(ctx, Attempt{Wait: wait, Limit: limit}, began, ended, send))
+		attempts = append(attempts, startAttempt(ctx, hedge.Logger, Attempt{Wait: wait, Limit: limit}, began, ended, send))
 	}
 	start(hedge.Wait)
 	overdue := time.NewTimer(hedge.Wait + hedge.Timeout)
@@ -88,7 +92,7 @@
 
 // startAttempt starts an attempt, which is sent to began when its response begins, or to ended if it ends
 // without.
-func startAttempt[T any](ctx context.Context, options Attempt, began, ended chan<- *attempt[T], send func(context.Context, Attempt) (T, error)) *attempt[T] {
+func startAttempt[T any](ctx context.Context, logger *logging.Logger, options Attempt, began, ended chan<- *attempt[T], send func(context.Context, Attempt) (T, error)) *attempt[T] {
 	a := &attempt[T]{sentAt: time.Now(), wait: options.Wait, done: make(chan struct{})}
 	ctx, a.cancel = context.WithCancel(ctx)
 	hasBegun := false
@@ -100,7 +104,9 @@
 	}
 	go func() {
 		defer a.cancel()
-		a.result, a.err = send(ctx, options)
+		logger.Contained("read of the platform's log", func() { a.result, a.err = send(ctx, options) }, func() {
+			a.err = ErrUnavailable.New("the read failed by a fault of the program: look for event %d in the log", logging.PanicRecovered.Code)
+		})()
 		close(a.done)
 		if !hasBegun {
 			ended <- a
