A panic beside the handlers of a caller's connection ended the process

What callers saw: all connections of the node closed without a response.

Cause: net/http recovers panics of handlers alone. It reads on while a request is served in a goroutine of its own, where the node parses and starts the requests behind it and learns of the end of the caller's input, and it closes a connection after its recover, where requests before their turn are cancelled. Refusals of connections and connections that give way have goroutines of their own.

Requests that cannot be started before their turn are served in their turn, the present request is answered, and a connection whose refusal fails is closed.

--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -263,6 +263,7 @@
 	n.callersServer = newServer(n.calls.CallersHandler())
 	n.callersServer.MaxHeaderBytes = state.MaxHeaderBytes
 	n.callerConns = callerconn.NewTracker(n.callerLimits)
+	n.callerConns.LogTo(n.logger)
 	n.callerConns.LimitResources(n.account, n.calls.RespondUnparsed)
 	n.callerConns.Configure(n.callersServer)
 	n.adminServer = newServer(n.adminHandler())
--- a/internal/transport/callerconn/ahead.go
+++ b/internal/transport/callerconn/ahead.go
@@ -251,8 +251,13 @@
 	return true
 }
 
-// startPending starts the requests that have arrived behind the present one.
+// startPending starts the requests that have arrived behind the present one. After a panic they are
+// served in their turn.
 func (c *Conn) startPending() {
+	c.tracker.logger.Contained("start of a caller's request before its turn", c.startEachPending, c.stopStarting)()
+}
+
+func (c *Conn) startEachPending() {
 	c.startMu.Lock()
 	defer c.startMu.Unlock()
 	for {
@@ -410,7 +415,7 @@
 	c.input.ahead = nil
 	c.mu.Unlock()
 	for _, request := range ahead {
-		request.started.Cancel()
+		c.tracker.logger.Contained("end of a caller's request before its turn", request.started.Cancel, nil)()
 	}
 }
 
--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -381,7 +381,7 @@
 	c.held = held
 	notify := c.noteInputClosed(inputClosed)
 	c.mu.Unlock()
-	notify()
+	c.tracker.logger.Contained("end of a caller's input", notify, nil)()
 	<-held
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/callerconn/refuse.go
+++ b/internal/transport/callerconn/refuse.go
@@ -100,13 +100,13 @@
 		closed()
 		return
 	}
-	go func() {
+	go t.logger.Contained("refusal of a connection", func() {
 		defer closed()
 		defer t.refusing.Add(-1)
+		defer conn.Close()
 		respond()
 		discardInput(conn, refuseTimeout)
-		_ = conn.Close()
-	}()
+	}, nil)()
 }
 
 // discardInput closes the sending side and reads what still arrives, up to the timeout.
--- a/internal/transport/callerconn/tracker.go
+++ b/internal/transport/callerconn/tracker.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"jasminegate/internal/logging"
 	"jasminegate/internal/transport/reservation"
 )
 
@@ -53,6 +54,8 @@
 	// that get none; nil does nothing.
 	account *reservation.Account
 	respond Respond
+	// logger gets the panics of what runs outside the server's handlers; nil drops them.
+	logger *logging.Logger
 	// refusing counts the connections beyond the limit that get a refusal.
 	refusing atomic.Int32
 
@@ -76,6 +79,9 @@
 	t.account, t.respond = account, respond
 }
 
+// LogTo sets the logger. It is called before the first connection is accepted.
+func (t *Tracker) LogTo(logger *logging.Logger) { t.logger = logger }
+
 // Configure sets the server's hooks. The server must serve a listener of Listen.
 func (t *Tracker) Configure(server *http.Server) {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -124,7 +130,7 @@
 func (t *Tracker) add(conn net.Conn) *Conn {
 	c := newConn(conn, t)
 	var err error
-	if c.reservation, err = t.account.Connect(connectionBytes, c.giveWay); err != nil {
+	if c.reservation, err = t.account.Connect(connectionBytes, t.logger.Contained("connection that gives way", c.giveWay, nil)); err != nil {
 		return nil
 	}
 	t.mu.Lock()
