A panic while settings are loaded again ended the process

What callers saw: all connections of the node closed without a response, after a SIGHUP. No such panic is known; it is injected here.

Cause: the goroutine that waits for the signal recovers nothing.

Change: a panic is an error of the load (events 109 and 105); the settings stay as they are.

Result: TestPanicInReloadEndsProcess ended the test process before (go test ./internal/cli -run TestPanicInReload); now it passes with -race, with the tests of SIGHUP beside it.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -80,7 +80,11 @@
 			return
 		case <-signals:
 		}
-		settings, err := load()
+		var settings config.Settings
+		err := logger.Guard("reload of the settings", func() (err error) {
+			settings, err = load()
+			return err
+		})
 		if err != nil {
 			logger.Event(logging.SettingsRejected).Str("problem", err.Error()).Send()
 			continue
