A panic in a planned stop cut off all calls

No such panic is known; it is injected here.

Cause: the drains of the gate and of callers, the end of the other servers and the timer that refuses queued calls run in goroutines that recover nothing, and the drain itself in that of main.

Callers that a failed drain does not wait for get the last responses, which say what is known of their calls.

Result: TestPanicInDrainCutsOffCalls ended the test process before; now go test -race ./internal/cli ./internal/node -run 'TestPanic|TestFailedPart|TestAcknowledgement|Hangup|Drain|Stop' passes.

--- a/internal/node/failure_test.go
+++ b/internal/node/failure_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -173,3 +174,48 @@
 		})
 	}
 }
+
+// stubbornListener is a listener that panics when it is closed for the first time.
+type stubbornListener struct {
+	net.Listener
+	closed atomic.Bool
+}
+
+func (l *stubbornListener) Close() error {
+	if l.closed.CompareAndSwap(false, true) {
+		panic("on purpose, at the end of a listener")
+	}
+	return l.Listener.Close()
+}
+
+// TestPanicInDrainCutsOffCalls lets the drain of a planned stop panic while a caller waits for its
+// response. The caller gets it, as the other parts of the stop go on.
+func TestPanicInDrainCutsOffCalls(t *testing.T) {
+	is := is.New(t)
+	logger := logging.New(io.Discard, "info", "n-1")
+	n := composeTestNode(t, logger)
+	address := n.listeners.callers.Addr().String()
+	n.listeners.callers = &stubbornListener{Listener: n.listeners.callers}
+	arrived := make(chan struct{})
+	n.callersServer.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		for begun := time.Now(); logger.Panics() == 0 && time.Since(begun) < time.Minute; time.Sleep(time.Millisecond) {
+		}
+		_, _ = io.WriteString(w, "answer")
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.run(ctx) }()
+	go func() {
+		<-arrived
+		stop()
+	}()
+	response, err := http.Get("http://" + address)
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(string(body), "answer")
+	<-ended
+	is.True(logger.Panics() > 0)
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -103,7 +103,7 @@
 	case <-parts.failed:
 	}
 	n.stopDeadline = time.Now().Add(n.settings.Calls.DrainTimeout + n.tail())
-	n.drain()
+	n.logger.Contained("drain", n.drain, nil)()
 	stop()
 	err := parts.wait()
 	n.handOverHistory()
@@ -160,11 +160,11 @@
 		if server == nil {
 			continue
 		}
-		group.Go(func() {
+		group.Go(n.logger.Contained("end of a server", func() {
 			if server.Shutdown(ctx) != nil {
 				_ = server.Close()
 			}
-		})
+		}, nil))
 	}
 	group.Wait()
 }
@@ -198,14 +198,14 @@
 	n.calls.StopBy(now.Add(n.settings.Calls.LeaveDelay), now.Add(n.settings.Calls.DrainTimeout))
 	margin := min(cancelQueuedMargin, time.Duration(cancelQueuedShare*float64(n.settings.Calls.DrainTimeout)))
 	refusing := make(chan struct{}) // closed when new requests are refused
-	cancelQueued := time.AfterFunc(n.settings.Calls.DrainTimeout-margin, func() {
+	cancelQueued := time.AfterFunc(n.settings.Calls.DrainTimeout-margin, n.logger.Contained("end of queued calls", func() {
+		defer close(refusing)
 		n.calls.CancelQueued()
-		close(refusing)
-	})
+	}, nil))
 	defer cancelQueued.Stop()
 	n.calls.DisableKeepAlives()
 	time.Sleep(n.settings.Calls.LeaveDelay)
-	n.targets.drain()
+	n.logger.Contained("drain of the target", n.targets.drain, nil)()
 	n.drainWork(ctx, refusing)
 	n.respondToLastCallers()
 	leaveCtx, cancelLeave := n.stopContext(leaveTimeout, leaveShare)
@@ -218,17 +218,17 @@
 func (n *node) drainWork(ctx context.Context, refusing <-chan struct{}) {
 	var group sync.WaitGroup
 	gateDrained := make(chan struct{})
-	group.Go(func() {
+	group.Go(n.logger.Contained("drain of the gate", func() {
 		defer close(gateDrained)
 		n.logIncomplete("gate", n.calls.Drain(ctx))
-	})
-	group.Go(func() {
+	}, nil))
+	group.Go(n.logger.Contained("drain of callers", func() {
 		select {
 		case <-gateDrained:
 		case <-refusing:
 		}
 		n.logIncomplete("callers", n.drainCallers(ctx))
-	})
+	}, nil))
 	group.Wait()
 }
 
