--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -163,8 +163,8 @@
 		a.cancel(nil)
 		return nil, err
 	}
-	a.silenceTimer = newSilenceTimer(r.options.Settings.SilenceTimeout, a.endSilence)
-	a.stopCallerWatch = context.AfterFunc(c.ctx, a.cancelByCaller)
+	a.silenceTimer = newSilenceTimer(r.options.Settings.SilenceTimeout, a.onSilenceTimeout)
+	a.stopCallerWatch = context.AfterFunc(c.ctx, a.contained(a.cancelByCaller))
 	c.attempt = a
 	return a, nil
 }
@@ -215,7 +215,7 @@
 	if err := a.stream.Send(first); err != nil {
 		return nil, a.endLost()
 	}
-	a.stopAttemptsWatch = context.AfterFunc(a.request.attemptsCtx, a.cancelIfQueued)
+	a.stopAttemptsWatch = context.AfterFunc(a.request.attemptsCtx, a.contained(a.cancelIfQueued))
 	if !first.Last {
 		a.request.uploads.Add(1)
 		go a.upload()
--- a/internal/node/calls/keptattempt.go
+++ b/internal/node/calls/keptattempt.go
@@ -38,6 +38,12 @@
 	return false
 }
 
+// onSilenceTimeout is endSilence as the callback of the timer.
+func (a *attempt) onSilenceTimeout() (again bool) {
+	a.contained(func() { again = a.endSilence() })()
+	return again
+}
+
 // checkSilentGate ends the attempt if its gate is dead, or responds over a new connection while nothing
 // comes over the attempt's own. A gate that only stalls responds over neither, and gets more time.
 //
@@ -205,8 +211,8 @@
 // cancelAndEnd ends an attempt whose response is not needed any more. It does not wait for its
 // connection, which may be stalled.
 func (a *attempt) cancelAndEnd() {
-	go func() {
+	go a.contained(func() {
 		defer a.end(false)
 		_ = a.stream.Send(&wire.CallFrame{Cancel: true})
-	}()
+	})()
 }
