Gates that could not be reached were asked for their history again and again, without a pause

Callers saw: requests that waited, at a node that had restarted, while its process was busy. Cause: after its start a gate asks the running gates for the history that they know. Each event, and so each failed request, asked all others again whose request had failed. Two gates whose requests fail at once (nothing listens there, or their address is known from the history of another gate only) kept the loop busy until the member table listed them as not running. Class: a retry that waits for nothing but the failure of another one.

--- a/internal/coordination/keyed/machine.go
+++ b/internal/coordination/keyed/machine.go
@@ -133,12 +133,13 @@
 func (m *Machine) Step(now time.Time, event Event) []Action {
 	m.now = now
 	m.expireClaims()
-	actions := m.syncHistory()
-	return append(actions, m.handle(event)...)
+	return m.handle(event)
 }
 
 func (m *Machine) handle(event Event) []Action {
 	switch e := event.(type) {
+	case Tick:
+		return m.syncHistory()
 	case SetGates:
 		m.setGates(e.Gates)
 		return m.syncHistory()
