A response on a connection that the node closes is not lost to a request behind it

Seen by callers: during a planned stop, one that had sent a request with a chunked body and, while it ran, another one behind it, got the connection reset in the midst of the first one's response.

Cause: a close with unread bytes resets the connection, and the system discards what the caller has not read. Conn.Close therefore lingers if bytes arrived behind the last request (callerconn/conn.go). It knows that from input.keep, which is only called for requests with a known length. The byte that net/http's read for a disconnect gets behind a chunked body went unnoticed, and the connection was closed at once.

Change: that byte is noted as well.

Not covered: a request that arrives only after the connection was closed still resets it.

--- a/internal/transport/callerconn/conn.go
+++ b/internal/transport/callerconn/conn.go
@@ -265,9 +265,12 @@
 	data = c.bodyRead(data)
 	for {
 		n, err := c.Conn.Read(data)
-		if n > 0 && disconnectRead && c.requestGiven() {
-			c.keep(data[:n])
-			return c.readAhead()
+		if n > 0 && disconnectRead {
+			if c.requestGiven() {
+				c.keep(data[:n])
+				return c.readAhead()
+			}
+			c.notePipelined()
 		}
 		if err == nil || n > 0 {
 			c.countBody(n)
@@ -287,6 +290,14 @@
 	}
 }
 
+// notePipelined records that a byte arrived that is taken for one behind the present request. If it
+// is one of a body without a length, the connection at most lingers when it is closed.
+func (c *Conn) notePipelined() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.input.pipelined = true
+}
+
 // requestGiven reports whether the server is known to have got the whole present request.
 func (c *Conn) requestGiven() bool {
 	c.mu.Lock()
