--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -33,8 +33,7 @@
 	handle   uint64
 	endpoint entry.Endpoint
 	stream   clientStream
-	// silenceTimer cancels the attempt when no frame arrives within the silence
-	// timeout.
+	// silenceTimer calls endSilence when no frame arrives within the silence timeout.
 	silenceTimer *silenceTimer
 	cancel       context.CancelCauseFunc
 	ctx          context.Context
