A caller that read slowly made its gate look silent

Callers saw: a response of more than calls.buffer_bytes that ended in the middle, with those behind it on the connection, after the caller had read nothing for a while. Cause: the silence timeout ran on while the node wrote what it had buffered of the response. It receives nothing from the gate meanwhile. The writes after that one stop the timeout. Change: the timeout is stopped for that write as well.

--- a/internal/node/calls/response.go
+++ b/internal/node/calls/response.go
@@ -69,6 +69,7 @@
 	defer controller.SetWriteDeadline(time.Time{})
 	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	g.writeHeader(w, method)
+	g.attempt.silenceTimer.stop() // nothing is received meanwhile
 	if _, err := w.Write(g.data); err != nil && bodyAllowed(method, int(g.start.Status)) {
 		g.attempt.end(g.complete)
 		return incompleteWrite
@@ -77,6 +78,7 @@
 		g.attempt.end(true)
 		return ""
 	}
+	g.attempt.silenceTimer.reset()
 	return g.streamRest(w, controller)
 }
 
--- a/internal/node/calls/stalledresponse_test.go
+++ b/internal/node/calls/stalledresponse_test.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -8,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"jasminegate/internal/config"
 )
 
 // longResponse is a response that the entry passes on before it has all of it. Its target writes the
@@ -109,3 +112,30 @@
 	f.is.True(got.err != nil)
 	f.is.True(got.at.Sub(silent) < bound)
 }
+
+// TestSlowCallerMakesGateLookSilent lets a caller read nothing for several silence timeouts, while the node
+// writes what it has buffered of a long response and receives nothing from the gate. The caller must get
+// the whole response.
+func TestSlowCallerMakesGateLookSilent(t *testing.T) {
+	const (
+		pause  = 2 * time.Second
+		buffer = 4 << 20 // more than the kernel takes for the caller
+	)
+	whole := bytes.Repeat([]byte("0123456789abcdef"), buffer/8)
+	settings := func(s *config.Calls) {
+		shortSilenceTimeout(s)
+		s.BufferBytes, s.MaxBodyBytes = buffer, 4*buffer
+	}
+	f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, settings: settings}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+		_, _ = w.Write(whole)
+	})
+	conn := f.sendRaw("GET /read/long HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	f.is.NoErr(conn.SetReadBuffer(16 << 10))
+	time.Sleep(pause)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	f.is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	f.is.NoErr(err)
+	f.is.True(bytes.Equal(body, whole))
+}
