The silence timer of an ended attempt was started again by a frame

Seen by the review, not by callers: an attempt that another goroutine ends may still receive a frame, which started its timer again. Cause: only the stop of the timer was recorded, not its end. Change: the end of an attempt ends its timer for good. Measured: TestFrameStartsTimerOfEndedAttempt fails with stop in place of end (2 of 2), and passes.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -445,7 +445,7 @@
 	if !a.ended.CompareAndSwap(false, true) {
 		return
 	}
-	a.silenceTimer.stop()
+	a.silenceTimer.end()
 	if a.stopAttemptsWatch != nil {
 		a.stopAttemptsWatch()
 	}
--- a/internal/node/calls/silence.go
+++ b/internal/node/calls/silence.go
@@ -20,9 +20,9 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	// due is when the running step ends; zero if none runs. stopped is set until reset if the timer was
-	// stopped.
-	due             time.Time
-	atLast, stopped bool
+	// stopped, and ended for good.
+	due                    time.Time
+	atLast, stopped, ended bool
 }
 
 // newSilenceTimer returns a running timer.
@@ -53,16 +53,32 @@
 	}
 }
 
-// begin starts the first step. The lock must be held.
+// begin starts the first step, unless the timer has ended. The lock must be held.
 func (t *silenceTimer) begin() {
+	if t.ended {
+		return
+	}
 	t.atLast = false
 	t.run(t.first)
 }
 
+// end stops the timer for good.
+func (t *silenceTimer) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = true
+	t.halt()
+}
+
 // stop stops the timer until the next reset.
 func (t *silenceTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.halt()
+}
+
+// halt ends the running step. The lock must be held.
+func (t *silenceTimer) halt() {
 	t.due, t.stopped = time.Time{}, true
 	t.timer.Stop()
 }
--- a/internal/node/calls/silence_test.go
+++ b/internal/node/calls/silence_test.go
@@ -53,3 +53,16 @@
 	case <-time.After(4 * timeout):
 	}
 }
+
+// TestFrameStartsTimerOfEndedAttempt resets a timer, as a frame does, after it has ended: it may not be over
+// again.
+func TestFrameStartsTimerOfEndedAttempt(t *testing.T) {
+	is := is.New(t)
+	const timeout = 50 * time.Millisecond
+	over := make(chan struct{}, 10)
+	timer := newSilenceTimer(timeout, func() bool { over <- struct{}{}; return true })
+	timer.end()
+	timer.reset()
+	time.Sleep(4 * timeout)
+	is.Equal(len(over), 0)
+}
