Checks of a stalled gate: shared, repeated, and bounded without room

Without room for a new connection to the gate, a response on a connection that had gone silent for good was awaited until its deadline: not ended after 40 silence timeouts in a trial. Each response under way dialled for itself (43 new connections for 8 responses in 3 s). A gate that responded to one check and stalled again was given up without another. Cause: no room counted as a gate that stalls, and the first response was remembered. Change: the attempts at a gate share a check. A response is given up after two checks to which the gate responded with no frame between them; where there is no room for a check, as before, after the silence timeouts alone. The connection of a check is closed.

--- a/internal/node/calls/attempt.go
+++ b/internal/node/calls/attempt.go
@@ -56,8 +56,8 @@
 	// silenceReported.
 	onSilence atomic.Int32
 	silent    chan struct{}
-	// received counts the frames. silentSince is its value, plus one, when the gate last responded over
-	// a new connection while none came here.
+	// received counts the frames. silentSince is its value, plus one, before the last check to which the
+	// gate responded over a new connection.
 	received, silentSince atomic.Int64
 	// results gets what the reading of the response led to.
 	results chan readResult
--- a/internal/node/calls/keptattempt.go
+++ b/internal/node/calls/keptattempt.go
@@ -9,6 +9,7 @@
 	"jasminegate/internal/coordination/entry"
 	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/protocol/wire"
+	"jasminegate/internal/transport/peer"
 )
 
 // An attempt of an idempotent call whose gate went silent may still run: gates and links stall for
@@ -44,38 +45,43 @@
 	return again
 }
 
-// checkSilentGate ends the attempt if its gate is dead, or responds over a new connection while nothing
-// comes over the attempt's own. A gate that only stalls responds over neither, and gets more time.
+// checkSilentGate ends the attempt if its gate is dead, or has responded twice over a new connection while
+// nothing came over the attempt's own. A gate that only stalls responds over neither, and gets more time.
 //
 // Load pattern: gates that have no processor time for longer than the silence timeout, and connections
 // that go silent for good.
 func (a *attempt) checkSilentGate() (again bool) {
 	received := a.received.Load() + 1
-	if a.silentSince.Load() == received || !a.runner.isLive(a.endpoint) {
-		a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: its response stays incomplete", a.endpoint.ID))
-		return false
-	}
-	if a.gateResponds() {
-		a.silentSince.Store(received)
+	if a.runner.isLive(a.endpoint) {
+		if !a.runner.gateResponds(a.endpoint.Address) {
+			return true
+		}
+		if a.silentSince.Swap(received) != received {
+			return true
+		}
+		if a.received.Load()+1 != received {
+			return true // a frame came during the check
+		}
 	}
-	return true
+	a.cancel(errSilent.New("gate %s sent no frame within the silence timeout: its response stays incomplete", a.endpoint.ID))
+	return false
 }
 
-// gateResponds reports whether the gate responds over a new connection within the silence timeout.
-func (a *attempt) gateResponds() bool {
-	ctx, cancel := context.WithTimeout(a.ctx, a.runner.options.Settings.SilenceTimeout)
-	defer cancel()
-	conn, err := a.runner.options.Pool.Dial(ctx, a.endpoint.Address)
-	if err != nil {
-		return false
-	}
-	_, err = wire.NewDRPCCallsClient(conn).Resolve(ctx, &wire.ResolveRequest{})
-	if err != nil {
-		conn.Discard()
-		return false
-	}
-	conn.Release()
-	return true
+// gateResponds reports whether the gate at the address responds over a new connection within the silence
+// timeout, or there is no room for a new connection to it. Attempts at the same gate share a check.
+func (r *Runner) gateResponds(address string) bool {
+	responds, _, _ := r.gateChecks.Do(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(r.baseCtx, r.options.Settings.SilenceTimeout)
+		defer cancel()
+		conn, err := r.options.Pool.Dial(ctx, address)
+		if err != nil {
+			return peer.IsBusy(err), nil
+		}
+		defer conn.Discard()
+		_, err = wire.NewDRPCCallsClient(conn).Resolve(ctx, &wire.ResolveRequest{})
+		return err == nil, nil
+	})
+	return responds.(bool)
 }
 
 // readInBackground reads the response for await.
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/sync/singleflight"
 
 	"jasminegate/internal/config"
 	"jasminegate/internal/coordination/entry"
@@ -117,6 +118,8 @@
 	quarantine   *quarantineKeeper
 	// keysRefused is set while API keys may have been removed unnoticed; see keysConfirmed.
 	keysRefused atomic.Bool
+	// gateChecks holds the checks of gates that are under way, by address.
+	gateChecks singleflight.Group
 	// aheadSlots has a slot for each request that may be in work before its turn.
 	aheadSlots *semaphore.Weighted
 	// baseCtx ends with Run, and with it the calls at the target.
