--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -25,6 +25,8 @@
 	flags.IntVar(&options.Slots, "slots", 6, "maximum number of concurrent requests")
 	flags.IntVar(&options.AnnouncedSlots, "announced-slots", 0, "number of slots to announce, 0 for the value of -slots")
 	flags.IntVar(&options.Connections, "connections", 120, "maximum number of open connections, 0 for no limit")
+	flags.DurationVar(&options.IdleTimeout, "idle-timeout", 0, "how long a connection may be idle, 0 for no limit")
+	flags.BoolVar(&options.ResetIdle, "reset-idle", false, "close idle connections with a reset")
 	flags.DurationVar(&options.ColdStart, "cold-start", 0, "period after the start with longer service times")
 	flags.IntVar(&options.ColdFactor, "cold-factor", 5, "factor on service times during the cold start")
 	flags.StringVar(&options.NodeAddress, "node", "", "admin address of the local node, empty for no announcements")
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -149,6 +149,9 @@
 // SendTerminate sends SIGTERM without waiting for the exit.
 func (p *Process) SendTerminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// SendHangUp sends SIGHUP.
+func (p *Process) SendHangUp() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
 // Terminate sends SIGTERM and waits until the process has exited. It fails if the
 // exit code is not 0 or if ctx ends first.
 func (p *Process) Terminate(ctx context.Context) error {
--- a/internal/standin/target/listener.go
+++ b/internal/standin/target/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -45,3 +46,21 @@
 	defer c.release()
 	return c.Conn.Close()
 }
+
+// resetIdle makes the close of an idle connection a reset. It is the ConnState of a
+// server.
+func resetIdle(conn net.Conn, connState http.ConnState) {
+	if limited, ok := conn.(*limitedConn); ok {
+		conn = limited.Conn
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	switch connState {
+	case http.StateIdle:
+		_ = tcp.SetLinger(0)
+	case http.StateActive:
+		_ = tcp.SetLinger(-1)
+	}
+}
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -45,10 +45,13 @@
 	s := &Server{
 		Target:    target,
 		listener:  listener,
-		http:      &http.Server{Handler: target},
+		http:      &http.Server{Handler: target, IdleTimeout: options.IdleTimeout},
 		announcer: newAnnouncer(target, listener.Addr().String()),
 		cancel:    cancel,
 	}
+	if options.ResetIdle {
+		s.http.ConnState = resetIdle
+	}
 	go s.http.Serve(newLimitListener(listener, options.Connections))
 	if options.NodeAddress != "" {
 		s.announcerDone.Go(func() { s.announcer.run(ctx) })
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -34,6 +34,10 @@
 	AnnouncedSlots int
 	// Connections limits the open TCP connections; 0 means no limit.
 	Connections int
+	// IdleTimeout is how long a connection may be idle before it is closed; 0 means no limit.
+	IdleTimeout time.Duration
+	// ResetIdle closes idle connections with a reset.
+	ResetIdle bool
 	// ColdStart is the period after the start in which service times are
 	// multiplied by ColdFactor.
 	ColdStart time.Duration
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -339,3 +341,26 @@
 	_, err := net.Dial("tcp", f.Address())
 	f.True(err != nil) // closed
 }
+
+// TestIdleConnectionsEnd keeps a connection idle after a whole response: the target closes it, or
+// resets it, after its idle timeout.
+func TestIdleConnectionsEnd(t *testing.T) {
+	for name, want := range map[string]error{"closed": io.EOF, "reset": syscall.ECONNRESET} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, target.Options{IdleTimeout: 20 * time.Millisecond, ResetIdle: name == "reset", Connections: 2})
+			conn, err := net.Dial("tcp", f.Address())
+			f.NoErr(err)
+			defer conn.Close()
+			f.NoErr(conn.SetDeadline(time.Now().Add(testTimeout)))
+			_, err = io.WriteString(conn, "GET /?bytes=50000 HTTP/1.1\r\nHost: target.example\r\n\r\n")
+			f.NoErr(err)
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			f.NoErr(err)
+			_, err = io.Copy(io.Discard, response.Body)
+			f.NoErr(err)
+			_, err = reader.ReadByte()
+			f.True(errors.Is(err, want))
+		})
+	}
+}
