--- /dev/null
+++ b/review/standin-2/upstream.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// heartbeat is the interval of the upstreams' liveness reports.
+const heartbeat = 1500 * time.Millisecond
+
+// ackLimit is how long an upstream waits for the acknowledgement of a report.
+const ackLimit = time.Second
+
+// Headers of the users' pages.
+const (
+	headerAttempt     = "X-Jasminegate-Attempt-Id"
+	headerDeadline    = "X-Jasminegate-Deadline-Ms"
+	headerTarget      = "X-Jasminegate-Target-Instance"
+	headerInstance    = "X-Jasminegate-Instance-Id"
+	headerNotExecuted = "X-Jasminegate-Not-Executed"
+	headerSeal        = "X-Jasminegate-Response-Seal"
+)
+
+// Upstream is a stand-in of an application upstream beside a node.
+type Upstream struct {
+	ID    string
+	Slots int
+	// Work returns how long a request takes, and Respond adds headers to its answer; nil for none.
+	Work    func(r *http.Request) time.Duration
+	Respond func(header http.Header)
+
+	machine *Machine
+	born    int64
+	server  *http.Server
+	running atomic.Int64
+	beats   context.CancelFunc
+
+	mu    sync.Mutex
+	seq   int
+	state string
+	runs  []Run
+}
+
+// Run is one run of a request.
+type Run struct {
+	ID, Path string
+	At       time.Time
+}
+
+// StartUpstream starts the upstream of the machine, and its liveness reports.
+func (m *Machine) StartUpstream(id string, slots int, work func(r *http.Request) time.Duration) error {
+	u := &Upstream{ID: id, Slots: slots, Work: work, machine: m, born: time.Now().UnixMilli(), state: "ready"}
+	listener, err := net.Listen("tcp", m.App)
+	if err != nil {
+		return err
+	}
+	m.Upstream = u
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve)}
+	go func() { _ = u.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	u.beats = cancel
+	go u.report(ctx)
+	return nil
+}
+
+// Close ends the upstream.
+func (u *Upstream) Close() {
+	u.beats()
+	_ = u.server.Close()
+}
+
+// Runs returns the requests that were run.
+func (u *Upstream) Runs() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Run(nil), u.runs...)
+}
+
+func (u *Upstream) report(ctx context.Context) {
+	for {
+		_, _ = u.Beat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// Beat sends one liveness report and returns the status of the answer.
+func (u *Upstream) Beat() (status int, err error) {
+	u.mu.Lock()
+	u.seq++
+	body := map[string]any{
+		"Service": u.machine.Service, "Address": u.machine.App, "Zone": u.machine.Zone, "Version": "v1", "Slots": u.Slots,
+		"State": u.state, "Warmup_time": "0ms", "Seq": u.seq, "born": u.born,
+	}
+	u.mu.Unlock()
+	return u.machine.Put(u.ID, body)
+}
+
+// Drain makes the upstream leave: it reports that it is draining until that is acknowledged, and returns
+// the time of the acknowledgement.
+func (u *Upstream) Drain() (acked time.Time, err error) {
+	u.mu.Lock()
+	u.state = "draining"
+	u.mu.Unlock()
+	for range 10 {
+		if status, err := u.Beat(); err == nil && status/100 == 2 {
+			return time.Now(), nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return time.Time{}, fmt.Errorf("draining was not acknowledged")
+}
+
+// Seq returns the number of the last report.
+func (u *Upstream) Seq() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.seq
+}
+
+// Put sends a liveness report to the machine's node.
+func (m *Machine) Put(id string, body any) (status int, err error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ackLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+m.Control+"/-/instances/"+id, bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, nil
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		u.serveHealth(w)
+		return
+	}
+	id := r.Header.Get(headerAttempt)
+	w.Header().Set(headerAttempt, id)
+	if expected := r.Header.Get(headerTarget); expected != "" && expected != u.ID {
+		w.Header().Set(headerInstance, u.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if u.running.Add(1) > int64(u.Slots) {
+		u.running.Add(-1)
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer u.running.Add(-1)
+	record := u.machine.fleet.Record
+	u.mu.Lock()
+	u.runs = append(u.runs, Run{ID: id, Path: r.URL.Path, At: time.Now()})
+	u.mu.Unlock()
+	record.Line("upstream %s runs %s %s %s (%d bytes, %s ms left)", u.ID, r.Method, r.URL.Path, id, len(body), r.Header.Get(headerDeadline))
+	limit := time.Hour
+	if ms, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	work := u.Work(r)
+	select {
+	case <-r.Context().Done():
+		record.Line("upstream %s drops %s: its connection is closed", u.ID, id)
+		return
+	case <-time.After(min(work, limit)):
+	}
+	w.Header().Set(headerSeal, "seal-"+u.ID)
+	if work > limit {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	if u.Respond != nil {
+		u.Respond(w.Header())
+	}
+	_, _ = w.Write([]byte("answer to " + id + " of " + u.ID))
+	record.Line("upstream %s answers %s", u.ID, id)
+}
+
+func (u *Upstream) serveHealth(w http.ResponseWriter) {
+	u.mu.Lock()
+	ready := u.state == "ready"
+	u.mu.Unlock()
+	w.Header().Set(headerInstance, u.ID)
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
