--- a/review/standin-2/case_weights.go
+++ b/review/standin-2/case_weights.go
@@ -22,7 +22,7 @@
 	split := func(current, next int) Object {
 		r := route("/read/", "idempotent", "", "1500ms")
 		delete(r, "Service")
-		r["WeightedClusters"] = []Object{{"Service": "rider-view", "Weight": current}, {"Service": "rider-next", "Weight": next}}
+		r[named("weighted")] = []Object{{"Service": "rider-view", "Weight": current}, {"Service": "rider-next", "Weight": next}}
 		return Object{"read": r}
 	}
 	services := Object{"rider-view": Service(), "rider-next": Service()}
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -22,8 +22,8 @@
 // route is a route to one service.
 func route(prefix, kind, service, timeout string) Object {
 	return Object{
-		"Host": host, "PathPrefix": prefix, "Kind": kind, "Timeout": timeout, "TargetLatency": "500ms", "Priority": 2,
-		"Service": service, "MaxAttempts": 2,
+		"Host": host, named("prefix"): prefix, "Kind": kind, "Timeout": timeout, named("latency"): "500ms", "Priority": 2,
+		"Service": service, named("attempts"): 2,
 	}
 }
 
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -59,12 +59,12 @@
 		"Grace": "6s", "Config": "2000ms", "StabilityWindow": "3000ms", "BudgetRatio": 0.2, "BudgetSlack": 60, "BudgetWindow": "10s",
 	}
 	return map[string]any{
-		"NodeName": m.Name, "Zone": m.Zone, "Service": m.Service, "Ip": m.ip, "AppAddr": m.App, "Heartbeat": heartbeat.String(),
-		"Listen":        map[string]any{"Outbound": m.Outbound, "Inbound": m.Inbound, "Ready": m.Ready, "Control": m.Control},
-		"InternalPorts": m.internal,
-		"Limits":        map[string]any{"LinkMbps": 1000.0, "MemoryMb": 284, "MaxFds": 4100},
-		"Bounds":        bounds,
-		"Platform":      map[string]any{"Address": m.fleet.Store.Address()},
+		named("node"): m.Name, "Zone": m.Zone, "Service": m.Service, "Ip": m.ip, named("app"): m.App, "Heartbeat": heartbeat.String(),
+		"Listen":          map[string]any{"Outbound": m.Outbound, "Inbound": m.Inbound, "Ready": m.Ready, "Control": m.Control},
+		named("internal"): m.internal,
+		"Limits":          map[string]any{"LinkMbps": 1000.0, "MemoryMb": 284, "MaxFds": 4100},
+		"Bounds":          bounds,
+		"Platform":        map[string]any{"Address": m.fleet.Store.Address()},
 	}
 }
 
@@ -134,7 +134,7 @@
 func (m *Machine) IsReady(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Ready+"/-/readiness", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Ready+named("readiness"), nil)
 	if err != nil {
 		return false
 	}
