--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -27,10 +27,14 @@
 	Upstream *Upstream
 }
 
+// loopback returns the loopback address of the machine. Runs at the same time use different ones, so that none
+// takes a free port of another.
+func loopback(number int) string { return fmt.Sprintf("127.7.%d.%d", 1+os.Getpid()%250, number) }
+
 // NewMachine adds a machine with free ports at a loopback address of its own.
 func (f *Fleet) NewMachine(zone, service string) (*Machine, error) {
 	number := len(f.Machines) + 1
-	m := &Machine{Name: fmt.Sprintf("sidecar-%s-%d", zone, number), Zone: zone, Service: service, fleet: f, ip: fmt.Sprintf("127.0.7.%d", number)}
+	m := &Machine{Name: fmt.Sprintf("sidecar-%s-%d", zone, number), Zone: zone, Service: service, fleet: f, ip: loopback(number)}
 	var ports []int
 	var open []net.Listener
 	defer func() {
