review: case 9, a request with an unknown key runs on an open route

Breaks ROUTE: on a route with NoAuth, requests whose key no configuration ever held are run and get 200.

Cause: Runner.identify looks at the route's NoAuth before it refuses an unknown key.

--- a/review/standin-2/consumer.go
+++ b/review/standin-2/consumer.go
@@ -34,6 +34,8 @@
 type Request struct {
 	Method, Path string
 	Limit        time.Duration
+	// Key is the tenant's key; empty for none.
+	Key string
 }
 
 // Send sends one attempt to the machine's node on a new connection.
@@ -50,7 +52,12 @@
 	outgoing.Host, outgoing.Close = host, true
 	outgoing.Header.Set(headerAttempt, a.ID)
 	outgoing.Header.Set(headerDeadline, strconv.FormatInt(request.Limit.Milliseconds(), 10))
-	record.Line("consumer sends %s %s %s to %s", request.Method, request.Path, a.ID, m.Name)
+	key := ""
+	if request.Key != "" {
+		key = "Token " + request.Key
+		outgoing.Header.Set("Authorization", key)
+	}
+	record.Line("consumer sends %s %s %s to %s %s", request.Method, request.Path, a.ID, m.Name, key)
 	response, err := http.DefaultClient.Do(outgoing)
 	if err == nil {
 		var body []byte
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -18,6 +18,8 @@
 	Record   *Record
 	// Trouble is false for a run without the disruption.
 	Trouble bool
+	// Tenants are those of the configurations; nil for none.
+	Tenants Object
 	dir     string
 }
 
@@ -55,6 +57,9 @@
 		"Version": version, "Routes": routes, "Services": services,
 		"Limits": Object{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeout": "3000ms", "IdleTimeout": "15000ms"},
 	}
+	if f.Tenants != nil {
+		configuration[named("tenants")] = f.Tenants
+	}
 	data, err := json.Marshal(configuration)
 	if err != nil {
 		return err
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -170,7 +170,7 @@
 	u.mu.Lock()
 	u.runs = append(u.runs, Run{ID: id, Path: r.URL.Path, At: time.Now()})
 	u.mu.Unlock()
-	record.Line("upstream %s runs %s %s %s (%d bytes, %s ms left)", u.ID, r.Method, r.URL.Path, id, len(body), r.Header.Get(headerDeadline))
+	record.Line("upstream %s runs %s %s %s (%d bytes, %s ms left, tenant %q)", u.ID, r.Method, r.URL.Path, id, len(body), r.Header.Get(headerDeadline), r.Header.Get(named("tenant")))
 	limit := time.Hour
 	if ms, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
 		limit = time.Duration(ms) * time.Millisecond
