review: case 8 plays the leaving to its end

The case stopped before the draining upstream exited, so that it showed late requests only.

Cause: as before, decodeReport takes a report without Address, Zone, Version and Warmup_time for one of the upstream, and the node uses it again.

--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -68,6 +68,16 @@
 	_ = u.server.Close()
 }
 
+// Exit ends the upstream after its drain: it says that it is gone, and ends with what is still in work.
+func (u *Upstream) Exit() {
+	u.beats()
+	record := u.machine.fleet.Record
+	status, err := u.machine.say(http.MethodDelete, u.ID, nil)
+	record.Line("upstream %s says that it is gone; the node answers %d (%v)", u.ID, status, err)
+	_ = u.server.Close()
+	record.Line("upstream %s exits", u.ID)
+}
+
 // Runs returns the requests that were run.
 func (u *Upstream) Runs() []Run {
 	u.mu.Lock()
@@ -126,9 +136,14 @@
 	if err != nil {
 		return 0, err
 	}
+	return m.say(http.MethodPut, id, data)
+}
+
+// say sends what an upstream says of itself to the machine's node.
+func (m *Machine) say(method, id string, data []byte) (status int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), ackLimit)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+m.Control+named("instances")+id, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+m.Control+named("instances")+id, bytes.NewReader(data))
 	if err != nil {
 		return 0, err
 	}
