--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -27,11 +27,16 @@
 	// Work returns how long a request takes, and Respond adds headers to its answer; nil for none.
 	Work    func(r *http.Request) time.Duration
 	Respond func(header http.Header)
+	// Size is the length of each answer, at least; 0 for the text alone. While Faulty is set, each answer whose
+	// number is a multiple of TruncateEach is cut off after TruncateAt bytes.
+	Size, TruncateEach, TruncateAt int
+	Faulty                         atomic.Bool
 
 	machine *Machine
 	born    int64
 	server  *http.Server
 	running atomic.Int64
+	answers atomic.Int64
 	beats   context.CancelFunc
 
 	mu    sync.Mutex
@@ -205,7 +210,16 @@
 	if u.Respond != nil {
 		u.Respond(w.Header())
 	}
-	_, _ = w.Write([]byte("answer to " + id + " of " + u.ID))
+	answer := []byte("answer to " + id + " of " + u.ID)
+	answer = append(answer, bytes.Repeat([]byte("."), max(0, u.Size-len(answer)))...)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if u.Faulty.Load() && u.answers.Add(1)%int64(u.TruncateEach) == 0 {
+		record.Line("upstream %s truncates its answer to %s", u.ID, id)
+		_, _ = w.Write(answer[:u.TruncateAt])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer)
 	record.Line("upstream %s answers %s", u.ID, id)
 }
 
