Log what a stopping node decides about each request

The node's log did not say why it had taken them, nor when.

Event 415 states for each request and call that comes during a stop whether it was taken, what decided (its deadline, recent calls of its route, too few of them), the time since the signal, until the end and until the deadline, and how long it was expected to last. Event 416 states for each one that is broken off when it was taken. stopping.Machine.Judge returns the basis with the decision; the decision itself is unchanged.

--- a/internal/coordination/stopping/machine.go
+++ b/internal/coordination/stopping/machine.go
@@ -50,6 +50,30 @@
 	routes     map[string]*durations
 }
 
+// Basis is what a decision about a call rests on.
+type Basis string
+
+const (
+	// NotStopping: the node is not about to stop.
+	NotStopping Basis = "not-stopping"
+	// EndsByDeadline: the call's deadline lies before the node's end.
+	EndsByDeadline Basis = "ends-by-deadline"
+	// RecentCalls: how long recent calls of the route lasted.
+	RecentCalls Basis = "recent-calls"
+	// TooFewCalls: the deadline lies behind the node's end, and too few calls of the route are known.
+	TooFewCalls Basis = "too-few-calls"
+)
+
+// Verdict is the decision about a call.
+type Verdict struct {
+	Take  bool
+	Basis Basis
+	// Left is the time until the node gives up its calls; 0 if it is not about to stop.
+	Left time.Duration
+	// Expected is how long the call may last by the recent ones, with Basis RecentCalls.
+	Expected time.Duration
+}
+
 // New returns a machine of a node that is not about to stop.
 func New() *Machine { return &Machine{routes: make(map[string]*durations)} }
 
@@ -82,24 +106,36 @@
 	}
 }
 
-// MayTake reports whether the call is expected to end before the node stops. Where too few calls of
-// its route are known, its deadline decides. Until callers had the time to leave, a refusal would
-// reach all of them, and a call may be taken that is only likely to end. Later, one that is cut off
-// costs its caller more than a refusal at once, after which another node serves it.
-func (m *Machine) MayTake(now time.Time, c Call) bool {
-	if m.end.IsZero() || !c.Deadline.After(m.end) {
-		return true
+// Judge decides whether the call is taken: it is if it is expected to end before the node stops. Where
+// too few calls of its route are known, its deadline decides. Until callers had the time to leave, a
+// refusal would reach all of them, and a call may be taken that is only likely to end. Later, one that is
+// cut off costs its caller more than a refusal at once, after which another node serves it.
+func (m *Machine) Judge(now time.Time, c Call) Verdict {
+	if m.end.IsZero() {
+		return Verdict{Take: true, Basis: NotStopping}
 	}
-	d := m.routes[c.Route]
-	if d == nil {
-		return false
+	left := m.end.Sub(now)
+	if !c.Deadline.After(m.end) {
+		return Verdict{Take: true, Basis: EndsByDeadline, Left: left}
 	}
 	late := !now.Before(m.leave)
-	expected, known := d.expected(now, c.Cautious || late)
+	expected, known := m.expected(now, c.Route, c.Cautious || late)
+	if !known {
+		return Verdict{Basis: TooFewCalls, Left: left}
+	}
 	if late {
 		expected *= lateHeadroom
 	}
-	return known && !now.Add(expected).After(m.end)
+	return Verdict{Take: expected <= left, Basis: RecentCalls, Left: left, Expected: expected}
+}
+
+// expected returns how long a call of the route is expected to last, and false if too few are known.
+func (m *Machine) expected(now time.Time, route string, cautious bool) (time.Duration, bool) {
+	d := m.routes[route]
+	if d == nil {
+		return 0, false
+	}
+	return d.expected(now, cautious)
 }
 
 // durations are those of the recent calls of one route, in milliseconds.
--- a/internal/coordination/stopping/machine_test.go
+++ b/internal/coordination/stopping/machine_test.go
@@ -61,7 +61,7 @@
 				m.Stop(leave, start.Add(row.stopIn))
 			}
 			call := Call{Route: row.route, Deadline: start.Add(row.deadline), Cautious: row.cautious}
-			is.New(t).Equal(m.MayTake(start.Add(row.later), call), row.want)
+			is.New(t).Equal(m.Judge(start.Add(row.later), call).Take, row.want)
 		})
 	}
 }
@@ -95,10 +95,10 @@
 		call := Call{Route: "file", Deadline: end.Add(time.Hour), Cautious: true}
 		usual := call
 		usual.Cautious = false
-		if m.MayTake(now, call) && now.Add(longest).After(end) {
+		if m.Judge(now, call).Take && now.Add(longest).After(end) {
 			t.Fatalf("taken %v before the end, the longest took %v", end.Sub(now), longest)
 		}
-		if m.MayTake(now, call) && !m.MayTake(now, usual) {
+		if m.Judge(now, call).Take && !m.Judge(now, usual).Take {
 			t.Fatal("a call that may be sent again was refused where another one was taken")
 		}
 	})
@@ -120,9 +120,9 @@
 		end := start.Add(time.Duration(random.IntN(2800)) * time.Millisecond)
 		call := Call{Route: "file", Deadline: end.Add(time.Hour)}
 		m.Stop(end, end)
-		early := m.MayTake(start, call)
+		early := m.Judge(start, call).Take
 		m.Stop(start, end)
-		if !m.MayTake(start, call) {
+		if !m.Judge(start, call).Take {
 			continue
 		}
 		if !early {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -75,6 +75,8 @@
 	PeerConnectionBroken = Event{412, log.InfoLevel, "connection from another node broke: the calls on it end"}
 	CallerUnconfirmed    = Event{413, log.InfoLevel, "call was written to the target long after its caller was last known to wait"}
 	RepeatsAtTarget      = Event{414, log.InfoLevel, "calls reach the local target more than once"}
+	StopVerdict          = Event{415, log.InfoLevel, "request or call came while the node is about to stop: it is taken or refused"}
+	StopBrokeOff         = Event{416, log.WarnLevel, "request or call was in work when the node stopped: its outcome is unknown"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
 
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -28,6 +28,8 @@
 // callerRequest is one caller's request while it is served.
 type callerRequest struct {
 	logger *logging.Logger
+	// requestID is the caller's, empty if it has none.
+	requestID string
 	// ctx ends when the caller has left; cancel ends it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -234,7 +236,7 @@
 	if !ok {
 		return nil, noRoute()
 	}
-	c := &callerRequest{logger: r.options.Logger, receivedAt: receivedAt, route: route}
+	c := &callerRequest{logger: r.options.Logger, requestID: r.requestID(request), receivedAt: receivedAt, route: route}
 	if refused := r.authenticate(c, index.snapshot, request); refused != nil {
 		return nil, refused
 	}
@@ -570,6 +572,7 @@
 	if action.Outcome == call.Unknown {
 		r.failedLog.event(logging.CallOutcomeUnknown, r.requestID(request)).
 			Str("route", c.route.Name).Str("reason", string(action.Reason)).Send()
+		r.requestsBeforeStop.noteBrokenOff(r.options.Now(), c.requestID, c.stoppingCall(), c.receivedAt)
 	}
 	if err := c.getBodyError(); errorx.IsOfType(err, errBodyTooLarge) {
 		// The outcome is not that of badBody, which is for a call that was not
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -166,7 +166,8 @@
 	r.baseCtx, r.cancelBase = context.WithCancel(context.Background())
 	r.attemptsCtx, r.stopAttempts = context.WithCancel(context.Background())
 	r.requestsCtx, r.endRequests = context.WithCancel(context.Background())
-	r.requestsBeforeStop, r.callsBeforeStop = newStopDecider(), newStopDecider()
+	stopLog := newSampledLog(options.Logger, stopLinesPerSecond, stopLineBurst)
+	r.requestsBeforeStop, r.callsBeforeStop = newStopDecider(entrySide, stopLog), newStopDecider(gateSide, stopLog)
 	r.entry = newEntryLoop(options)
 	r.gate = newGateLoop(options.Now, gate.Options{
 		Incarnation:      options.Self.Incarnation,
--- a/internal/node/calls/stopping.go
+++ b/internal/node/calls/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -10,19 +11,40 @@
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/entry"
 	"jasminegate/internal/coordination/stopping"
+	"jasminegate/internal/logging"
 )
 
-// stopDecider decides which calls are still taken before the node stops.
+const (
+	// stopLinesPerSecond limits the log lines on requests and calls that are judged or broken off
+	// while the node is about to stop, and stopLineBurst is the largest burst of them.
+	stopLinesPerSecond = 200
+	stopLineBurst      = 500
+)
+
+// Values of the field side of these log lines.
+const (
+	entrySide = "entry"
+	gateSide  = "gate"
+)
+
+// stopDecider decides which calls are still taken before the node stops, and logs why.
 type stopDecider struct {
-	mu      sync.Mutex
+	side string
+	log  *sampledLog
+	mu   sync.Mutex
+	// began is when the stop began; zero before.
+	began   time.Time
 	machine *stopping.Machine
 }
 
-func newStopDecider() *stopDecider { return &stopDecider{machine: stopping.New()} }
+func newStopDecider(side string, log *sampledLog) *stopDecider {
+	return &stopDecider{side: side, log: log, machine: stopping.New()}
+}
 
-func (d *stopDecider) stop(leave, end time.Time) {
+func (d *stopDecider) stop(now, leave, end time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.began = now
 	d.machine.Stop(leave, end)
 }
 
@@ -32,23 +54,55 @@
 	d.machine.Observe(now, route, took)
 }
 
-func (d *stopDecider) mayTake(now time.Time, c stopping.Call) bool {
+func (d *stopDecider) judge(now time.Time, c stopping.Call) (verdict stopping.Verdict, began time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.MayTake(now, c)
+	return d.machine.Judge(now, c), d.began
+}
+
+// mayTake reports whether the call with the caller's request ID may be taken.
+func (d *stopDecider) mayTake(now time.Time, request string, c stopping.Call) bool {
+	verdict, began := d.judge(now, c)
+	if verdict.Basis == stopping.NotStopping {
+		return true
+	}
+	d.log.event(logging.StopVerdict).Str("request", request).Str("side", d.side).Str("route", c.Route).
+		Str("taken", strconv.FormatBool(verdict.Take)).Str("basis", string(verdict.Basis)).
+		Int("stop_ms", now.Sub(began).Milliseconds()).Int("left_ms", verdict.Left.Milliseconds()).
+		Int("deadline_ms", c.Deadline.Sub(now).Milliseconds()).Int("expected_ms", verdict.Expected.Milliseconds()).Send()
+	return verdict.Take
+}
+
+// noteBrokenOff logs a call that was in work when the node gave it up. It does nothing if the node is not
+// about to stop.
+func (d *stopDecider) noteBrokenOff(now time.Time, request string, c stopping.Call, takenAt time.Time) {
+	d.mu.Lock()
+	began := d.began
+	d.mu.Unlock()
+	if began.IsZero() {
+		return
+	}
+	d.log.event(logging.StopBrokeOff).Str("request", request).Str("side", d.side).Str("route", c.Route).
+		Int("stop_ms", now.Sub(began).Milliseconds()).Int("taken_ms", takenAt.Sub(began).Milliseconds()).
+		Int("deadline_ms", c.Deadline.Sub(now).Milliseconds()).Send()
 }
 
 // StopBy says that callers have had the time to leave the node by leave, and that EndRequests is called at
 // the end. From now on, callers' requests and calls of other nodes that are not expected to end by then are
 // refused.
 func (r *Runner) StopBy(leave, end time.Time) {
-	r.requestsBeforeStop.stop(leave, end)
-	r.callsBeforeStop.stop(leave, end)
+	now := r.options.Now()
+	r.requestsBeforeStop.stop(now, leave, end)
+	r.callsBeforeStop.stop(now, leave, end)
 }
 
 // mayTakeRequest reports whether the caller's request is expected to end before the node stops.
 func (r *Runner) mayTakeRequest(c *callerRequest) bool {
-	return r.requestsBeforeStop.mayTake(r.options.Now(), stopping.Call{Route: c.route.Name, Deadline: c.deadline, Cautious: !c.route.Idempotent})
+	return r.requestsBeforeStop.mayTake(r.options.Now(), c.requestID, c.stoppingCall())
+}
+
+func (c *callerRequest) stoppingCall() stopping.Call {
+	return stopping.Call{Route: c.route.Name, Deadline: c.deadline, Cautious: !c.route.Idempotent}
 }
 
 // observeRequest notes how long a request took that may have run.
@@ -62,7 +116,11 @@
 // mayTakeCall reports whether the call is expected to end before the node stops. Another gate can
 // take it otherwise.
 func (r *Runner) mayTakeCall(c *gateCall) bool {
-	return r.callsBeforeStop.mayTake(r.options.Now(), stopping.Call{Route: c.start.Route, Deadline: c.deadline, Cautious: true})
+	return r.callsBeforeStop.mayTake(r.options.Now(), c.requestID, c.stoppingCall())
+}
+
+func (c *gateCall) stoppingCall() stopping.Call {
+	return stopping.Call{Route: c.start.Route, Deadline: c.deadline, Cautious: true}
 }
 
 // EndRequests responds to all callers' requests that are still in work, or are still being sent.
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -38,6 +38,9 @@
 	defer span.End()
 	startedAt := time.Now()
 	result := r.callTarget(ctx, c)
+	if result == gate.RunCancelled && r.baseCtx.Err() != nil {
+		r.callsBeforeStop.noteBrokenOff(r.options.Now(), c.requestID, c.stoppingCall(), c.arrivedAt)
+	}
 	r.metrics.target.UpdateDuration(startedAt)
 	r.targetLosses.observe(result)
 	if result != gate.NotSent && result != gate.RejectedByTarget {
