A stopping node took late requests that could outlast it

After the leave delay a request is taken only if its deadline (the route's timeout, or the caller's own) lies before the end of the drain. It is refused at once as not run otherwise, and can be sent to another node. Until then nothing changes: callers cannot know yet that the node stops, and a refusal would reach all of them. A call made by a request that runs at the local target is still judged by recent calls: its deadline is that of the run, and a refusal breaks off the run.

Why it works: nothing that is taken late can be in work at the end, however long it lasts, so there is nothing to break off.

Tests that asserted the fault, each replaced by one as strict: - TestMayTake, "late, longest call fits twice" wanted such a call taken. The old bound stays for calls of running requests (TestLateCallOfRunningCallIsCutOff). - TestPlannedStopRefusesCallsOfRunningRequests sent calls that no running request had made, with 5 s of time 3.2 s after the signal. They name their parent now, and one that names none has to be refused.

--- a/internal/coordination/stopping/machine.go
+++ b/internal/coordination/stopping/machine.go
@@ -1,5 +1,6 @@
-// Package stopping decides which calls a node that is about to stop still takes: those that are
-// expected to end before it does.
+// Package stopping decides which calls a node that is about to stop still takes. Until callers had the time
+// to leave, these are the calls that are expected to end before it does, and later only those whose deadline
+// lies before its end: how long other calls lasted is no promise to the caller of this one.
 //
 // Load pattern: nodes that restart one after the other under load, while some calls last for a
 // considerable part of the time that each node has for its stop.
@@ -19,9 +20,10 @@
 	// usualQuantile is the share of a route's calls, in percent, that has to end in time for a call
 	// that may be sent again.
 	usualQuantile = 90
-	// lateHeadroom is how many times the longest of the recent calls has to fit for a call that comes
-	// once callers had the time to leave. If durations are exponential, a call lasts longer than the
-	// longest of n others in 1 of n+1 cases, and longer than twice that in 2 of (n+1)(n+2).
+	// lateHeadroom is how many times the longest of the recent calls has to fit for a call that belongs
+	// to work taken before callers had the time to leave, and comes after. If durations are exponential,
+	// a call lasts longer than the longest of n others in 1 of n+1 cases, and longer than twice that in
+	// 2 of (n+1)(n+2).
 	lateHeadroom = 2
 	// maxRoutes bounds the routes whose calls are measured.
 	maxRoutes = 256
@@ -39,6 +41,10 @@
 	// nine in ten: for calls that may not be sent again, and those that another node can take. It
 	// makes no difference once callers had the time to leave.
 	Cautious bool
+	// Begun is set for a call that belongs to work which the node has taken already, such as one made
+	// by a running call: its refusal breaks off that work. The recent calls also decide about it once
+	// callers had the time to leave.
+	Begun bool
 }
 
 // Machine measures how long calls last, by route, and decides about calls once the node is about to
@@ -58,6 +64,8 @@
 	NotStopping Basis = "not-stopping"
 	// EndsByDeadline: the call's deadline lies before the node's end.
 	EndsByDeadline Basis = "ends-by-deadline"
+	// MayOutlastNode: callers had the time to leave, and the deadline lies behind the node's end.
+	MayOutlastNode Basis = "may-outlast-node"
 	// RecentCalls: how long recent calls of the route lasted.
 	RecentCalls Basis = "recent-calls"
 	// TooFewCalls: the deadline lies behind the node's end, and too few calls of the route are known.
@@ -106,10 +114,10 @@
 	}
 }
 
-// Judge decides whether the call is taken: it is if it is expected to end before the node stops. Where
-// too few calls of its route are known, its deadline decides. Until callers had the time to leave, a
-// refusal would reach all of them, and a call may be taken that is only likely to end. Later, one that is
-// cut off costs its caller more than a refusal at once, after which another node serves it.
+// Judge decides whether the call is taken. It is if its deadline lies before the node's end. Until callers
+// had the time to leave, a refusal would reach all of them, and another call is taken too if recent ones of
+// its route would have ended in time. Later, only one that belongs to work taken before is: one that is cut
+// off costs its caller more than a refusal at once, after which another node serves it.
 func (m *Machine) Judge(now time.Time, c Call) Verdict {
 	if m.end.IsZero() {
 		return Verdict{Take: true, Basis: NotStopping}
@@ -119,6 +127,9 @@
 		return Verdict{Take: true, Basis: EndsByDeadline, Left: left}
 	}
 	late := !now.Before(m.leave)
+	if late && !c.Begun {
+		return Verdict{Basis: MayOutlastNode, Left: left}
+	}
 	expected, known := m.expected(now, c.Route, c.Cautious || late)
 	if !known {
 		return Verdict{Basis: TooFewCalls, Left: left}
--- a/internal/coordination/stopping/machine_test.go
+++ b/internal/coordination/stopping/machine_test.go
@@ -22,36 +22,47 @@
 	return m
 }
 
-// TestMayTake covers what decides about a call.
-func TestMayTake(t *testing.T) {
+// TestJudge covers what decides about a call.
+func TestJudge(t *testing.T) {
 	const never = time.Minute
+	early := func(c Call) Call { return c }
+	cautious := func(c Call) Call { c.Cautious = true; return c }
+	begun := func(c Call) Call { c.Begun = true; return c }
 	for name, row := range map[string]struct {
 		stopIn   time.Duration // 0 if the node is not about to stop
 		route    string
 		deadline time.Duration
-		cautious bool
+		kind     func(Call) Call
 		later    time.Duration
 		left     bool // callers had the time to leave
 		want     bool
+		basis    Basis
 	}{
-		"not about to stop":                {0, "other", never, true, 0, false, true},
-		"deadline before the stop":         {2 * time.Second, "other", time.Second, true, 0, false, true},
-		"route without known calls":        {2 * time.Second, "other", 3 * time.Second, false, 0, false, false},
-		"usual call fits":                  {500 * time.Millisecond, "file", never, false, 0, false, true},
-		"usual call does not fit":          {90 * time.Millisecond, "file", never, false, 0, false, false},
-		"longest call fits":                {1200 * time.Millisecond, "file", never, true, 0, false, true},
-		"longest call does not fit":        {900 * time.Millisecond, "file", never, true, 0, false, false},
-		"calls still count":                {100 * time.Second, "file", 200 * time.Second, true, 2*window - time.Second, false, true},
-		"calls are too long ago":           {100 * time.Second, "file", 200 * time.Second, true, 2 * window, false, false},
-		"late, deadline before the stop":   {2 * time.Second, "other", time.Second, true, 0, true, true},
-		"late, usual call fits":            {900 * time.Millisecond, "file", never, false, 0, true, false},
-		"late, longest call fits":          {1200 * time.Millisecond, "file", never, false, 0, true, false},
-		"late, longest call fits twice":    {2500 * time.Millisecond, "file", never, false, 0, true, true},
-		"late, cautious, longest fits":     {1200 * time.Millisecond, "file", never, true, 0, true, false},
-		"late, route without known calls":  {2 * time.Second, "other", 3 * time.Second, false, 0, true, false},
-		"after the end, and it would last": {time.Second, "file", never, false, 2 * time.Second, false, false},
+		"not about to stop":                    {0, "other", never, cautious, 0, false, true, NotStopping},
+		"deadline before the stop":             {2 * time.Second, "other", time.Second, cautious, 0, false, true, EndsByDeadline},
+		"route without known calls":            {2 * time.Second, "other", 3 * time.Second, early, 0, false, false, TooFewCalls},
+		"usual call fits":                      {500 * time.Millisecond, "file", never, early, 0, false, true, RecentCalls},
+		"usual call does not fit":              {90 * time.Millisecond, "file", never, early, 0, false, false, RecentCalls},
+		"longest call fits":                    {1200 * time.Millisecond, "file", never, cautious, 0, false, true, RecentCalls},
+		"longest call does not fit":            {900 * time.Millisecond, "file", never, cautious, 0, false, false, RecentCalls},
+		"calls still count":                    {100 * time.Second, "file", 200 * time.Second, cautious, 2*window - time.Second, false, true, RecentCalls},
+		"calls are too long ago":               {100 * time.Second, "file", 200 * time.Second, cautious, 2 * window, false, false, TooFewCalls},
+		"late, deadline before the stop":       {2 * time.Second, "other", time.Second, cautious, 0, true, true, EndsByDeadline},
+		"late, deadline at the stop":           {2 * time.Second, "other", 2 * time.Second, cautious, 0, true, true, EndsByDeadline},
+		"late, deadline just behind the stop":  {2 * time.Second, "file", 2*time.Second + time.Millisecond, early, 0, true, false, MayOutlastNode},
+		"late, usual call fits":                {900 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
+		"late, longest call fits":              {1200 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
+		"late, longest call fits twice":        {2500 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
+		"late, cautious, longest fits":         {1200 * time.Millisecond, "file", never, cautious, 0, true, false, MayOutlastNode},
+		"late, cautious, longest fits twice":   {2500 * time.Millisecond, "file", never, cautious, 0, true, false, MayOutlastNode},
+		"late, route without known calls":      {2 * time.Second, "other", 3 * time.Second, early, 0, true, false, MayOutlastNode},
+		"late, begun, longest call fits":       {1200 * time.Millisecond, "file", never, begun, 0, true, false, RecentCalls},
+		"late, begun, longest call fits twice": {2500 * time.Millisecond, "file", never, begun, 0, true, true, RecentCalls},
+		"late, begun, no known calls":          {2 * time.Second, "other", 3 * time.Second, begun, 0, true, false, TooFewCalls},
+		"after the end, and it would last":     {time.Second, "file", never, early, 2 * time.Second, false, false, MayOutlastNode},
 	} {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			m := observed()
 			if row.stopIn > 0 {
 				leave := start.Add(row.stopIn)
@@ -60,8 +71,10 @@
 				}
 				m.Stop(leave, start.Add(row.stopIn))
 			}
-			call := Call{Route: row.route, Deadline: start.Add(row.deadline), Cautious: row.cautious}
-			is.New(t).Equal(m.Judge(start.Add(row.later), call).Take, row.want)
+			call := row.kind(Call{Route: row.route, Deadline: start.Add(row.deadline)})
+			verdict := m.Judge(start.Add(row.later), call)
+			is.Equal(verdict.Take, row.want)
+			is.Equal(verdict.Basis, row.basis)
 		})
 	}
 }
@@ -105,9 +118,39 @@
 }
 
 // TestLateCallIsCutOff draws calls whose durations are exponential and a stop after which callers had the
-// time to leave. The calls that are taken must end in time but for 1 in 50, and none may be taken whose
-// refusal was due before.
+// time to leave. None that is taken may outlast the node, whatever it was expected to last.
 func TestLateCallIsCutOff(t *testing.T) {
+	const mean, rounds, known = 500.0, 5_000, 10
+	random := rand.New(rand.NewPCG(1, 2))
+	draw := func() time.Duration { return time.Duration(random.ExpFloat64() * mean * float64(time.Millisecond)) }
+	taken, refused := 0, 0
+	for range rounds {
+		m := New()
+		for range known {
+			m.Observe(start, "file", draw())
+		}
+		end := start.Add(time.Duration(random.IntN(2800)) * time.Millisecond)
+		m.Stop(start, end)
+		call := Call{Route: "file", Deadline: start.Add(time.Duration(random.IntN(5600)) * time.Millisecond), Cautious: random.IntN(2) == 0}
+		runs := min(draw(), call.Deadline.Sub(start))
+		if !m.Judge(start, call).Take {
+			refused++
+			continue
+		}
+		taken++
+		if start.Add(runs).After(end) {
+			t.Fatalf("a call of %v is taken %v before the end", runs, end.Sub(start))
+		}
+	}
+	t.Logf("taken %d, refused %d", taken, refused)
+	if taken == 0 || refused == 0 {
+		t.Fatal("the drawn calls are all taken or all refused")
+	}
+}
+
+// TestLateCallOfRunningCallIsCutOff draws calls like TestLateCallIsCutOff, made by calls that run. Those
+// that are taken must end in time but for 1 in 50, and none may be taken whose refusal was due before.
+func TestLateCallOfRunningCallIsCutOff(t *testing.T) {
 	const mean, rounds, known, allowed = 500.0, 5_000, 10, 0.02
 	random := rand.New(rand.NewPCG(1, 2))
 	draw := func() time.Duration { return time.Duration(random.ExpFloat64() * mean * float64(time.Millisecond)) }
@@ -118,7 +161,7 @@
 			m.Observe(start, "file", draw())
 		}
 		end := start.Add(time.Duration(random.IntN(2800)) * time.Millisecond)
-		call := Call{Route: "file", Deadline: end.Add(time.Hour)}
+		call := Call{Route: "file", Deadline: end.Add(time.Hour), Begun: true}
 		m.Stop(end, end)
 		early := m.Judge(start, call).Take
 		m.Stop(start, end)
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -43,6 +43,8 @@
 	route      state.Route
 	identity
 	credentials credentials
+	// ofRunning is set if a request that runs at the target beside this node made it.
+	ofRunning bool
 	// judgedBy is the configuration by which the identity was last checked.
 	judgedBy *state.Snapshot
 	// priority is the tenant's, or the route's without one.
@@ -243,6 +245,7 @@
 	if refused := c.readContractHeaders(receivedAt, request, r.options.Contract); refused != nil {
 		return nil, refused
 	}
+	c.ofRunning = r.runningRequests.has(r.parentOf(request))
 	if !r.mayTakeRequest(c) {
 		return nil, shuttingDown()
 	}
--- a/internal/node/calls/stopping.go
+++ b/internal/node/calls/stopping.go
@@ -88,7 +88,7 @@
 }
 
 // StopBy says that callers have had the time to leave the node by leave, and that EndRequests is called at
-// the end. From now on, callers' requests and calls of other nodes that are not expected to end by then are
+// the end. From now on, callers' requests and calls of other nodes that package stopping does not take are
 // refused.
 func (r *Runner) StopBy(leave, end time.Time) {
 	now := r.options.Now()
@@ -96,13 +96,13 @@
 	r.callsBeforeStop.stop(now, leave, end)
 }
 
-// mayTakeRequest reports whether the caller's request is expected to end before the node stops.
+// mayTakeRequest reports whether the caller's request may be taken before the node stops.
 func (r *Runner) mayTakeRequest(c *callerRequest) bool {
 	return r.requestsBeforeStop.mayTake(r.options.Now(), c.requestID, c.stoppingCall())
 }
 
 func (c *callerRequest) stoppingCall() stopping.Call {
-	return stopping.Call{Route: c.route.Name, Deadline: c.deadline, Cautious: !c.route.Idempotent}
+	return stopping.Call{Route: c.route.Name, Deadline: c.deadline, Cautious: !c.route.Idempotent, Begun: c.ofRunning}
 }
 
 // observeRequest notes how long a request took that may have run.
@@ -113,8 +113,8 @@
 	}
 }
 
-// mayTakeCall reports whether the call is expected to end before the node stops. Another gate can
-// take it otherwise.
+// mayTakeCall reports whether the call may be taken before the node stops. Another gate can take it
+// otherwise.
 func (r *Runner) mayTakeCall(c *gateCall) bool {
 	return r.callsBeforeStop.mayTake(r.options.Now(), c.requestID, c.stoppingCall())
 }
--- a/internal/processtest/rawcaller_test.go
+++ b/internal/processtest/rawcaller_test.go
@@ -71,11 +71,16 @@
 	body   string
 	// chunked sends the body in chunks instead of with its length.
 	chunked bool
+	// parent is the ID of the running call that makes the request, empty if none does.
+	parent string
 }
 
 func (r rawRequest) text() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: callers.example\r\n%s: %s\r\n", r.method, r.uri, target.HeaderTestID, r.id)
+	if r.parent != "" {
+		fmt.Fprintf(&text, "%s: %s\r\n", target.HeaderCallID, r.parent)
+	}
 	switch {
 	case r.chunked:
 		text.WriteString("Transfer-Encoding: chunked\r\n\r\n")
@@ -112,7 +117,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rawCaller{conn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}, nil
+	return newRawCaller(conn), nil
+}
+
+func newRawCaller(conn net.Conn) *rawCaller {
+	return &rawCaller{conn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}
 }
 
 func (h *harness) dialCaller(node *fleet.Node) *rawCaller {
--- a/internal/processtest/stoplate_test.go
+++ b/internal/processtest/stoplate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -198,11 +199,13 @@
 
 // TestPlannedStopCutsOffRequestsSentLate sends requests that last when callers had the time to leave, on
 // routes whose recent requests mostly or all would have ended in time. Each must be refused at once and not
-// run: one that is taken is broken off at the end of the grace.
+// run: one that is taken is broken off at the end of the grace. So must one be whose head came in time and
+// whose body comes late.
 func TestPlannedStopCutsOffRequestsSentLate(t *testing.T) {
 	const (
 		grace = 4 * time.Second
 		long  = 2500 * time.Millisecond
+		short = 20 * time.Millisecond
 		// sentAfter is after the signal and the leave delay, with about 1.2 s left.
 		sentAfter    = 2200 * time.Millisecond
 		refusedAfter = 500 * time.Millisecond
@@ -215,13 +218,15 @@
 	}{
 		"read that may last":         {false, long},
 		"order that is just in time": {true, 900 * time.Millisecond},
+		"read after short ones":      {false, short},
+		"order after short ones":     {true, short},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h, node := startStopHarness(t, grace, time.Minute)
 			var warmUp sync.WaitGroup
 			for i := range recent {
-				caller, runs := h.dialCaller(node), 20*time.Millisecond
+				caller, runs := h.dialCaller(node), short
 				if i%(recent/2) == 0 {
 					runs = row.longest
 				}
@@ -261,8 +266,47 @@
 	}
 }
 
+// TestPlannedStopRefusesLateRequestsThatEnd sends requests when callers had the time to leave, whose time limit
+// lies before the end of the grace. Each must be served, also by a node that knows no recent ones.
+func TestPlannedStopRefusesLateRequestsThatEnd(t *testing.T) {
+	t.Parallel()
+	const (
+		grace     = 4 * time.Second
+		limit     = 800 * time.Millisecond
+		sentAfter = 2200 * time.Millisecond
+		runs      = 300 * time.Millisecond
+	)
+	h, node := startStopHarness(t, grace, limit)
+	stoppedAt := time.Now()
+	h.must(node.Process().SendTerminate())
+	// Running requests keep the node open for callers.
+	var results rawResults
+	var callers sync.WaitGroup
+	send := func(order bool) {
+		caller, request := h.dialCaller(node), h.stopRequest(order, runs)
+		callers.Go(func() {
+			response, err := caller.roundTrip(request)
+			results.add(request.id, response, err)
+			if err == nil && response.status != http.StatusOK {
+				t.Errorf("a request of %v got status %d", runs, response.status)
+			}
+		})
+	}
+	for time.Since(stoppedAt) < sentAfter {
+		send(false)
+		time.Sleep(runs / 3)
+	}
+	for i := range 8 {
+		send(i%2 == 0)
+	}
+	callers.Wait()
+	h.must(node.Process().Wait(h.ctx()))
+	h.checkTruth(results.all)
+}
+
 // TestPlannedStopRefusesCallsOfRunningRequests stops a node while requests run at its target. Until they have
-// ended, a call that they make through the node must be served, on a kept connection and on a new one.
+// ended, a call that they make through the node must be served, on a kept connection and on a new one. One that
+// names no running request may last as long, and must be refused.
 func TestPlannedStopRefusesCallsOfRunningRequests(t *testing.T) {
 	t.Parallel()
 	const (
@@ -284,7 +328,8 @@
 			}
 		})
 	}
-	kept := h.dialCaller(node)
+	kept, err := dialFromTarget(node)
+	h.must(err)
 	for range 20 { // so that the node knows how long such calls take
 		_, err := kept.roundTrip(h.stopRequest(true, 20*time.Millisecond))
 		h.must(err)
@@ -292,17 +337,23 @@
 	stoppedAt := time.Now()
 	h.must(node.Process().SendTerminate())
 	time.Sleep(time.Until(stoppedAt.Add(calledAfter)))
+	parent := h.runningCall(node)
+	stranger := h.stopRequest(true, 20*time.Millisecond)
+	response, err := h.dialCaller(node).roundTrip(stranger)
+	results.add(stranger.id, response, err)
+	if err != nil || response.status != http.StatusServiceUnavailable {
+		t.Errorf("a call that no running request made got status %d, error %v", response.status, err)
+	}
 	for _, fresh := range []bool{false, true} {
 		caller := kept
 		if fresh {
-			var err error
-			if caller, err = dialCaller(node); err != nil {
+			if caller, err = dialFromTarget(node); err != nil {
 				t.Errorf("a call over a new connection was refused: %v", err)
 				continue
 			}
 		}
 		request := h.stopRequest(true, 20*time.Millisecond)
-		request.id = h.nextID("nested")
+		request.id, request.parent = h.nextID("nested"), parent
 		response, err := caller.roundTrip(request)
 		results.add(request.id, response, err)
 		if err != nil || response.status != http.StatusOK {
@@ -316,3 +367,31 @@
 	}
 	h.checkTruth(results.all)
 }
+
+// dialFromTarget dials the node from the address of its target, as requests that run there do.
+func dialFromTarget(node *fleet.Node) (*rawCaller, error) {
+	host, _, err := net.SplitHostPort(node.TargetAddress)
+	if err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: stepTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	conn, err := dialer.Dial("tcp", node.CallersAddress)
+	if err != nil {
+		return nil, err
+	}
+	return newRawCaller(conn), nil
+}
+
+// runningCall returns the ID of a call that runs at the node's target.
+func (h *harness) runningCall(node *fleet.Node) string {
+	h.t.Helper()
+	ledger, err := node.Ledger(h.ctx())
+	h.must(err)
+	for _, record := range ledger.Calls {
+		if record.Finished+record.Cancelled < record.Count {
+			return record.ID
+		}
+	}
+	h.t.Fatal("no call runs at the target")
+	return ""
+}
