A stopping node passed on requests that it had taken before

What callers saw: an order whose head came before the SIGTERM of its node and whose body came 2.2 s after it (grace 4 s) was passed on then, and answered with 504 when the drain timed out at 3.4 s.

mayAttempt, which guards every attempt, judges a request again. A repeated attempt is judged by what was enough for the first one (nine in ten of the recent requests, or the longest for one that may not be sent again), now with the time that is left; after the leave delay the local gate refuses its queue, and those requests can still be served elsewhere. A request that may have run is not held back: a refusal would not be true.

Event 416 of the test named the path: taken_ms -3, so it was taken before the signal.

--- a/internal/coordination/stopping/machine.go
+++ b/internal/coordination/stopping/machine.go
@@ -20,10 +20,9 @@
 	// usualQuantile is the share of a route's calls, in percent, that has to end in time for a call
 	// that may be sent again.
 	usualQuantile = 90
-	// lateHeadroom is how many times the longest of the recent calls has to fit for a call that belongs
-	// to work taken before callers had the time to leave, and comes after. If durations are exponential,
-	// a call lasts longer than the longest of n others in 1 of n+1 cases, and longer than twice that in
-	// 2 of (n+1)(n+2).
+	// lateHeadroom is how many times the longest of the recent calls has to fit for a call of a running
+	// one that comes once callers had the time to leave. If durations are exponential, a call lasts longer
+	// than the longest of n others in 1 of n+1 cases, and longer than twice that in 2 of (n+1)(n+2).
 	lateHeadroom = 2
 	// maxRoutes bounds the routes whose calls are measured.
 	maxRoutes = 256
@@ -41,10 +40,12 @@
 	// nine in ten: for calls that may not be sent again, and those that another node can take. It
 	// makes no difference once callers had the time to leave.
 	Cautious bool
-	// Begun is set for a call that belongs to work which the node has taken already, such as one made
-	// by a running call: its refusal breaks off that work. The recent calls also decide about it once
-	// callers had the time to leave.
-	Begun bool
+	// OfRunning is set for a call that a running call makes: its refusal breaks off that one. The recent
+	// calls also decide about it once callers had the time to leave.
+	OfRunning bool
+	// Repeated is set for a further attempt of a call that was passed on before. It is judged by what was
+	// enough for the first attempt.
+	Repeated bool
 }
 
 // Machine measures how long calls last, by route, and decides about calls once the node is about to
@@ -116,7 +117,7 @@
 
 // Judge decides whether the call is taken. It is if its deadline lies before the node's end. Until callers
 // had the time to leave, a refusal would reach all of them, and another call is taken too if recent ones of
-// its route would have ended in time. Later, only one that belongs to work taken before is: one that is cut
+// its route would have ended in time. Later, only one that belongs to work begun before is: one that is cut
 // off costs its caller more than a refusal at once, after which another node serves it.
 func (m *Machine) Judge(now time.Time, c Call) Verdict {
 	if m.end.IsZero() {
@@ -126,8 +127,8 @@
 	if !c.Deadline.After(m.end) {
 		return Verdict{Take: true, Basis: EndsByDeadline, Left: left}
 	}
-	late := !now.Before(m.leave)
-	if late && !c.Begun {
+	late := !now.Before(m.leave) && !c.Repeated
+	if late && !c.OfRunning {
 		return Verdict{Basis: MayOutlastNode, Left: left}
 	}
 	expected, known := m.expected(now, c.Route, c.Cautious || late)
--- a/internal/coordination/stopping/machine_test.go
+++ b/internal/coordination/stopping/machine_test.go
@@ -27,7 +27,9 @@
 	const never = time.Minute
 	early := func(c Call) Call { return c }
 	cautious := func(c Call) Call { c.Cautious = true; return c }
-	begun := func(c Call) Call { c.Begun = true; return c }
+	ofRunning := func(c Call) Call { c.OfRunning = true; return c }
+	repeated := func(c Call) Call { c.Repeated = true; return c }
+	repeatedCautious := func(c Call) Call { return repeated(cautious(c)) }
 	for name, row := range map[string]struct {
 		stopIn   time.Duration // 0 if the node is not about to stop
 		route    string
@@ -38,28 +40,33 @@
 		want     bool
 		basis    Basis
 	}{
-		"not about to stop":                    {0, "other", never, cautious, 0, false, true, NotStopping},
-		"deadline before the stop":             {2 * time.Second, "other", time.Second, cautious, 0, false, true, EndsByDeadline},
-		"route without known calls":            {2 * time.Second, "other", 3 * time.Second, early, 0, false, false, TooFewCalls},
-		"usual call fits":                      {500 * time.Millisecond, "file", never, early, 0, false, true, RecentCalls},
-		"usual call does not fit":              {90 * time.Millisecond, "file", never, early, 0, false, false, RecentCalls},
-		"longest call fits":                    {1200 * time.Millisecond, "file", never, cautious, 0, false, true, RecentCalls},
-		"longest call does not fit":            {900 * time.Millisecond, "file", never, cautious, 0, false, false, RecentCalls},
-		"calls still count":                    {100 * time.Second, "file", 200 * time.Second, cautious, 2*window - time.Second, false, true, RecentCalls},
-		"calls are too long ago":               {100 * time.Second, "file", 200 * time.Second, cautious, 2 * window, false, false, TooFewCalls},
-		"late, deadline before the stop":       {2 * time.Second, "other", time.Second, cautious, 0, true, true, EndsByDeadline},
-		"late, deadline at the stop":           {2 * time.Second, "other", 2 * time.Second, cautious, 0, true, true, EndsByDeadline},
-		"late, deadline just behind the stop":  {2 * time.Second, "file", 2*time.Second + time.Millisecond, early, 0, true, false, MayOutlastNode},
-		"late, usual call fits":                {900 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
-		"late, longest call fits":              {1200 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
-		"late, longest call fits twice":        {2500 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
-		"late, cautious, longest fits":         {1200 * time.Millisecond, "file", never, cautious, 0, true, false, MayOutlastNode},
-		"late, cautious, longest fits twice":   {2500 * time.Millisecond, "file", never, cautious, 0, true, false, MayOutlastNode},
-		"late, route without known calls":      {2 * time.Second, "other", 3 * time.Second, early, 0, true, false, MayOutlastNode},
-		"late, begun, longest call fits":       {1200 * time.Millisecond, "file", never, begun, 0, true, false, RecentCalls},
-		"late, begun, longest call fits twice": {2500 * time.Millisecond, "file", never, begun, 0, true, true, RecentCalls},
-		"late, begun, no known calls":          {2 * time.Second, "other", 3 * time.Second, begun, 0, true, false, TooFewCalls},
-		"after the end, and it would last":     {time.Second, "file", never, early, 2 * time.Second, false, false, MayOutlastNode},
+		"not about to stop":                           {0, "other", never, cautious, 0, false, true, NotStopping},
+		"deadline before the stop":                    {2 * time.Second, "other", time.Second, cautious, 0, false, true, EndsByDeadline},
+		"route without known calls":                   {2 * time.Second, "other", 3 * time.Second, early, 0, false, false, TooFewCalls},
+		"usual call fits":                             {500 * time.Millisecond, "file", never, early, 0, false, true, RecentCalls},
+		"usual call does not fit":                     {90 * time.Millisecond, "file", never, early, 0, false, false, RecentCalls},
+		"longest call fits":                           {1200 * time.Millisecond, "file", never, cautious, 0, false, true, RecentCalls},
+		"longest call does not fit":                   {900 * time.Millisecond, "file", never, cautious, 0, false, false, RecentCalls},
+		"calls still count":                           {100 * time.Second, "file", 200 * time.Second, cautious, 2*window - time.Second, false, true, RecentCalls},
+		"calls are too long ago":                      {100 * time.Second, "file", 200 * time.Second, cautious, 2 * window, false, false, TooFewCalls},
+		"late, deadline before the stop":              {2 * time.Second, "other", time.Second, cautious, 0, true, true, EndsByDeadline},
+		"late, deadline at the stop":                  {2 * time.Second, "other", 2 * time.Second, cautious, 0, true, true, EndsByDeadline},
+		"late, deadline just behind the stop":         {2 * time.Second, "file", 2*time.Second + time.Millisecond, early, 0, true, false, MayOutlastNode},
+		"late, usual call fits":                       {900 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
+		"late, longest call fits":                     {1200 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
+		"late, longest call fits twice":               {2500 * time.Millisecond, "file", never, early, 0, true, false, MayOutlastNode},
+		"late, cautious, longest fits":                {1200 * time.Millisecond, "file", never, cautious, 0, true, false, MayOutlastNode},
+		"late, cautious, longest fits twice":          {2500 * time.Millisecond, "file", never, cautious, 0, true, false, MayOutlastNode},
+		"late, route without known calls":             {2 * time.Second, "other", 3 * time.Second, early, 0, true, false, MayOutlastNode},
+		"late, of a running call, longest fits":       {1200 * time.Millisecond, "file", never, ofRunning, 0, true, false, RecentCalls},
+		"late, of a running call, longest fits twice": {2500 * time.Millisecond, "file", never, ofRunning, 0, true, true, RecentCalls},
+		"late, of a running call, no known calls":     {2 * time.Second, "other", 3 * time.Second, ofRunning, 0, true, false, TooFewCalls},
+		"late, repeated, usual call fits":             {500 * time.Millisecond, "file", never, repeated, 0, true, true, RecentCalls},
+		"late, repeated, usual call does not fit":     {90 * time.Millisecond, "file", never, repeated, 0, true, false, RecentCalls},
+		"late, repeated, longest call fits":           {1200 * time.Millisecond, "file", never, repeatedCautious, 0, true, true, RecentCalls},
+		"late, repeated, longest call does not fit":   {900 * time.Millisecond, "file", never, repeatedCautious, 0, true, false, RecentCalls},
+		"late, repeated, no known calls":              {2 * time.Second, "other", 3 * time.Second, repeated, 0, true, false, TooFewCalls},
+		"after the end, and it would last":            {time.Second, "file", never, early, 2 * time.Second, false, false, MayOutlastNode},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -161,7 +168,7 @@
 			m.Observe(start, "file", draw())
 		}
 		end := start.Add(time.Duration(random.IntN(2800)) * time.Millisecond)
-		call := Call{Route: "file", Deadline: end.Add(time.Hour), Begun: true}
+		call := Call{Route: "file", Deadline: end.Add(time.Hour), OfRunning: true}
 		m.Stop(end, end)
 		early := m.Judge(start, call).Take
 		m.Stop(start, end)
--- a/internal/node/calls/callercheck.go
+++ b/internal/node/calls/callercheck.go
@@ -12,9 +12,9 @@
 // requests a second system call.
 const callerCheckValid = 20 * time.Millisecond
 
-// mayAttempt reports whether the caller may still wait for a response, and time is left. It asks
-// the kernel: a close may be queued behind a request that was read late. If the caller is known to
-// have left it ends the request as the close would once it is read.
+// mayAttempt reports whether the caller may still wait for a response, time is left and the node does not
+// stop too soon. It asks the kernel: a close may be queued behind a request that was read late. If the caller
+// is known to have left it ends the request as the close would once it is read.
 func (r *Runner) mayAttempt(c *callerRequest) bool {
 	c.mu.Lock()
 	checked := time.Since(c.callerCheckedAt) <= callerCheckValid
@@ -22,7 +22,7 @@
 	if !checked {
 		c.checkCaller()
 	}
-	return c.attemptsCtx.Err() == nil && c.ctx.Err() == nil && r.options.Now().Before(c.deadline)
+	return c.attemptsCtx.Err() == nil && c.ctx.Err() == nil && r.options.Now().Before(c.deadline) && r.mayPassOn(c)
 }
 
 // checkCaller ends the request if the kernel knows that its caller has reset the connection, or
@@ -60,10 +60,10 @@
 
 // noAttemptReason returns why mayAttempt reported false.
 func (r *Runner) noAttemptReason(c *callerRequest) call.Reason {
-	if c.attemptsCtx.Err() == nil {
+	if c.attemptsCtx.Err() == nil && !c.mayOutlastNode {
 		return call.ReasonDeadline
 	}
-	return r.giveUpReason()
+	return r.giveUpReason(c)
 }
 
 // closedFor returns for how long the caller's sending side can have been closed; 0 if it was open at
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -45,6 +45,9 @@
 	credentials credentials
 	// ofRunning is set if a request that runs at the target beside this node made it.
 	ofRunning bool
+	// passedOn is set once an attempt was allowed, and mayHaveRun once one may have reached a target.
+	// mayOutlastNode is set once an attempt was refused because the node stops too soon.
+	passedOn, mayHaveRun, mayOutlastNode bool
 	// judgedBy is the configuration by which the identity was last checked.
 	judgedBy *state.Snapshot
 	// priority is the tenant's, or the route's without one.
@@ -440,6 +443,7 @@
 		if c.ctx.Err() != nil {
 			break // the attempt ended with the caller: that says nothing about the gate
 		}
+		c.noteAttempt(event)
 		if c.recalled(event) && r.attemptsCtx.Err() == nil {
 			event = entry.GiveUp{Handle: c.handle, Reason: call.ReasonCancelled}
 		}
@@ -518,8 +522,8 @@
 }
 
 // giveUpReason returns why a request makes no further attempt.
-func (r *Runner) giveUpReason() call.Reason {
-	if r.attemptsCtx.Err() != nil {
+func (r *Runner) giveUpReason(c *callerRequest) call.Reason {
+	if r.attemptsCtx.Err() != nil || c.mayOutlastNode {
 		return call.ReasonLeaving
 	}
 	return call.ReasonCancelled
--- a/internal/node/calls/stopping.go
+++ b/internal/node/calls/stopping.go
@@ -63,14 +63,26 @@
 // mayTake reports whether the call with the caller's request ID may be taken.
 func (d *stopDecider) mayTake(now time.Time, request string, c stopping.Call) bool {
 	verdict, began := d.judge(now, c)
-	if verdict.Basis == stopping.NotStopping {
-		return true
+	if verdict.Basis != stopping.NotStopping {
+		d.logVerdict(now, request, c, verdict, began)
+	}
+	return verdict.Take
+}
+
+// mayPassOn is mayTake for a call that was taken. It logs refusals only.
+func (d *stopDecider) mayPassOn(now time.Time, request string, c stopping.Call) bool {
+	verdict, began := d.judge(now, c)
+	if !verdict.Take {
+		d.logVerdict(now, request, c, verdict, began)
 	}
+	return verdict.Take
+}
+
+func (d *stopDecider) logVerdict(now time.Time, request string, c stopping.Call, verdict stopping.Verdict, began time.Time) {
 	d.log.event(logging.StopVerdict).Str("request", request).Str("side", d.side).Str("route", c.Route).
 		Str("taken", strconv.FormatBool(verdict.Take)).Str("basis", string(verdict.Basis)).
 		Int("stop_ms", now.Sub(began).Milliseconds()).Int("left_ms", verdict.Left.Milliseconds()).
 		Int("deadline_ms", c.Deadline.Sub(now).Milliseconds()).Int("expected_ms", verdict.Expected.Milliseconds()).Send()
-	return verdict.Take
 }
 
 // noteBrokenOff logs a call that was in work when the node gave it up. It does nothing if the node is not
@@ -101,8 +113,34 @@
 	return r.requestsBeforeStop.mayTake(r.options.Now(), c.requestID, c.stoppingCall())
 }
 
+// mayPassOn reports whether a request that was taken may be sent to a target. Time may have passed since: its
+// body may have come late, and an attempt may be repeated. One that may have run is not held back: its caller
+// could not be told that it did not run.
+func (r *Runner) mayPassOn(c *callerRequest) bool {
+	if c.mayHaveRun || len(c.kept) > 0 {
+		return true
+	}
+	if !r.requestsBeforeStop.mayPassOn(r.options.Now(), c.requestID, c.stoppingCall()) {
+		c.mayOutlastNode = true
+		return false
+	}
+	c.passedOn = true
+	return true
+}
+
+// noteAttempt notes what an event says of the last attempt.
+func (c *callerRequest) noteAttempt(event entry.Event) {
+	switch e := event.(type) {
+	case entry.ConnectionLost:
+		c.mayHaveRun = true
+	case entry.Refused:
+		// Of a call that is not idempotent, this is the outcome of the only attempt that was in doubt.
+		c.mayHaveRun = e.Outcome != call.NotRun || c.mayHaveRun && c.route.Idempotent
+	}
+}
+
 func (c *callerRequest) stoppingCall() stopping.Call {
-	return stopping.Call{Route: c.route.Name, Deadline: c.deadline, Cautious: !c.route.Idempotent, Begun: c.ofRunning}
+	return stopping.Call{Route: c.route.Name, Deadline: c.deadline, Cautious: !c.route.Idempotent, OfRunning: c.ofRunning, Repeated: c.passedOn}
 }
 
 // observeRequest notes how long a request took that may have run.
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -136,8 +136,8 @@
 
 // checkAttempt returns why the request gets no further attempt, or nil.
 func (r *Runner) checkAttempt(c *callerRequest) *entry.GiveUp {
-	if c.attemptsCtx.Err() != nil {
-		return &entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason()}
+	if c.attemptsCtx.Err() != nil || c.mayOutlastNode {
+		return &entry.GiveUp{Handle: c.handle, Reason: r.giveUpReason(c)}
 	}
 	if reason := r.checkIdentity(c); reason != "" {
 		return &entry.GiveUp{Handle: c.handle, Reason: reason}
--- a/internal/processtest/rawcaller_test.go
+++ b/internal/processtest/rawcaller_test.go
@@ -96,6 +96,12 @@
 	return text.String()
 }
 
+// head returns the part of text before the body.
+func (r rawRequest) head() string {
+	head, _, _ := strings.Cut(r.text(), "\r\n\r\n")
+	return head + "\r\n\r\n"
+}
+
 // rawResponse is a complete response.
 type rawResponse struct {
 	status int
@@ -132,8 +138,10 @@
 	return caller
 }
 
-func (c *rawCaller) send(request rawRequest) error {
-	_, err := io.WriteString(c.conn, request.text())
+func (c *rawCaller) send(request rawRequest) error { return c.write(request.text()) }
+
+func (c *rawCaller) write(text string) error {
+	_, err := io.WriteString(c.conn, text)
 	return err
 }
 
--- a/internal/processtest/stoplate_test.go
+++ b/internal/processtest/stoplate_test.go
@@ -215,11 +215,14 @@
 		order bool
 		// longest is the time of one in ten recent requests.
 		longest time.Duration
+		// lateBody says that the head of the request is sent before the stop.
+		lateBody bool
 	}{
-		"read that may last":         {false, long},
-		"order that is just in time": {true, 900 * time.Millisecond},
-		"read after short ones":      {false, short},
-		"order after short ones":     {true, short},
+		"read that may last":         {false, long, false},
+		"order that is just in time": {true, 900 * time.Millisecond, false},
+		"read after short ones":      {false, short, false},
+		"order after short ones":     {true, short, false},
+		"order with a late body":     {true, short, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -242,14 +245,26 @@
 				results.add(request.id, response, err)
 			})
 			time.Sleep(200 * time.Millisecond) // it runs
+			late := make([]*rawCaller, 6)
+			requests := make([]rawRequest, len(late))
+			for i := range late {
+				late[i], requests[i] = h.dialCaller(node), h.stopRequest(row.order, long)
+				if row.lateBody {
+					h.must(late[i].write(requests[i].head()))
+				}
+			}
 			stoppedAt := time.Now()
 			h.must(node.Process().SendTerminate())
 			time.Sleep(time.Until(stoppedAt.Add(sentAfter)))
-			for range 6 {
-				caller, request := h.dialCaller(node), h.stopRequest(row.order, long)
+			for i, caller := range late {
+				request, rest := requests[i], requests[i].text()
+				if row.lateBody {
+					rest = strings.TrimPrefix(rest, request.head())
+				}
 				callers.Go(func() {
 					sentAt := time.Now()
-					response, err := caller.roundTrip(request)
+					h.must(caller.write(rest))
+					response, err := caller.receive(request.method)
 					results.add(request.id, response, err)
 					if err == nil && response.status != http.StatusServiceUnavailable {
 						t.Errorf("a request of %v got status %d after %v", long, response.status, time.Since(sentAt))
