A stopping gate broke off orders of nodes that do not stop

What callers saw: a node that does not stop sends an order to a gate which got SIGTERM 0.8 s before. The gate takes it, runs it for 2.6 s and breaks it off when its drain times out; the caller gets 504 with 57 s of its time left. 8 of 8 in the test, with another gate of the service idle beside it.

Cause: the gate takes a call before the leave delay if the longest recent one of the route would have ended in time. Reads that are broken off are sent to another gate, so they were served (8 of 8); an order cannot be.

A call that may not be sent again, of a node that does not stop, is now judged by its deadline from the signal on if another gate is ready: it costs nothing to send it there. Without another gate the guess stays, as a refusal would keep all callers from the service during the leave delay. A call with an idempotency key is not judged so: its key ties it to this gate, and its caller may send it again. Calls of the node's own entry end with it, wherever they run.

Event 416 at the gate: stop_ms 3402, taken_ms 803, deadline_ms 57398.

Tests before the change: --- FAIL: TestPlannedStopCutsOffCallsOfOtherNodes/order_true stoplate_test.go:357: a request of 3.5s got status 504 (8 of 8) --- FAIL: TestOrderOfOtherEntryOutlastsGate/order,_another_gate_is_ready After it all pass, with all tests of planned stops (TestPlannedStop*, 132 s). The case of keys fails if keyed calls are judged so.

--- a/internal/coordination/stopping/machine.go
+++ b/internal/coordination/stopping/machine.go
@@ -40,6 +40,9 @@
 	// nine in ten: for calls that may not be sent again, and those that another node can take. It
 	// makes no difference once callers had the time to leave.
 	Cautious bool
+	// Strict lets only the deadline decide from the begin of the stop on: for a call that may not be sent
+	// again, which another node can take and whose caller does not learn of the stop.
+	Strict bool
 	// OfRunning is set for a call that a running call makes: its refusal breaks off that one. The recent
 	// calls also decide about it once callers had the time to leave.
 	OfRunning bool
@@ -65,7 +68,8 @@
 	NotStopping Basis = "not-stopping"
 	// EndsByDeadline: the call's deadline lies before the node's end.
 	EndsByDeadline Basis = "ends-by-deadline"
-	// MayOutlastNode: callers had the time to leave, and the deadline lies behind the node's end.
+	// MayOutlastNode: callers had the time to leave, or the call is judged strictly, and the deadline lies
+	// behind the node's end.
 	MayOutlastNode Basis = "may-outlast-node"
 	// RecentCalls: how long recent calls of the route lasted.
 	RecentCalls Basis = "recent-calls"
@@ -118,7 +122,8 @@
 // Judge decides whether the call is taken. It is if its deadline lies before the node's end. Until callers
 // had the time to leave, a refusal would reach all of them, and another call is taken too if recent ones of
 // its route would have ended in time. Later, only one that belongs to work begun before is: one that is cut
-// off costs its caller more than a refusal at once, after which another node serves it.
+// off costs its caller more than a refusal at once, after which another node serves it. That is so at any time
+// for a call that is judged strictly.
 func (m *Machine) Judge(now time.Time, c Call) Verdict {
 	if m.end.IsZero() {
 		return Verdict{Take: true, Basis: NotStopping}
@@ -128,7 +133,7 @@
 		return Verdict{Take: true, Basis: EndsByDeadline, Left: left}
 	}
 	late := !now.Before(m.leave) && !c.Repeated
-	if late && !c.OfRunning {
+	if c.Strict || late && !c.OfRunning {
 		return Verdict{Basis: MayOutlastNode, Left: left}
 	}
 	expected, known := m.expected(now, c.Route, c.Cautious || late)
--- a/internal/coordination/stopping/machine_test.go
+++ b/internal/coordination/stopping/machine_test.go
@@ -27,6 +27,7 @@
 	const never = time.Minute
 	early := func(c Call) Call { return c }
 	cautious := func(c Call) Call { c.Cautious = true; return c }
+	strict := func(c Call) Call { c.Strict = true; return c }
 	ofRunning := func(c Call) Call { c.OfRunning = true; return c }
 	repeated := func(c Call) Call { c.Repeated = true; return c }
 	repeatedCautious := func(c Call) Call { return repeated(cautious(c)) }
@@ -49,6 +50,8 @@
 		"longest call does not fit":                   {900 * time.Millisecond, "file", never, cautious, 0, false, false, RecentCalls},
 		"calls still count":                           {100 * time.Second, "file", 200 * time.Second, cautious, 2*window - time.Second, false, true, RecentCalls},
 		"calls are too long ago":                      {100 * time.Second, "file", 200 * time.Second, cautious, 2 * window, false, false, TooFewCalls},
+		"strict, deadline before the stop":            {2 * time.Second, "other", time.Second, strict, 0, false, true, EndsByDeadline},
+		"strict, longest call fits":                   {100 * time.Second, "file", 200 * time.Second, strict, 0, false, false, MayOutlastNode},
 		"late, deadline before the stop":              {2 * time.Second, "other", time.Second, cautious, 0, true, true, EndsByDeadline},
 		"late, deadline at the stop":                  {2 * time.Second, "other", 2 * time.Second, cautious, 0, true, true, EndsByDeadline},
 		"late, deadline just behind the stop":         {2 * time.Second, "file", 2*time.Second + time.Millisecond, early, 0, true, false, MayOutlastNode},
--- a/internal/node/calls/stopping.go
+++ b/internal/node/calls/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"jasminegate/internal/coordination/call"
 	"jasminegate/internal/coordination/entry"
+	"jasminegate/internal/coordination/membership"
 	"jasminegate/internal/coordination/stopping"
 	"jasminegate/internal/logging"
 )
@@ -48,6 +50,12 @@
 	d.machine.Stop(leave, end)
 }
 
+func (d *stopDecider) stopping() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.began.IsZero()
+}
+
 func (d *stopDecider) observe(now time.Time, route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -151,10 +159,22 @@
 	}
 }
 
-// mayTakeCall reports whether the call may be taken before the node stops. Another gate can take it
-// otherwise.
+// mayTakeCall reports whether the call may be taken before the node stops.
 func (r *Runner) mayTakeCall(c *gateCall) bool {
-	return r.callsBeforeStop.mayTake(r.options.Now(), c.requestID, c.stoppingCall())
+	judged := c.stoppingCall()
+	judged.Strict = r.callsBeforeStop.stopping() && !c.mayBeSentAgain() && c.id.Entry != r.options.Self.ID && r.hasOtherGate(c.start.Service)
+	return r.callsBeforeStop.mayTake(r.options.Now(), c.requestID, judged)
+}
+
+// mayBeSentAgain reports whether a call whose outcome is unknown may be sent again: by its entry, or by its
+// caller with its key, which ties it to this gate.
+func (c *gateCall) mayBeSentAgain() bool { return c.start.Idempotent || c.start.Key != "" }
+
+// hasOtherGate reports whether another node is ready to run calls of the service.
+func (r *Runner) hasOtherGate(service string) bool {
+	return slices.ContainsFunc(r.options.View().Endpoints(service), func(m membership.Member) bool {
+		return m.ID != r.options.Self.ID
+	})
 }
 
 func (c *gateCall) stoppingCall() stopping.Call {
--- a/internal/node/calls/stopping_test.go
+++ b/internal/node/calls/stopping_test.go
@@ -1,6 +1,8 @@
 package calls
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -62,3 +64,52 @@
 		})
 	}
 }
+
+// TestOrderOfOtherEntryOutlastsGate guards against an order that a gate which is about to stop takes from a node
+// which is not, although another gate can take it, and breaks off. It must be served in any case.
+func TestOrderOfOtherEntryOutlastsGate(t *testing.T) {
+	const orders, stopping = 20, 1
+	for name, row := range map[string]struct {
+		nodes        int
+		method, path string
+		timeoutMs    string
+		key          bool
+		mayTake      bool
+	}{
+		"order, another gate is ready":          {3, "POST", "/file", "10000", false, false},
+		"order, no other gate":                  {2, "POST", "/file", "10000", false, true},
+		"order that ends before the gate":       {3, "POST", "/file", "1000", false, true},
+		"order with a key, which has one gate":  {3, "POST", "/file", "10000", true, true},
+		"read that can be sent again to a gate": {3, "GET", "/read", "10000", false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var f *fleet
+			var atStopping atomic.Int64
+			f = newFleet(t, fleetOptions{nodes: row.nodes, remoteOnly: true}, func(_ http.ResponseWriter, r *http.Request) {
+				local := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+				if local.String() == f.nodes[stopping].target.Listener.Addr().String() {
+					atStopping.Add(1)
+				}
+			})
+			f.knowRecent("file", 10*time.Millisecond)
+			f.knowRecent("read", 10*time.Millisecond)
+			now := time.Now()
+			f.nodes[stopping].runner.StopBy(now.Add(2*time.Second), now.Add(4*time.Second))
+			if row.key {
+				for _, gate := range f.nodes[1:] {
+					f.waitFor("keys are admitted", gate.runner.keyed.historySynced.Load)
+				}
+			}
+			for i := range orders {
+				header := []string{headers.Timeout, row.timeoutMs}
+				if row.key {
+					header = append(header, headers.IdempotencyKey, fmt.Sprint("key-", i))
+				}
+				got := f.call(0, row.method, row.path, "", header...)
+				f.is.NoErr(got.err)
+				f.is.Equal(got.status, 200)
+			}
+			f.is.Equal(atStopping.Load() > 0, row.mayTake)
+		})
+	}
+}
--- a/internal/processtest/stoplate_test.go
+++ b/internal/processtest/stoplate_test.go
@@ -319,6 +319,52 @@
 	h.checkTruth(results.all)
 }
 
+// TestPlannedStopCutsOffCallsOfOtherNodes stops a gate while callers of a node that does not stop send requests
+// which outlast it, on routes whose recent requests were short. Another gate can take them, so each must be served.
+func TestPlannedStopCutsOffCallsOfOtherNodes(t *testing.T) {
+	const (
+		grace     = 4 * time.Second
+		long      = 3500 * time.Millisecond
+		short     = 20 * time.Millisecond
+		sentAfter = 800 * time.Millisecond
+		recent    = 30
+	)
+	for _, order := range []bool{true, false} {
+		t.Run(fmt.Sprintf("order %v", order), func(t *testing.T) {
+			t.Parallel()
+			h, _ := startStopHarness(t, grace, time.Minute)
+			nodes := h.NodesInDomain(domains[0])
+			entry, stopping := nodes[0], nodes[1] // the nearest gate of orders
+			if !order {
+				entry, stopping = nodes[1], nodes[0]
+			}
+			kept := h.dialCaller(entry)
+			for range recent {
+				_, err := kept.roundTrip(h.stopRequest(order, short))
+				h.must(err)
+			}
+			stoppedAt := time.Now()
+			h.must(stopping.Process().SendTerminate())
+			time.Sleep(time.Until(stoppedAt.Add(sentAfter)))
+			var results rawResults
+			var callers sync.WaitGroup
+			for range 8 {
+				caller, request := h.dialCaller(entry), h.stopRequest(order, long)
+				callers.Go(func() {
+					response, err := caller.roundTrip(request)
+					results.add(request.id, response, err)
+					if err == nil && response.status != http.StatusOK {
+						t.Errorf("a request of %v got status %d", long, response.status)
+					}
+				})
+			}
+			callers.Wait()
+			h.must(stopping.Process().Wait(h.ctx()))
+			h.checkTruth(results.all)
+		})
+	}
+}
+
 // TestPlannedStopRefusesCallsOfRunningRequests stops a node while requests run at its target. Until they have
 // ended, a call that they make through the node must be served, on a kept connection and on a new one. One that
 // names no running request may last as long, and must be refused.
