A request with an unknown key ran on a route that needs none

Cause: identify looked for a tenant of the key, and where it found none, it asked only whether the route needs a key. "No key" and "unknown key" were the same to it. Four related paths had the same cause: - a known key before an unknown one: Contract.Key returned the first and the other was never judged, on all routes; - a nested call with an unknown key was admitted as its parent's before its key was looked at; - a further attempt on a route with NoAuth after its key was removed: it went on, under the tenant that had held the key; - with strict revocation and confirmed keys, the same on a route with NoAuth.

judgeKey now gives the key one of four states (none, known, unknown, unconfirmed), and identify refuses an unknown one before it looks at the route or the parent. Several different keys count as unknown: which of them counts is not defined. A request without a key still runs on such a route, and so does one whose key cannot be judged (revoke_strict without contact). The text of the 401 says that a route without authentication takes no key.

What it may cost: a node that does not know a key yet answers 401 on routes with NoAuth too, where it served before.

--- a/internal/node/calls/fleet_test.go
+++ b/internal/node/calls/fleet_test.go
@@ -238,7 +238,7 @@
 		f.is.NoErr(err)
 	}
 	for i := 0; i+1 < len(header); i += 2 {
-		request.Header.Set(header[i], header[i+1])
+		request.Header.Add(header[i], header[i+1])
 	}
 	client := http.Client{Timeout: testTimeout}
 	response, err := client.Do(request)
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -105,7 +105,7 @@
 // unauthorized refuses a request without a known API key.
 func unauthorized() *problem.Problem {
 	return notRun(string(call.ReasonUnauthorized), "The call has no known API key", http.StatusUnauthorized,
-		"Send a valid key as `Authorization: Token KEY`.", 0)
+		"Send one valid key as `Authorization: Token KEY`, or none where the route needs none.", 0)
 }
 
 // keysUnconfirmed refuses a request with a key that may have been removed.
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -21,9 +21,10 @@
 	// parent is the ID of the running request that made this one, empty if it is not
 	// nested.
 	parent string
-	// digest is that of the request's API key; valid if hasKey is set.
+	// digest is that of the request's only API key; valid if keys is 1.
 	digest state.KeyDigest
-	hasKey bool
+	// keys is the number of different API keys.
+	keys int
 }
 
 func (r *Runner) credentialsOf(request *http.Request) credentials {
@@ -31,8 +32,9 @@
 	if parent := r.parentOf(request); r.runningRequests.has(parent) {
 		offered.parent = parent
 	}
-	if key, ok := r.options.Contract.Key(request.Header); ok {
-		offered.digest, offered.hasKey = state.DigestKey(key), true
+	keys := r.options.Contract.Keys(request.Header)
+	if offered.keys = len(keys); offered.keys == 1 {
+		offered.digest = state.DigestKey(keys[0])
 	}
 	return offered
 }
@@ -45,27 +47,57 @@
 	charged bool
 }
 
+// keyState is what is known of the key that a request carries.
+type keyState int
+
+const (
+	noKey keyState = iota
+	knownKey
+	// unknownKey is also the state of several different keys: which of them counts is not defined.
+	unknownKey
+	// unconfirmedKey may have been removed unnoticed.
+	unconfirmedKey
+)
+
+// judgeKey returns the state of the request's key, and its tenant if it is known.
+func (r *Runner) judgeKey(snapshot *state.Snapshot, offered credentials) (keyState, state.Tenant) {
+	switch {
+	case offered.keys == 0:
+		return noKey, state.Tenant{}
+	case offered.keys > 1:
+		return unknownKey, state.Tenant{}
+	case !r.keysConfirmed(r.options.Now()):
+		return unconfirmedKey, state.Tenant{}
+	}
+	tenant, known := snapshot.TenantByKeyDigest(offered.digest)
+	if !known {
+		return unknownKey, state.Tenant{}
+	}
+	return knownKey, tenant
+}
+
 // identify returns on whose behalf a request with the credentials is made, or the
-// reason to refuse it. A nested call is its parent's, whatever key it carries, and is
-// admitted because its parent was. While keys may have been removed unnoticed, none
-// identifies a tenant.
+// reason to refuse it. A key that is not known is refused wherever it is sent, also
+// where none is needed. A nested call is its parent's, whatever known key it carries,
+// and is admitted because its parent was. While keys may have been removed unnoticed,
+// none identifies a tenant.
 func (r *Runner) identify(snapshot *state.Snapshot, route state.Route, offered credentials) (identity, call.Reason) {
 	if !snapshot.HasTenants() {
 		return identity{}, ""
 	}
-	if tenant, running := r.runningRequests.tenantOf(offered.parent); running {
-		return identity{tenant: tenant}, ""
+	key, tenant := r.judgeKey(snapshot, offered)
+	if key == unknownKey {
+		return identity{}, call.ReasonUnauthorized
 	}
-	confirmed := offered.hasKey && r.keysConfirmed(r.options.Now())
-	if confirmed {
-		if tenant, known := snapshot.TenantByKeyDigest(offered.digest); known {
-			return identity{tenant: tenant.Name, charged: true}, ""
-		}
+	if parent, running := r.runningRequests.tenantOf(offered.parent); running {
+		return identity{tenant: parent}, ""
 	}
-	if route.NoAuth {
+	switch {
+	case key == knownKey:
+		return identity{tenant: tenant.Name, charged: true}, ""
+	case route.NoAuth:
 		return identity{}, ""
-	}
-	if offered.hasKey && !confirmed {
+	case key == unconfirmedKey:
 		return identity{}, call.ReasonKeysUnconfirmed
 	}
 	return identity{}, call.ReasonUnauthorized
--- a/internal/node/calls/tenants_test.go
+++ b/internal/node/calls/tenants_test.go
@@ -56,10 +56,11 @@
 func TestKeysAtAdmission(t *testing.T) {
 	token := func(key string) string { return "Token " + key }
 	cases := map[string]struct {
-		path, authorization string
-		withoutTenants      bool
-		status              int
-		tenant, forwarded   string // as the target gets them
+		path              string
+		authorization     string // several values are separated by a comma
+		withoutTenants    bool
+		status            int
+		tenant, forwarded string // as the target gets them
 	}{
 		"known key":                {"/read", token(testKey), false, 200, "nord", ""},
 		"scheme in another case":   {"/read", "tOKEN  " + testKey, false, 200, "nord", ""},
@@ -70,7 +71,17 @@
 		"key in another case":      {"/read", token(strings.ToUpper(testKey)), false, 401, "", ""},
 		"open route":               {"/open", "", false, 200, "", ""},
 		"open route, known key":    {"/open", token(testKey), false, 200, "nord", ""},
-		"open route, unknown key":  {"/open", token("other"), false, 200, "", ""},
+		"open route, unknown key":  {"/open", token("other"), false, 401, "", ""},
+		"open route, scheme alone": {"/open", "Token", false, 200, "", ""},
+		"open route, longer key":   {"/open", token(testKey + "x"), false, 401, "", ""},
+		"open route, spaces":       {"/open", "tOKEN  other", false, 401, "", ""},
+		"open route, known first":  {"/open", token(testKey) + "," + token("other"), false, 401, "", ""},
+		"open route, known last":   {"/open", token("other") + "," + token(testKey), false, 401, "", ""},
+		"known key first":          {"/read", token(testKey) + "," + token("other"), false, 401, "", ""},
+		"known key last":           {"/read", token("other") + "," + token(testKey), false, 401, "", ""},
+		"two known keys":           {"/read", token(testKey) + "," + token("sud"), false, 401, "", ""},
+		"one known key twice":      {"/read", token(testKey) + "," + token(testKey), false, 200, "nord", ""},
+		"known key, other scheme":  {"/read", "Basic YTpi," + token(testKey), false, 200, "nord", "Basic YTpi"},
 		"open route, other scheme": {"/open", "Basic YTpi", false, 200, "", "Basic YTpi"},
 		"no route":                 {"/none", "", false, 404, "", ""},
 		"no tenants":               {"/read", token(testKey), true, 200, "", token(testKey)},
@@ -83,11 +94,13 @@
 				seen := make(chan http.Header, 1)
 				f := newFleet(t, fleetOptions{nodes: 2, remoteOnly: true, contract: contract}, func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header })
 				if !tc.withoutTenants {
-					f.publishTenants(nord())
+					f.publishTenants(nord(), state.Tenant{Name: "sud", Keys: []state.APIKey{"sud"}})
 				}
 				header := []string{contract.Tenant, "made-up"}
-				if tc.authorization != "" {
-					header = append(header, "Authorization", tc.authorization)
+				for value := range strings.SplitSeq(tc.authorization, ",") {
+					if value != "" {
+						header = append(header, "Authorization", value)
+					}
 				}
 				got := f.call(0, "GET", tc.path, "", header...)
 				is.Equal(got.status, tc.status)
@@ -122,7 +135,9 @@
 	admit := func(path, key string) *callerRequest {
 		request, err := http.NewRequest("GET", path, nil)
 		f.is.NoErr(err)
-		request.Header.Set("Authorization", "Token "+key)
+		if key != "" {
+			request.Header.Set("Authorization", "Token "+key)
+		}
 		request.Header.Set(headers.IdempotencyKey, "order-1")
 		c, refused := f.nodes[0].runner.newCallerRequest(f.nodes[0].runner.currentRoutes(), f.nodes[0].runner.options.Now(), request)
 		f.is.True(refused == nil)
@@ -136,13 +151,13 @@
 	urgent.Priority = 8
 	f.publishTenants(urgent, state.Tenant{Name: "sud", Keys: []state.APIKey{"sud"}})
 	f.is.True(admit("/read", testKey).priority > least)
-	f.is.Equal(admit("/open", "unknown").priority, 0)
+	f.is.Equal(admit("/open", "").priority, 0)
 	f.is.True(admit("/read", testKey).key != admit("/read", "sud").key)
-	f.is.Equal(admit("/open", "unknown").key, "order-1")
+	f.is.Equal(admit("/open", "").key, "order-1")
 }
 
 // TestNestedCallsNeedNoKey guards against nested calls that are refused, that lose their
-// parent's tenant, or that are admitted when no such parent runs.
+// parent's tenant, or that are admitted when no such parent runs or with a key that is not known.
 func TestNestedCallsNeedNoKey(t *testing.T) {
 	for name, tc := range map[string]struct {
 		contract headers.Contract
@@ -156,7 +171,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var f *fleet
-			var nested, stranger callResult
+			var nested, stranger, unknownKey callResult
 			var id, tenant string
 			f = newFleet(t, fleetOptions{nodes: 1, contract: tc.contract}, func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("X-Id", r.Header.Get("X-Id"))
@@ -167,32 +182,38 @@
 				id = tc.id(r)
 				nested = f.call(0, "GET", "/read/nested", "", tc.header, id)
 				stranger = f.call(0, "GET", "/read/nested", "", tc.header, id+".2.1")
+				unknownKey = f.call(0, "GET", "/read/nested", "", tc.header, id, "Authorization", "Token other")
 			})
 			f.publishTenants(nord())
 			is.Equal(f.call(0, "GET", "/read", "", append(tc.parent, "Authorization", "Token "+testKey)...).status, 200)
 			is.Equal(nested.status, 200)
 			is.Equal(tenant, "nord")
 			is.Equal(stranger.status, 401)
+			is.Equal(unknownKey.status, 401)
 			f.waitFor("the parent has ended", func() bool { return f.call(0, "GET", "/read/nested", "", tc.header, id).status == 401 })
 		})
 	}
 }
 
 // TestKeyRemovedBetweenAttempts guards against a further attempt of a request whose key
-// was removed after its first one.
+// was removed after its first one, also on a route that needs no key.
 func TestKeyRemovedBetweenAttempts(t *testing.T) {
-	is := is.New(t)
-	var f *fleet
-	var runs atomic.Int64
-	f = newFleet(t, fleetOptions{nodes: 2, contract: platformContract()}, func(w http.ResponseWriter, _ *http.Request) {
-		runs.Add(1)
-		f.publishTenants(state.Tenant{Name: "nord", Keys: []state.APIKey{"new"}})
-		w.Header().Set("X-Not-Run", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	})
-	f.publishTenants(nord())
-	is.Equal(f.call(0, "GET", "/read", "", "Authorization", "Token "+testKey).status, 401)
-	is.Equal(runs.Load(), int64(1))
+	for _, path := range []string{"/read", "/open"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			var f *fleet
+			var runs atomic.Int64
+			f = newFleet(t, fleetOptions{nodes: 2, contract: platformContract()}, func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				f.publishTenants(state.Tenant{Name: "nord", Keys: []state.APIKey{"new"}})
+				w.Header().Set("X-Not-Run", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			f.publishTenants(nord())
+			is.Equal(f.call(0, "GET", path, "", "Authorization", "Token "+testKey).status, 401)
+			is.Equal(runs.Load(), int64(1))
+		})
+	}
 }
 
 // TestTenantsAppearBetweenAttempts guards against a request that was admitted without
@@ -258,9 +279,12 @@
 	f.is.Equal(len(runs), 0)
 	f.is.Equal(status("/open", testKey), 200)
 	<-runs
+	f.is.Equal(status("/open", "added-meanwhile"), 200)
+	<-runs
 	currentAt.Store(time.Now().UnixNano())
 	f.is.Equal(status("/read", testKey), 200)
 	f.is.Equal(status("/read", "unknown"), 401)
+	f.is.Equal(status("/open", "unknown"), 401)
 	<-runs
 	f.is.Equal(status("/read/retried", testKey), 503)
 	f.is.Equal(len(runs), 1)
--- a/internal/protocol/headers/contract.go
+++ b/internal/protocol/headers/contract.go
@@ -62,14 +62,15 @@
 	return []string{c.Timeout, c.Attempts, c.CallID, c.CallerService, c.TargetInstance, c.Tenant}
 }
 
-// Key returns the API key in the headers of a caller's request, and whether there is one.
-func (c Contract) Key(header http.Header) (string, bool) {
+// Keys returns the different API keys in the headers of a caller's request.
+func (c Contract) Keys(header http.Header) []string {
+	var keys []string
 	for _, value := range header.Values(c.Credentials) {
-		if key, ok := keyIn(value); ok && key != "" {
-			return key, true
+		if key, ok := keyIn(value); ok && key != "" && !slices.Contains(keys, key) {
+			keys = append(keys, key)
 		}
 	}
-	return "", false
+	return keys
 }
 
 // RemoveKeys removes the API keys from the headers. Credentials of other schemes stay.
