A node that was behind answered 401 for keys of a newer configuration

What callers see: with the commit before, a request with a newly added key gets 401 on routes without authentication too, at a node that does not have the newest configuration yet; callers do not send a request again after 401. On routes that need a key it was so before.

Cause: a key that is not in the node's configuration was taken for one that no configuration has, also when the node had heard of a newer version in a probe and was fetching it.

While another node is known to have a newer version, an unknown key is answered with 503 (reason key-not-known-yet, Retry-After 200 ms), on every route: the request has not run, and can be sent again. Several different keys still get 401, as no configuration makes them one. A node that has not heard of the newer version, such as one cut off, cannot know; it answers 401 as before.

Tests: TestNodeThatIsBehindJudgesNoUnknownKey and spread.TestNodeThatIsBehindDoesNotKnowIt do not compile on the commit before, which has no such state. Without the new branch of judgeKey the first one fails (401 != 503).

--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -142,6 +142,9 @@
 	// ReasonKeysUnconfirmed means that the node cannot exclude that the request's API key was
 	// removed, because it has no contact.
 	ReasonKeysUnconfirmed Reason = "keys-unconfirmed"
+	// ReasonKeyNotKnownYet means that the node does not know the request's API key and lacks the newest
+	// configuration, which may have it.
+	ReasonKeyNotKnownYet Reason = "key-not-known-yet"
 	// ReasonQuarantined means that targets crashed under the same request, which is refused
 	// until its quarantine ends.
 	ReasonQuarantined Reason = "quarantined"
--- a/internal/coordination/spread/large_configuration_test.go
+++ b/internal/coordination/spread/large_configuration_test.go
@@ -157,6 +157,32 @@
 	}
 }
 
+// A node that knows of a newer version says so until it has it: it must not take a key of that version for
+// one that does not exist.
+func TestNodeThatIsBehindDoesNotKnowIt(t *testing.T) {
+	f := newSlowLinkFleet(t, 30, 0)
+	behind, peer := f.nodes[0].machine, f.nodes[1]
+	own := behind.Fold().Version()
+	newer := state.Version{Position: own.Position + 1}
+	for _, step := range []struct {
+		version state.Version
+		want    bool
+	}{{own, false}, {newer, true}, {newer, true}, {own, false}} {
+		behind.Step(f.now, PeerVersion{Peer: peer.member, Version: step.version})
+		if behind.IsBehind() != step.want {
+			t.Fatalf("a node at %v that heard of %v: behind %v, want %v", own, step.version, !step.want, step.want)
+		}
+	}
+	f.publish(serviceTicket(f.reference.HighestNumber()+1, "added", 1))
+	f.run(20 * time.Second)
+	f.requireConverged()
+	for _, n := range f.nodes {
+		if n.machine.IsBehind() {
+			t.Errorf("%s has the newest version and takes itself for behind", n.member.ID)
+		}
+	}
+}
+
 // A pull that timed out, for example because the state is large for the link, is
 // repeated with a longer timeout.
 func TestPullOfLargeStateTimesOutForever(t *testing.T) {
--- a/internal/coordination/spread/pulling.go
+++ b/internal/coordination/spread/pulling.go
@@ -153,6 +153,9 @@
 	return !m.shouldReadLog(now) || m.reading.recordsMissing || m.reading.platformUnreachable || m.awaitsAcceptedTicket(now)
 }
 
+// IsBehind reports whether a peer is known to have a newer version than this node.
+func (m *Machine) IsBehind() bool { return len(m.pulling.newerPeers) > 0 }
+
 func (m *Machine) pruneNewerPeers() {
 	for id, peer := range m.pulling.newerPeers {
 		if !peer.version.Newer(m.fold.Version()) {
--- a/internal/node/calls/problems.go
+++ b/internal/node/calls/problems.go
@@ -26,6 +26,10 @@
 // down: another node accepts it at once.
 const shutdownRetryAfter = 100 * time.Millisecond
 
+// updateRetryAfter is the Retry-After of a call refused by a node that is about to get a newer
+// configuration.
+const updateRetryAfter = 200 * time.Millisecond
+
 func notRun(kind, title string, status int, remedy string, retryAfter time.Duration) *problem.Problem {
 	return &problem.Problem{
 		Type: problemBase + kind, Title: title, Status: status, Remedy: remedy,
@@ -108,6 +112,12 @@
 		"Send one valid key as `Authorization: Token KEY`, or none where the route needs none.", 0)
 }
 
+// keyNotKnownYet refuses a request with a key that a newer configuration may have.
+func keyNotKnownYet() *problem.Problem {
+	return notRun(string(call.ReasonKeyNotKnownYet), "This node does not know the API key and is about to get a newer configuration", http.StatusServiceUnavailable,
+		"Send the call to another node, or again after the given time.", updateRetryAfter)
+}
+
 // keysUnconfirmed refuses a request with a key that may have been removed.
 func keysUnconfirmed() *problem.Problem {
 	return notRun(string(call.ReasonKeysUnconfirmed), "This node is out of contact and cannot know whether API keys were removed", http.StatusServiceUnavailable,
--- a/internal/node/calls/runner.go
+++ b/internal/node/calls/runner.go
@@ -43,6 +43,9 @@
 	// CurrentAt returns when the node's configuration was last known to be the newest; used
 	// only with Tenants.RevokeStrict.
 	CurrentAt func() time.Time
+	// IsBehind reports whether another node has a newer configuration than this one; nil means that
+	// none is known to.
+	IsBehind func() bool
 	// Contract names the headers exchanged with callers and targets; the zero
 	// value means headers.DefaultContract.
 	Contract headers.Contract
@@ -158,6 +161,9 @@
 	if options.RefusesTarget == nil {
 		options.RefusesTarget = func(time.Time, Target) bool { return false }
 	}
+	if options.IsBehind == nil {
+		options.IsBehind = func() bool { return false }
+	}
 	r := &Runner{options: options, failedLog: newFailedRequestLog(options.Logger), cutOffLog: newFailedRequestLog(options.Logger), metrics: newRequestMetrics(), aheadSlots: semaphore.NewWeighted(maxAheadRequests)}
 	r.repeats = newRepeatBudget(options, r.metrics)
 	r.link = newLinkPacer(options.BandwidthMbps)
--- a/internal/node/calls/tenants.go
+++ b/internal/node/calls/tenants.go
@@ -57,6 +57,8 @@
 	unknownKey
 	// unconfirmedKey may have been removed unnoticed.
 	unconfirmedKey
+	// notKnownYetKey is not known, and may be in a newer configuration that the node does not have yet.
+	notKnownYetKey
 )
 
 // judgeKey returns the state of the request's key, and its tenant if it is known.
@@ -70,10 +72,13 @@
 		return unconfirmedKey, state.Tenant{}
 	}
 	tenant, known := snapshot.TenantByKeyDigest(offered.digest)
-	if !known {
-		return unknownKey, state.Tenant{}
+	switch {
+	case known:
+		return knownKey, tenant
+	case r.options.IsBehind():
+		return notKnownYetKey, state.Tenant{}
 	}
-	return knownKey, tenant
+	return unknownKey, state.Tenant{}
 }
 
 // identify returns on whose behalf a request with the credentials is made, or the
@@ -86,8 +91,11 @@
 		return identity{}, ""
 	}
 	key, tenant := r.judgeKey(snapshot, offered)
-	if key == unknownKey {
+	switch key {
+	case unknownKey:
 		return identity{}, call.ReasonUnauthorized
+	case notKnownYetKey:
+		return identity{}, call.ReasonKeyNotKnownYet
 	}
 	if parent, running := r.runningRequests.tenantOf(offered.parent); running {
 		return identity{tenant: parent}, ""
@@ -187,6 +195,8 @@
 		return unauthorized()
 	case call.ReasonKeysUnconfirmed:
 		return keysUnconfirmed()
+	case call.ReasonKeyNotKnownYet:
+		return keyNotKnownYet()
 	}
 	return nil
 }
--- a/internal/node/calls/tenants_test.go
+++ b/internal/node/calls/tenants_test.go
@@ -156,6 +156,51 @@
 	f.is.Equal(admit("/open", "").key, "order-1")
 }
 
+// TestNodeThatIsBehindJudgesNoUnknownKey guards against a 401, which is final, for a key that a newer
+// configuration may have, also between attempts.
+func TestNodeThatIsBehindJudgesNoUnknownKey(t *testing.T) {
+	is := is.New(t)
+	var f *fleet
+	var runs, behind atomic.Int64
+	f = newFleet(t, fleetOptions{nodes: 2, contract: platformContract()}, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path == "/read/retried" {
+			f.publishTenants(state.Tenant{Name: "nord", Keys: []state.APIKey{"new"}})
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	f.nodes[0].runner.options.IsBehind = func() bool { return behind.Load() > 0 }
+	f.publishTenants(nord())
+	request := func(path string, keys ...string) callResult {
+		var header []string
+		for _, key := range keys {
+			header = append(header, "Authorization", "Token "+key)
+		}
+		return f.call(0, "GET", path, "", header...)
+	}
+	for _, path := range []string{"/read", "/open"} {
+		behind.Store(1)
+		got := request(path, "new")
+		is.Equal(got.status, 503)
+		is.True(got.header.Get("Retry-After") != "")
+		is.Equal(request(path, "new", "other").status, 401) // no configuration makes them one key
+		is.Equal(runs.Load(), int64(0))
+		behind.Store(0)
+		is.Equal(request(path, "new").status, 401)
+		is.Equal(runs.Load(), int64(0))
+		behind.Store(1)
+		is.Equal(request(path, testKey).status, 200)
+		is.Equal(runs.Swap(0), int64(1))
+	}
+	is.Equal(request("/read").status, 401)
+	is.Equal(request("/open").status, 200)
+	is.Equal(runs.Swap(0), int64(1))
+	is.Equal(request("/read/retried", testKey).status, 503)
+	is.Equal(runs.Load(), int64(1))
+	is.Equal(request("/open", "new").status, 200)
+}
+
 // TestNestedCallsNeedNoKey guards against nested calls that are refused, that lose their
 // parent's tenant, or that are admitted when no such parent runs or with a key that is not known.
 func TestNestedCallsNeedNoKey(t *testing.T) {
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -217,6 +217,7 @@
 		Overload:          n.settings.Overload,
 		Tenants:           n.settings.Tenants,
 		CurrentAt:         n.members.CurrentAt,
+		IsBehind:          n.configuration.IsBehind,
 		Contract:          adapter.Contract,
 		Service:           n.settings.Node.Service,
 		Pool:              n.callsPool,
--- a/internal/node/configuration/runner.go
+++ b/internal/node/configuration/runner.go
@@ -107,6 +107,7 @@
 
 	installed      atomic.Pointer[state.Snapshot]
 	logUnreachable atomic.Bool
+	behind         atomic.Bool
 	foldState      atomic.Pointer[foldState]
 	published      publications
 }
@@ -177,6 +178,9 @@
 // response in time.
 func (r *Runner) LogUnreachable() bool { return r.logUnreachable.Load() }
 
+// IsBehind reports whether another node is known to have a newer configuration than this one.
+func (r *Runner) IsBehind() bool { return r.behind.Load() }
+
 // Verdicts returns the retained verdicts in log order.
 func (r *Runner) Verdicts() []acceptance.Verdict {
 	if fold := r.foldState.Load(); fold != nil {
@@ -255,6 +259,7 @@
 		}
 	}
 	r.logUnreachable.Store(r.machine.LogUnreachable())
+	r.behind.Store(r.machine.IsBehind())
 }
 
 // publishFold stores the fold's state for other goroutines if the fold has
