Test requests of many durations and limits through a planned stop

None that is sent after the leave delay, and no order of the other node, may be broken off before its limit.

Here those to the stopping node are short until the leave delay has passed.

--- a/internal/processtest/rawcaller_test.go
+++ b/internal/processtest/rawcaller_test.go
@@ -73,11 +73,16 @@
 	chunked bool
 	// parent is the ID of the running call that makes the request, empty if none does.
 	parent string
+	// timeout is how long the caller says that it waits; 0 leaves it out.
+	timeout time.Duration
 }
 
 func (r rawRequest) text() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: callers.example\r\n%s: %s\r\n", r.method, r.uri, target.HeaderTestID, r.id)
+	if r.timeout > 0 {
+		fmt.Fprintf(&text, "%s: %d\r\n", target.HeaderTimeout, r.timeout.Milliseconds())
+	}
 	if r.parent != "" {
 		fmt.Fprintf(&text, "%s: %s\r\n", target.HeaderCallID, r.parent)
 	}
--- a/internal/processtest/stoplate_test.go
+++ b/internal/processtest/stoplate_test.go
@@ -15,10 +15,13 @@
 )
 
 // startStopHarness starts a fleet with the grace and routes of the time limit, and returns the node to
-// stop: its target serves the reads, and those of other nodes the orders.
-func startStopHarness(t *testing.T, grace, limit time.Duration) (*harness, *fleet.Node) {
+// stop: its target serves the reads, and those of other nodes the orders. The changes apply to the plan.
+func startStopHarness(t *testing.T, grace, limit time.Duration, changes ...func(*fleet.Plan)) (*harness, *fleet.Node) {
 	t.Helper()
 	plan := fleetPlan(2)
+	for _, change := range changes {
+		change(&plan)
+	}
 	for i := range plan.Nodes {
 		plan.Nodes[i].Slots, plan.Nodes[i].Connections = rawSlots, rawSlots
 	}
