Send further signals in the mixed requests through a planned stop

The mix sends SIGHUP and SIGTERM again while the node stops, about one in 40 requests: by reading they change nothing, and now a run shows it.

--- a/internal/processtest/stopmix_test.go
+++ b/internal/processtest/stopmix_test.go
@@ -46,7 +46,7 @@
 
 // TestMixedRequestsThroughPlannedStop sends reads and orders of many durations and time limits to a node that
 // stops, and orders to one beside it whose nearest gate stops. None that is sent after the leave delay, and no
-// order of the other node, may be broken off before its time limit.
+// order of the other node, may be broken off before its time limit. Further signals change nothing.
 func TestMixedRequestsThroughPlannedStop(t *testing.T) {
 	t.Parallel()
 	const (
@@ -55,6 +55,8 @@
 		routeLimit = 5 * time.Second
 		interval   = 30 * time.Millisecond
 		recent     = 30
+		// signalEvery is how many requests there are for each further SIGHUP and SIGTERM.
+		signalEvery = 40
 		// tolerance is how much earlier than its limit a request may end: the limit counts from its
 		// arrival, and a node may give up some milliseconds before.
 		tolerance = 150 * time.Millisecond
@@ -102,6 +104,10 @@
 	h.must(stopping.Process().SendTerminate())
 	for i, m := range requests {
 		time.Sleep(time.Until(stoppedAt.Add(m.at)))
+		if random.IntN(signalEvery) == 0 { // the process may have exited
+			_ = stopping.Process().SendHangUp()
+			_ = stopping.Process().SendTerminate()
+		}
 		group.Go(func() {
 			caller := callers[i]
 			if caller == nil {
