State the reason for which a stopping node gave a request up

Event 416 was written for every request that ended with an unknown outcome during a stop, also for one whose connection was lost, and its text named the stop as the cause. It has the reason now. No decision changes.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -76,7 +76,7 @@
 	CallerUnconfirmed    = Event{413, log.InfoLevel, "call was written to the target long after its caller was last known to wait"}
 	RepeatsAtTarget      = Event{414, log.InfoLevel, "calls reach the local target more than once"}
 	StopVerdict          = Event{415, log.InfoLevel, "request or call came while the node is about to stop: it is taken or refused"}
-	StopBrokeOff         = Event{416, log.WarnLevel, "request or call was in work when the node stopped: its outcome is unknown"}
+	StopBrokeOff         = Event{416, log.WarnLevel, "request or call was given up while the node is about to stop: its outcome is unknown"}
 	MalformedMessage     = Event{402, log.WarnLevel, "malformed message: the connection is closed, or the record of a stream skipped"}
 )
 
--- a/internal/node/calls/callers.go
+++ b/internal/node/calls/callers.go
@@ -579,7 +579,7 @@
 	if action.Outcome == call.Unknown {
 		r.failedLog.event(logging.CallOutcomeUnknown, r.requestID(request)).
 			Str("route", c.route.Name).Str("reason", string(action.Reason)).Send()
-		r.requestsBeforeStop.noteBrokenOff(r.options.Now(), c.requestID, c.stoppingCall(), c.receivedAt)
+		r.requestsBeforeStop.noteBrokenOff(r.options.Now(), c.requestID, c.stoppingCall(), c.receivedAt, action.Reason)
 	}
 	if err := c.getBodyError(); errorx.IsOfType(err, errBodyTooLarge) {
 		// The outcome is not that of badBody, which is for a call that was not
--- a/internal/node/calls/stopping.go
+++ b/internal/node/calls/stopping.go
@@ -93,16 +93,16 @@
 		Int("deadline_ms", c.Deadline.Sub(now).Milliseconds()).Int("expected_ms", verdict.Expected.Milliseconds()).Send()
 }
 
-// noteBrokenOff logs a call that was in work when the node gave it up. It does nothing if the node is not
-// about to stop.
-func (d *stopDecider) noteBrokenOff(now time.Time, request string, c stopping.Call, takenAt time.Time) {
+// noteBrokenOff logs a call that was given up for the reason and may have run. It does nothing if the node is
+// not about to stop.
+func (d *stopDecider) noteBrokenOff(now time.Time, request string, c stopping.Call, takenAt time.Time, reason call.Reason) {
 	d.mu.Lock()
 	began := d.began
 	d.mu.Unlock()
 	if began.IsZero() {
 		return
 	}
-	d.log.event(logging.StopBrokeOff).Str("request", request).Str("side", d.side).Str("route", c.Route).
+	d.log.event(logging.StopBrokeOff).Str("request", request).Str("side", d.side).Str("route", c.Route).Str("reason", string(reason)).
 		Int("stop_ms", now.Sub(began).Milliseconds()).Int("taken_ms", takenAt.Sub(began).Milliseconds()).
 		Int("deadline_ms", c.Deadline.Sub(now).Milliseconds()).Send()
 }
--- a/internal/node/calls/targetcall.go
+++ b/internal/node/calls/targetcall.go
@@ -39,7 +39,7 @@
 	startedAt := time.Now()
 	result := r.callTarget(ctx, c)
 	if result == gate.RunCancelled && r.baseCtx.Err() != nil {
-		r.callsBeforeStop.noteBrokenOff(r.options.Now(), c.requestID, c.stoppingCall(), c.arrivedAt)
+		r.callsBeforeStop.noteBrokenOff(r.options.Now(), c.requestID, c.stoppingCall(), c.arrivedAt, call.ReasonCancelled)
 	}
 	r.metrics.target.UpdateDuration(startedAt)
 	r.targetLosses.observe(result)
