An entry left a stopping gate to which only long orders may not go

Cause: the gate refused with the reason "leaving", after which an entry takes a gate for gone. It is refused with "outlasts-gate" now: the call goes to another gate at once, without a token of the retry budget, and the gate stays in use.

--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -96,8 +96,11 @@
 	// time.
 	ReasonRateLimited Reason = "rate-limited"
 	// ReasonLeaving means that the entry, the gate or the target is draining.
-	ReasonLeaving  Reason = "leaving"
-	ReasonNoTarget Reason = "no-target"
+	ReasonLeaving Reason = "leaving"
+	// ReasonOutlastsGate means that the call may last longer than its gate, which is about to stop and
+	// still takes calls that end before.
+	ReasonOutlastsGate Reason = "outlasts-gate"
+	ReasonNoTarget     Reason = "no-target"
 	// ReasonFenced means that the gate's node has lost contact with the fleet and
 	// takes no calls.
 	ReasonFenced Reason = "fenced"
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -151,6 +151,8 @@
 			ep.unavailableUntil = now.Add(rolloutUnavailableTime)
 		}
 		return true
+	case call.ReasonOutlastsGate:
+		return true
 	case call.ReasonTargetUnreachable:
 		m.countFailure(now, c.Service, ep)
 		return true
--- a/internal/coordination/entry/machine_test.go
+++ b/internal/coordination/entry/machine_test.go
@@ -238,6 +238,19 @@
 	is.Equal(d.distribute(500, idle)[draining], 0)
 }
 
+// TestEndpointThatRefusesLongCallGetsNoOthers: a gate that is about to stop refuses a call that may outlast it. The
+// call goes to another one at once, without a token of the retry budget, and other calls still go to the first.
+func TestEndpointThatRefusesLongCallGetsNoOthers(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(endpoints("near", 0, 3))
+	stopping := d.begin(false).(Send).Endpoint.ID
+	again, sent := d.machine.Step(d.now, Refused{Handle: d.handle, Outcome: call.NotRun, Reason: call.ReasonOutlastsGate})[0].(Send)
+	is.True(sent)
+	is.True(again.Endpoint.ID != stopping)
+	is.Equal(d.machine.chargedRetries, uint64(0))
+	is.True(d.distribute(500, idle)[stopping] > 0)
+}
+
 // TestRetriesStayWithinBudget refuses every attempt of every request, as in an
 // outage, and checks that the number of attempts stays within the retry budget.
 func TestRetriesStayWithinBudget(t *testing.T) {
--- a/internal/node/calls/gatecall.go
+++ b/internal/node/calls/gatecall.go
@@ -295,12 +295,16 @@
 
 // refuseReasonOf returns why this node must not run the call, or an empty reason.
 func (r *Runner) refuseReasonOf(c *gateCall) call.Reason {
-	reason := r.refuseReason(c.start)
-	switch {
-	case reason != "":
+	if reason := r.refuseReason(c.start); reason != "" {
 		return reason
-	case c.unclaimed, !r.mayTakeCall(c):
+	}
+	if c.unclaimed {
 		return call.ReasonLeaving
+	}
+	if reason := r.stopReason(c); reason != "" {
+		return reason
+	}
+	switch {
 	case c.start.Key == "" && !r.repeats.allows(r.options.Now(), repeatOf(c.start)):
 		return call.ReasonRetryBudgetSpent
 	case c.link.refused(), !r.options.Now().Before(c.deadline):
--- a/internal/node/calls/stopping.go
+++ b/internal/node/calls/stopping.go
@@ -159,11 +159,17 @@
 	}
 }
 
-// mayTakeCall reports whether the call may be taken before the node stops.
-func (r *Runner) mayTakeCall(c *gateCall) bool {
+// stopReason returns why the call may not be taken before the node stops, or an empty reason.
+func (r *Runner) stopReason(c *gateCall) call.Reason {
 	judged := c.stoppingCall()
 	judged.Strict = r.callsBeforeStop.stopping() && !c.mayBeSentAgain() && c.id.Entry != r.options.Self.ID && r.hasOtherGate(c.start.Service)
-	return r.callsBeforeStop.mayTake(r.options.Now(), c.requestID, judged)
+	switch {
+	case r.callsBeforeStop.mayTake(r.options.Now(), c.requestID, judged):
+		return ""
+	case judged.Strict:
+		return call.ReasonOutlastsGate
+	}
+	return call.ReasonLeaving
 }
 
 // mayBeSentAgain reports whether a call whose outcome is unknown may be sent again: by its entry, or by its
--- a/internal/node/calls/stopping_test.go
+++ b/internal/node/calls/stopping_test.go
@@ -110,6 +110,10 @@
 				f.is.Equal(got.status, 200)
 			}
 			f.is.Equal(atStopping.Load() > 0, row.mayTake)
+			for range orders { // reads still use the gate, also after it refused an order
+				f.is.Equal(f.call(0, "GET", "/read", "").status, 200)
+			}
+			f.is.True(atStopping.Load() > 0)
 		})
 	}
 }
